--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# Thin front to the CMake presets.
+PRESET ?= release
+BUILD = build$(if $(filter-out release,$(PRESET)),-$(PRESET))
+
+.PHONY: install build test unit proofs demo bench format lint test-asan test-tsan clean
+
+install:
+	sh cmake/install-packages.sh
+
+build:
+	cmake --preset $(PRESET) >/dev/null
+	cmake --build $(BUILD)
+
+test: build
+	sh cmake/run-tests.sh $(BUILD)
+
+unit: build
+	$(BUILD)/tests/unit_tests
+
+proofs: build
+	$(BUILD)/tests/proof_tests
+
+demo: install build
+	sh examples/demo.sh $(BUILD)
+
+bench: build
+	sh bench/run.sh $(BUILD)
+
+format:
+	git ls-files '*.h' '*.cpp' | grep -v /generated/ | xargs clang-format -i
+
+lint:
+	sh cmake/lint.sh
+
+test-asan:
+	$(MAKE) test PRESET=asan
+
+test-tsan:
+	$(MAKE) test PRESET=tsan
+
+clean:
+	rm -rf build build-asan build-tsan
--- /dev/null
+++ b/cmake/install-packages.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Installs what the build needs on a fresh Debian 12 machine, as root.
+set -eu
+export DEBIAN_FRONTEND=noninteractive
+apt-get update -qq
+apt-get install -y -qq --no-install-recommends \
+    ca-certificates ccache clang-format clang-tidy cmake curl g++ git make ninja-build pkg-config \
+    catch2 libboost1.81-dev libjsoncpp-dev libjsonrpccpp-dev libopentracing-dev \
+    libpopt-dev libprotobuf-dev libspdlog-dev libssl-dev >/dev/null
--- /dev/null
+++ b/src/core/include/core/ids.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace snipehill
+{
+
+/** Position of a record in a stream of the platform's log; offsets of one stream only grow. */
+using Offset = std::int64_t;
+
+/** No record: precedes every offset. */
+constexpr Offset noOffset = -1;
+
+/** Random 64-bit id of one attempt of a request, unique among all entries. */
+using AttemptId = std::uint64_t;
+
+/** One run of a process: instance name of its settings and a random number drawn at start. */
+struct Incarnation
+{
+    std::string instance;
+    std::uint64_t number = 0;
+    friend bool operator==(const Incarnation &, const Incarnation &) = default;
+    friend auto operator<=>(const Incarnation &, const Incarnation &) = default;
+};
+
+/** Random 64-bit number from the operating system's generator. */
+std::uint64_t randomId();
+
+/** Random 128-bit id in hexadecimal, for X-Request-Id. */
+std::string randomRequestId();
+
+} // namespace snipehill
--- /dev/null
+++ b/src/core/include/core/time.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <chrono>
+
+namespace snipehill
+{
+
+/** Monotonic clock of this process; never compared between processes. */
+using Clock = std::chrono::steady_clock;
+using TimePoint = Clock::time_point;
+using Duration = Clock::duration;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+} // namespace snipehill
--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/src/pch.cpp
@@ -0,0 +1,1 @@
+#include "pch.h"
--- /dev/null
+++ b/src/version/include/version/configversion.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <version/records.h>
+
+#include <map>
+#include <memory>
+#include <string_view>
+
+namespace snipehill
+{
+
+/**
+ * The configuration after a prefix of the config stream. Immutable once published: requests hold a shared
+ * pointer to the version under which they were admitted, a new version replaces the pointer whole.
+ * A pure function of the prefix, so equal offsets mean equal content in every process.
+ */
+struct ConfigVersion
+{
+    Offset offset = noOffset; //!< last record applied, effective or not
+    std::map<std::string, Versioned<Workspace>, std::less<>> workspaces;
+    std::map<std::string, Versioned<Key>, std::less<>> keys; //!< by key name
+    std::map<std::string, Versioned<TargetGroup>, std::less<>> targetGroups;
+    std::map<std::string, Versioned<Route>, std::less<>> routes;
+    std::map<std::string, std::string, std::less<>> keyNameByHash; //!< SHA-256 in hexadecimal to key name
+};
+
+using ConfigPointer = std::shared_ptr<const ConfigVersion>;
+
+/** Route with the longest prefix that matches the path at a segment boundary, null if none. */
+const Route *findRoute(const ConfigVersion &config, std::string_view path) noexcept;
+
+/** Workspace of the key whose secret is given, null if unknown or withdrawn. Constant time in the secret. */
+const Workspace *findWorkspaceBySecret(const ConfigVersion &config, std::string_view secret);
+
+/** Hexadecimal SHA-256 of a secret. */
+std::string hashSecret(std::string_view secret);
+
+} // namespace snipehill
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
