--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	sh bench/run.sh $(BUILD)
 
 format:
-	git ls-files '*.h' '*.cpp' | grep -v /generated/ | xargs clang-format -i
+	git ls-files -co --exclude-standard '*.h' '*.cpp' | grep -v /generated/ | xargs clang-format -i
 
 lint:
 	sh cmake/lint.sh
--- /dev/null
+++ b/src/connection/src/endpoint.cpp
@@ -0,0 +1,35 @@
+#include <connection/endpoint.h>
+
+#include <boost/asio/ip/address.hpp>
+
+#include <charconv>
+
+namespace snipehill
+{
+
+std::optional<Endpoint> parseEndpoint(std::string_view text, Reason &reason)
+{
+    const auto colon = text.rfind(':');
+    std::string_view host = text.substr(0, colon == std::string_view::npos ? 0 : colon);
+    const std::string_view digits = colon == std::string_view::npos ? std::string_view() : text.substr(colon + 1);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+        host = host.substr(1, host.size() - 2);
+    }
+    std::uint16_t port = 0;
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    boost::system::error_code bad;
+    boost::asio::ip::make_address(std::string(host), bad);
+    if (bad || error != std::errc() || end != digits.data() + digits.size() || port == 0) {
+        reason = {Step::Parse, {}, "\"" + std::string(text) + "\" is not an IP address with a port"};
+        return std::nullopt;
+    }
+    return Endpoint{std::string(host), port};
+}
+
+std::string toString(const Endpoint &endpoint)
+{
+    const bool six = endpoint.address.find(':') != std::string::npos;
+    return (six ? "[" + endpoint.address + "]" : endpoint.address) + ":" + std::to_string(endpoint.port);
+}
+
+}
--- /dev/null
+++ b/src/connection/src/httpclient.cpp
@@ -0,0 +1,179 @@
+#include <connection/httpclient.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+
+namespace snipehill
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t readChunkBytes = 16384;
+constexpr std::uint64_t streamBodyLimitBytes = 1ULL << 32U;
+
+Reason failure(Step step, const Endpoint &peer, std::string_view what, const boost::system::error_code &error)
+{
+    return {step, toString(peer), std::string(what) + ": " + error.message()};
+}
+
+// Unacknowledged bytes are dropped by the kernel after the bound, so a cut request can't arrive later.
+void boundRetransmission(asio::ip::tcp::socket &socket, milliseconds timeout)
+{
+    const auto bound = static_cast<unsigned>(timeout.count());
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &bound, sizeof bound);
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+// A reset discards what is still unsent, where an orderly close would deliver it.
+void closeWithReset(boost::beast::tcp_stream &stream)
+{
+    boost::system::error_code ignored;
+    stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    stream.close();
+}
+
+}
+
+asio::awaitable<std::optional<HttpResponse>> httpCall(HttpCall call, Reason &reason)
+{
+    boost::beast::tcp_stream stream(co_await asio::this_coro::executor);
+    stream.expires_after(call.timeout);
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(call.peer.address), call.peer.port);
+    auto [connectError] = co_await stream.async_connect(endpoint, useTuple);
+    if (connectError) {
+        reason = failure(call.step, call.peer, "connect", connectError);
+        co_return std::nullopt;
+    }
+    boundRetransmission(stream.socket(), call.timeout);
+    HttpRequest request(call.method, call.target, 11);
+    request.set(http::field::host, toString(call.peer));
+    if (!call.body.empty()) {
+        request.set(http::field::content_type, "application/json");
+    }
+    request.body() = std::move(call.body);
+    request.keep_alive(false);
+    request.prepare_payload();
+    auto [writeError, written] = co_await http::async_write(stream, request, useTuple);
+    if (writeError) {
+        reason = failure(call.step, call.peer, "send", writeError);
+        closeWithReset(stream);
+        co_return std::nullopt;
+    }
+    boost::beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(call.bodyLimit);
+    auto [readError, read] = co_await http::async_read(stream, buffer, parser, useTuple);
+    closeWithReset(stream);
+    if (readError) {
+        reason = failure(call.step, call.peer, "receive", readError);
+        co_return std::nullopt;
+    }
+    co_return parser.release();
+}
+
+HttpConnection::HttpConnection(asio::any_io_executor executor)
+    : m_stream(std::move(executor))
+{
+}
+
+asio::awaitable<bool> HttpConnection::connect(Endpoint peer, milliseconds timeout, Reason &reason)
+{
+    m_peer = std::move(peer);
+    m_stream.expires_after(timeout);
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(m_peer.address), m_peer.port);
+    auto [error] = co_await m_stream.async_connect(endpoint, useTuple);
+    if (error) {
+        reason = failure(Step::RunOnTarget, m_peer, "connect", error);
+        m_clean = false;
+        co_return false;
+    }
+    boundRetransmission(m_stream.socket(), timeout);
+    co_return true;
+}
+
+asio::awaitable<bool> HttpConnection::send(const HttpRequest &request, milliseconds timeout, Reason &reason)
+{
+    m_clean = false;
+    m_stream.expires_after(timeout);
+    auto [error, written] = co_await http::async_write(m_stream, request, useTuple);
+    if (error) {
+        reason = failure(Step::RunOnTarget, m_peer, "send", error);
+        co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> HttpConnection::readHead(milliseconds timeout, Reason &reason)
+{
+    m_parser = std::make_unique<Parser>();
+    m_parser->body_limit(streamBodyLimitBytes);
+    m_stream.expires_after(timeout);
+    auto [error, read] = co_await http::async_read_header(m_stream, m_buffer, *m_parser, useTuple);
+    if (error) {
+        reason = failure(Step::RunOnTarget, m_peer, "receive head", error);
+        co_return false;
+    }
+    m_clean = m_parser->is_done();
+    co_return true;
+}
+
+asio::awaitable<std::optional<std::string>> HttpConnection::readSome(milliseconds timeout, Reason &reason)
+{
+    std::array<char, readChunkBytes> chunk{};
+    while (!m_parser->is_done()) {
+        m_parser->get().body().data = chunk.data();
+        m_parser->get().body().size = chunk.size();
+        m_stream.expires_after(timeout);
+        auto [error, read] = co_await http::async_read_some(m_stream, m_buffer, *m_parser, useTuple);
+        if (error && error != http::error::need_buffer) {
+            reason = failure(Step::RunOnTarget, m_peer, "receive body", error);
+            co_return std::nullopt;
+        }
+        const std::size_t size = chunk.size() - m_parser->get().body().size;
+        if (size > 0) {
+            m_clean = m_parser->is_done();
+            co_return std::string(chunk.data(), size);
+        }
+    }
+    m_clean = true;
+    co_return std::string();
+}
+
+const http::response_header<> &HttpConnection::head() const
+{
+    return m_parser->get();
+}
+
+bool HttpConnection::reusable() const noexcept
+{
+    return m_clean && m_parser && m_parser->keep_alive();
+}
+
+void HttpConnection::abort()
+{
+    m_clean = false;
+    closeWithReset(m_stream);
+}
+
+const Endpoint &HttpConnection::peer() const noexcept
+{
+    return m_peer;
+}
+
+}
--- /dev/null
+++ b/src/connection/src/httpserver.cpp
@@ -0,0 +1,369 @@
+#include <connection/httpserver.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+
+namespace snipehill
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using Stream = boost::beast::tcp_stream;
+
+namespace
+{
+
+constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+constexpr milliseconds acceptRetryDelay{50};
+constexpr unsigned unprocessable = 400;
+
+}
+
+struct HttpServer::State {
+    asio::any_io_executor executor;
+    HttpServerLimits limits;
+    HttpHandler handler;
+    std::unique_ptr<Tcp::acceptor> acceptor;
+    std::uint16_t port = 0;
+    std::atomic<bool> closing{false};
+    std::atomic<bool> stopped{false};
+    std::atomic<std::size_t> active{0};
+    std::mutex idleLock;
+    std::map<std::uint64_t, std::weak_ptr<Stream>> idle; //!< connections between requests, by number
+    std::uint64_t nextConnection = 0;
+};
+
+namespace
+{
+
+using StatePointer = std::shared_ptr<HttpServer::State>;
+
+class Exchange : public HttpExchange
+{
+public:
+    Exchange(Stream &stream, const HttpServer::State &state, http::request<http::string_body> request, const std::string &client)
+        : m_stream(stream)
+        , m_state(state)
+        , m_request(std::move(request))
+        , m_client(client)
+        , m_keepAlive(m_request.keep_alive())
+    {
+    }
+
+    const http::request<http::string_body> &request() const noexcept override
+    {
+        return m_request;
+    }
+
+    const std::string &clientAddress() const noexcept override
+    {
+        return m_client;
+    }
+
+    asio::awaitable<bool> respond(unsigned status, HeaderList headers, std::string body) override
+    {
+        m_begun = true;
+        http::response<http::string_body> response(http::int_to_status(status), m_request.version());
+        applyHeaders(response, headers);
+        response.body() = std::move(body);
+        response.prepare_payload();
+        m_stream.expires_after(m_state.limits.writeTimeout);
+        auto [error, written] = co_await http::async_write(m_stream, response, useTuple);
+        m_finished = !error;
+        co_return m_finished;
+    }
+
+    asio::awaitable<bool> beginStream(unsigned status, HeaderList headers) override
+    {
+        m_begun = true;
+        http::response<http::empty_body> response(http::int_to_status(status), m_request.version());
+        applyHeaders(response, headers);
+        m_chunked = m_request.version() >= 11;
+        m_keepAlive = m_keepAlive && m_chunked;
+        response.keep_alive(m_keepAlive);
+        response.chunked(m_chunked);
+        http::response_serializer<http::empty_body> serializer(response);
+        m_stream.expires_after(m_state.limits.writeTimeout);
+        auto [error, written] = co_await http::async_write_header(m_stream, serializer, useTuple);
+        co_return !error;
+    }
+
+    asio::awaitable<bool> write(std::string_view data) override
+    {
+        if (data.empty()) {
+            co_return true;
+        }
+        m_stream.expires_after(m_state.limits.writeTimeout);
+        const asio::const_buffer buffer(data.data(), data.size());
+        if (m_chunked) {
+            auto [error, written] = co_await asio::async_write(m_stream, http::make_chunk(buffer), useTuple);
+            co_return !error;
+        }
+        auto [error, written] = co_await asio::async_write(m_stream, buffer, useTuple);
+        co_return !error;
+    }
+
+    asio::awaitable<bool> finish() override
+    {
+        m_finished = true;
+        if (m_chunked) {
+            m_stream.expires_after(m_state.limits.writeTimeout);
+            auto [error, written] = co_await asio::async_write(m_stream, http::make_chunk_last(), useTuple);
+            m_finished = !error;
+        }
+        co_return m_finished;
+    }
+
+    void abort() override
+    {
+        m_finished = false;
+        m_keepAlive = false;
+        boost::system::error_code ignored;
+        m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+        m_stream.close();
+    }
+
+    bool begun() const noexcept override
+    {
+        return m_begun;
+    }
+
+    bool keepsConnection() const noexcept
+    {
+        return m_finished && m_keepAlive;
+    }
+
+private:
+    template<typename Response>
+    void applyHeaders(Response &response, const HeaderList &headers)
+    {
+        for (const auto &[name, value] : headers) {
+            response.insert(name, value);
+        }
+        m_keepAlive = m_keepAlive && !m_state.closing;
+        response.keep_alive(m_keepAlive);
+    }
+
+    Stream &m_stream;
+    const HttpServer::State &m_state;
+    http::request<http::string_body> m_request;
+    const std::string &m_client;
+    bool m_keepAlive;
+    bool m_chunked = false;
+    bool m_begun = false;
+    bool m_finished = false;
+};
+
+/** Status for input that the parser refused. */
+unsigned statusFor(const boost::system::error_code &error)
+{
+    if (error == http::error::header_limit) {
+        return 431;
+    }
+    if (error == http::error::body_limit) {
+        return 413;
+    }
+    if (error == boost::beast::error::timeout) {
+        return 408;
+    }
+    return unprocessable;
+}
+
+asio::awaitable<void> refuse(Stream &stream, unsigned status, std::string detail)
+{
+    http::response<http::string_body> response(http::int_to_status(status), 11);
+    response.set(http::field::content_type, "application/problem+json");
+    response.body() = R"({"outcome":"rejected","step":"parse","peer":"","detail":")" + detail + "\"}";
+    response.keep_alive(false);
+    response.prepare_payload();
+    stream.expires_after(milliseconds(1000));
+    co_await http::async_write(stream, response, useTuple);
+    boost::system::error_code ignored;
+    stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+}
+
+/** Marks a connection as idle for as long as it lives, so that a stopping server can close it. */
+class IdleMark
+{
+public:
+    IdleMark(StatePointer state, const std::shared_ptr<Stream> &stream)
+        : m_state(std::move(state))
+    {
+        const std::lock_guard lock(m_state->idleLock);
+        m_id = m_state->nextConnection++;
+        m_state->idle[m_id] = stream;
+    }
+    ~IdleMark()
+    {
+        const std::lock_guard lock(m_state->idleLock);
+        m_state->idle.erase(m_id);
+    }
+    IdleMark(const IdleMark &) = delete;
+    IdleMark &operator=(const IdleMark &) = delete;
+
+private:
+    StatePointer m_state;
+    std::uint64_t m_id;
+};
+
+/** Waits for the first byte of the next request. */
+asio::awaitable<bool> waitForRequest(const StatePointer &state, const std::shared_ptr<Stream> &stream, boost::beast::flat_buffer &buffer)
+{
+    if (buffer.size() > 0) {
+        co_return true;
+    }
+    const IdleMark mark(state, stream);
+    if (state->stopped) {
+        co_return false;
+    }
+    stream->expires_after(state->limits.idleTimeout);
+    auto [error, read] = co_await stream->async_read_some(buffer.prepare(4096), useTuple);
+    buffer.commit(read);
+    co_return !error;
+}
+
+asio::awaitable<void> serve(StatePointer state, std::shared_ptr<Stream> stream, std::string client)
+{
+    boost::beast::flat_buffer buffer;
+    while (co_await waitForRequest(state, stream, buffer)) {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(state->limits.headerBytes);
+        parser.body_limit(state->limits.bodyBytes);
+        stream->expires_after(state->limits.requestTimeout);
+        auto [error, read] = co_await http::async_read(*stream, buffer, parser, useTuple);
+        if (error) {
+            if (error != http::error::end_of_stream && error != asio::error::connection_reset) {
+                co_await refuse(*stream, statusFor(error), error.message());
+            }
+            co_return;
+        }
+        const auto fields = std::distance(parser.get().begin(), parser.get().end());
+        if (fields > static_cast<std::ptrdiff_t>(state->limits.headerCount)) {
+            co_await refuse(*stream, 431, "too many header fields");
+            co_return;
+        }
+        Exchange exchange(*stream, *state, parser.release(), client);
+        ++state->active;
+        co_await state->handler(exchange);
+        --state->active;
+        if (!exchange.keepsConnection()) {
+            boost::system::error_code ignored;
+            stream->socket().shutdown(Tcp::socket::shutdown_send, ignored);
+            co_return;
+        }
+    }
+}
+
+asio::awaitable<void> acceptLoop(StatePointer state)
+{
+    while (!state->stopped) {
+        const auto strand = asio::make_strand(state->executor);
+        Tcp::socket socket(strand);
+        auto [error] = co_await state->acceptor->async_accept(socket, useTuple);
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (error) {
+            // Out of descriptors, most likely: wait for some to be freed instead of spinning.
+            asio::steady_timer timer(co_await asio::this_coro::executor, acceptRetryDelay);
+            co_await timer.async_wait(useTuple);
+            continue;
+        }
+        boost::system::error_code ignored;
+        socket.set_option(Tcp::no_delay(true), ignored);
+        const auto remote = socket.remote_endpoint(ignored);
+        auto stream = std::make_shared<Stream>(std::move(socket));
+        asio::co_spawn(strand, serve(state, std::move(stream), remote.address().to_string()), asio::detached);
+    }
+}
+
+}
+
+HttpServer::HttpServer(asio::any_io_executor executor, HttpServerLimits limits, HttpHandler handler)
+    : m_state(std::make_shared<State>())
+{
+    m_state->executor = std::move(executor);
+    m_state->limits = limits;
+    m_state->handler = std::move(handler);
+}
+
+HttpServer::~HttpServer() = default;
+
+bool HttpServer::start(const Endpoint &endpoint, Reason &reason)
+{
+    boost::system::error_code error;
+    const Tcp::endpoint local(asio::ip::make_address(endpoint.address, error), endpoint.port);
+    auto acceptor = std::make_unique<Tcp::acceptor>(asio::make_strand(m_state->executor));
+    if (!error) {
+        acceptor->open(local.protocol(), error);
+    }
+    if (!error) {
+        acceptor->set_option(asio::socket_base::reuse_address(true), error);
+        acceptor->bind(local, error);
+    }
+    if (!error) {
+        acceptor->listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        reason = {Step::Settings, toString(endpoint), "listen: " + error.message()};
+        return false;
+    }
+    m_state->port = acceptor->local_endpoint().port();
+    m_state->acceptor = std::move(acceptor);
+    asio::co_spawn(m_state->acceptor->get_executor(), acceptLoop(m_state), asio::detached);
+    return true;
+}
+
+std::uint16_t HttpServer::port() const noexcept
+{
+    return m_state->port;
+}
+
+void HttpServer::closeAfterAnswers() noexcept
+{
+    m_state->closing = true;
+}
+
+void HttpServer::stopAccepting()
+{
+    m_state->stopped = true;
+    if (m_state->acceptor) {
+        asio::post(m_state->acceptor->get_executor(), [state = m_state] {
+            boost::system::error_code ignored;
+            state->acceptor->close(ignored);
+        });
+    }
+    const std::lock_guard lock(m_state->idleLock);
+    for (const auto &[number, weak] : m_state->idle) {
+        if (const auto stream = weak.lock()) {
+            asio::post(stream->get_executor(), [stream] {
+                stream->cancel();
+            });
+        }
+    }
+}
+
+std::size_t HttpServer::activeExchanges() const noexcept
+{
+    return m_state->active;
+}
+
+}
--- /dev/null
+++ b/src/process/src/logclient.cpp
@@ -0,0 +1,76 @@
+#include <process/logclient.h>
+
+#include <connection/httpclient.h>
+
+#include <json/reader.h>
+#include <json/writer.h>
+
+namespace snipehill
+{
+
+namespace
+{
+
+constexpr milliseconds callTimeout{2000};
+constexpr int pageRecords = 500;
+
+std::optional<Json::Value> parseAnswer(const HttpResponse &response, const Endpoint &log, Step step, Reason &reason)
+{
+    Json::Value value;
+    const Json::CharReaderBuilder builder;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    const std::string &body = response.body();
+    if (response.result_int() != 200 || !reader->parse(body.data(), body.data() + body.size(), &value, nullptr) || !value.isObject()) {
+        reason = {step, toString(log), "log answered " + std::to_string(response.result_int())};
+        return std::nullopt;
+    }
+    return value;
+}
+
+}
+
+boost::asio::awaitable<std::optional<LogPage>> readLog(Endpoint log, std::string stream, Offset from, milliseconds wait, Reason &reason)
+{
+    HttpCall call{.peer = log, .timeout = callTimeout + wait, .step = Step::LogRead};
+    call.target = "/streams/" + stream + "/records?from=" + std::to_string(from) + "&max=" + std::to_string(pageRecords)
+        + "&waitMs=" + std::to_string(wait.count());
+    const auto response = co_await httpCall(std::move(call), reason);
+    if (!response) {
+        co_return std::nullopt;
+    }
+    const auto answer = parseAnswer(*response, log, Step::LogRead, reason);
+    if (!answer) {
+        co_return std::nullopt;
+    }
+    LogPage page;
+    page.firstRetained = (*answer)["first"].asInt64();
+    page.next = (*answer)["next"].asInt64();
+    for (const Json::Value &entry : (*answer)["records"]) {
+        page.records.push_back({entry["offset"].asInt64(), entry["record"]});
+    }
+    co_return page;
+}
+
+boost::asio::awaitable<std::optional<Offset>> appendLog(Endpoint log, std::string stream, std::vector<Json::Value> records, Reason &reason)
+{
+    Json::Value body(Json::arrayValue);
+    for (Json::Value &record : records) {
+        body.append(std::move(record));
+    }
+    Json::StreamWriterBuilder writer;
+    writer["indentation"] = "";
+    HttpCall call{.peer = log, .method = boost::beast::http::verb::post, .timeout = callTimeout, .step = Step::LogAppend};
+    call.target = "/streams/" + stream + "/records";
+    call.body = Json::writeString(writer, body);
+    const auto response = co_await httpCall(std::move(call), reason);
+    if (!response) {
+        co_return std::nullopt;
+    }
+    const auto answer = parseAnswer(*response, log, Step::LogAppend, reason);
+    if (!answer) {
+        co_return std::nullopt;
+    }
+    co_return (*answer)["first"].asInt64();
+}
+
+}
