--- /dev/null
+++ b/src/process/include/process/freshness.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <core/ids.h>
+#include <core/time.h>
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace snipehill
+{
+
+/** What one member said about its contact with the config stream. */
+struct MemberContact
+{
+    std::string instance;
+    std::optional<TimePoint> heardAt; //!< when its answer arrived, empty if it was not reached
+    Offset offset = noOffset; //!< config offset that it holds
+};
+
+/** What a process knows when it decides whether its configuration is provably fresh. */
+struct FreshnessView
+{
+    std::optional<TimePoint> contactAt; //!< latest moment at which own config was known to be the log's newest, by own read or a peer's
+    Offset offset = noOffset; //!< own config offset
+    Offset highestHeard = noOffset; //!< highest config offset that any peer told of
+    std::vector<MemberContact> members; //!< all other members last known
+};
+
+/** Answer of judgeFreshness. */
+enum class Freshness {
+    Fresh, //!< contact with the log within the freshness time
+    Outage, //!< nobody reachable has contact, a majority is reached: nothing can be withdrawn, go on
+    Stale, //!< keyed routes must be refused as not run
+};
+
+/** "fresh", "outage" or "stale". */
+const char *toString(Freshness freshness) noexcept;
+
+/** True if a process with this answer may serve keyed routes. */
+constexpr bool mayServeKeyed(Freshness freshness) noexcept
+{
+    return freshness != Freshness::Stale;
+}
+
+/**
+ * Decides whether keyed routes may be served. A process that knows of a higher offset than its own is
+ * stale whatever else holds. A majority is counted over all members last known and this process.
+ */
+Freshness judgeFreshness(const FreshnessView &view, Duration freshness, TimePoint now) noexcept;
+
+} // namespace snipehill
--- /dev/null
+++ b/src/process/include/process/intentwriter.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <connection/endpoint.h>
+#include <core/ids.h>
+#include <core/reason.h>
+#include <core/time.h>
+#include <request/intenttable.h>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace snipehill
+{
+
+/** The claimant may run the request, once, under this claim. */
+struct IntentOwned
+{
+    std::uint64_t claim = 0; //!< to be passed to finished() or notRun()
+};
+
+/** Another claim came first: the request must not run here. */
+struct IntentOwnedByOther
+{
+    Incarnation owner; //!< may be this very process
+    std::optional<FinishedAnswer> finished; //!< answer, if it is known
+    bool sameRequest = true; //!< false: the key was used for another request body
+};
+
+/** The claim's outcome could not be learnt in time; the request does not run here, now or later. */
+struct IntentLogDown
+{
+    Reason reason;
+};
+
+using IntentClaim = std::variant<IntentOwned, IntentOwnedByOther, IntentLogDown>;
+
+/** What a writer needs to know; filled from the settings. */
+struct IntentWriterOptions
+{
+    Endpoint log;
+    Incarnation self;
+    milliseconds horizon{600000}; //!< age up to which repeats are recognised: retention less a margin
+    double appendsPerSecond = 20; //!< this process's share of the appends budget
+    milliseconds claimTimeout{3000}; //!< after which a claim is given up
+};
+
+/** Counters for metrics. */
+struct IntentCounts
+{
+    std::uint64_t claims = 0;
+    std::uint64_t owned = 0;
+    std::uint64_t ownedByOther = 0;
+    std::uint64_t logDown = 0;
+    std::uint64_t appends = 0; //!< calls to the log
+    std::uint64_t entries = 0; //!< entries in them; entries / appends is the group commit
+    std::uint64_t lostAnswers = 0; //!< appends resolved by reading back
+    std::uint64_t waited = 0; //!< appends that waited for the budget
+    std::uint64_t recordsRead = 0;
+};
+
+/**
+ * Decides at-most-once for the requests of one sidecar through the intents stream.
+ *
+ * Appends all claims that wait in one record, reads back up to it and answers each. Reads the stream only
+ * while there is something to decide. Methods may be called by any thread; must outlive its loops: stop(), then
+ * end the io_context, before destruction.
+ */
+class IntentWriter
+{
+public:
+    IntentWriter(IntentWriterOptions options, boost::asio::any_io_executor executor);
+    ~IntentWriter();
+
+    /** Claims the key; the answer comes within claimTimeout or the given time, whichever is shorter. */
+    boost::asio::awaitable<IntentClaim> claim(IntentKey key, std::string bodyHash, milliseconds timeout);
+    /** Records the answer of a request that ran under the claim; appended in the background. */
+    void finished(const IntentKey &key, std::uint64_t claim, FinishedAnswer answer);
+    /** Frees the key of a claim under which the request was not and will not be sent to the target. */
+    void notRun(const IntentKey &key, std::uint64_t claim);
+    /** What is recorded about a key, after reading the stream to its end; for repeats that wait for an answer. */
+    boost::asio::awaitable<std::optional<IntentState>> lookUp(IntentKey key, milliseconds timeout, Reason &reason);
+    /** True when nothing waits to be appended, so that the process may end. */
+    bool idle() const;
+
+    void start();
+    void stop();
+    IntentCounts counts() const;
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace snipehill
--- a/src/version/include/version/configversion.h
+++ b/src/version/include/version/configversion.h
@@ -1,14 +1,35 @@
 #pragma once
 
+#include <version/recordparser.h>
 #include <version/records.h>
 
+#include <json/value.h>
+
 #include <map>
 #include <memory>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace snipehill
 {
 
+/** The latest effective record of one schema version of an object. */
+struct RecordVariant
+{
+    Offset offset = noOffset;
+    bool withdrawn = false; //!< remembered so that a late duplicate can't bring the object back
+    Json::Value record; //!< as it stands in the log
+};
+
+/** A record of a schema version that this process does not understand. */
+struct AsideRecord
+{
+    Offset offset = noOffset;
+    bool judged = false; //!< known to be effective, from a snapshot of a process that understands it
+    Json::Value record;
+};
+
 /**
  * The configuration after a prefix of the config stream. Immutable once published: requests hold a shared
  * pointer to the version under which they were admitted, a new version replaces the pointer whole.
@@ -22,6 +43,12 @@
     std::map<std::string, Versioned<TargetGroup>, std::less<>> targetGroups;
     std::map<std::string, Versioned<Route>, std::less<>> routes;
     std::map<std::string, std::string, std::less<>> keyNameByHash; //!< SHA-256 in hexadecimal to key name
+
+    // What the fold needs besides what is in force.
+    std::map<ObjectName, std::map<int, RecordVariant>> variants; //!< by object and schema version
+    std::vector<AsideRecord> aside; //!< in the order of their offsets
+    Offset snapshotOffset = noOffset; //!< last snapshot that had effect
+    int understands = newestSchemaVersion; //!< of this process
 };
 
 using ConfigPointer = std::shared_ptr<const ConfigVersion>;
--- /dev/null
+++ b/src/version/include/version/jsonfields.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <core/reason.h>
+
+#include <json/value.h>
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace snipehill
+{
+
+/**
+ * Parses JSON with comments. Duplicate keys, excessive nesting and text after the value are errors.
+ * Empty with a reason that names line and column; never throws.
+ */
+std::optional<Json::Value> parseJson(std::string_view text, Reason &reason);
+
+/** One line of JSON without comments, members in the order of their names. */
+std::string writeJson(const Json::Value &value);
+
+/**
+ * Reads the members of one JSON object into typed fields and keeps the first error.
+ *
+ * Each read of a member that is absent leaves the field at its default. finish() reports members that
+ * nobody asked for. The object must outlive the reader. One thread.
+ */
+class FieldReader
+{
+public:
+    /** The path stands before the member names in errors, for example "spec.". */
+    FieldReader(const Json::Value &object, std::string path, Step step);
+
+    void read(const char *name, std::string &field, std::size_t maxBytes);
+    void read(const char *name, bool &field);
+    void read(const char *name, double &field, double least, double most);
+    void read(const char *name, std::int64_t &field, std::int64_t least, std::int64_t most);
+    void read(const char *name, std::uint32_t &field, std::uint32_t least, std::uint32_t most);
+    /** Member as it is, null if absent; counts as known. */
+    const Json::Value &member(const char *name);
+    /** Records an error about a member unless one was found before. */
+    void fail(const char *name, std::string_view problem);
+    /** True if all members were known and valid; fills the reason otherwise. */
+    bool finish(Reason &reason);
+
+private:
+    bool present(const char *name);
+    const Json::Value &m_object;
+    std::string m_path;
+    Step m_step;
+    std::set<std::string, std::less<>> m_known;
+    std::string m_error;
+};
+
+} // namespace snipehill
