--- /dev/null
+++ b/src/request/include/request/crashsuspects.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <core/time.h>
+
+#include <cstdint>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace snipehill
+{
+
+/** What is held against a request fingerprint; later values override earlier ones of one generation. */
+enum class Verdict : std::uint32_t {
+    Suspect = 0, //!< was in flight when a target died
+    Cleared = 1, //!< ran alone to its end
+    Blocked = 2, //!< the target died while it ran alone
+};
+
+/**
+ * Rank of the knowledge of a fingerprint: a generation and a verdict in one number. Higher ranks override
+ * lower ones, so news can arrive in any order and more than once.
+ */
+using SuspectRank = std::uint32_t;
+
+/** Knowledge of one fingerprint. */
+struct SuspectRecord
+{
+    SuspectRank rank = 0;
+    TimePoint since{}; //!< when the rank was reached
+};
+
+/** News of one fingerprint, as it travels with load news between processes. */
+struct SuspectNews
+{
+    std::uint64_t fingerprint = 0;
+    SuspectRank rank = 0;
+    milliseconds age{}; //!< since the rank was reached
+};
+
+/** Settings of the judgement. */
+struct CrashSettings
+{
+    seconds suspectTime{600}; //!< a suspicion or clearance is forgotten after this
+    seconds blockTime{600}; //!< a blocked fingerprint is refused for this long
+    seconds memory{3600}; //!< after a block has ended, the fingerprint runs only alone for this long
+    seconds newsMargin{30}; //!< knowledge this close to its end is no longer passed on
+    std::size_t maxRecords = 4096; //!< the oldest are dropped beyond this
+};
+
+/** Fingerprints under suspicion as one process knows them. Not thread safe; the owner locks. */
+struct CrashSuspects
+{
+    std::unordered_map<std::uint64_t, SuspectRecord> records;
+};
+
+/** How a request may run. */
+enum class Judgement {
+    Clear, //!< like any other
+    RunAlone, //!< with nothing else on the target
+    Blocked, //!< not at all: refuse with Outcome::Rejected
+};
+
+/** Judges a request before it is sent to a target. */
+Judgement judge(const CrashSuspects &suspects, std::uint64_t fingerprint, const CrashSettings &settings, TimePoint now);
+
+/**
+ * Notes that a target died with these requests in flight.
+ * @param alone the only request ran alone, so it is the cause
+ */
+void noteCrash(CrashSuspects &suspects, std::span<const std::uint64_t> inFlight, bool alone, const CrashSettings &settings, TimePoint now);
+
+/** Notes that a suspect ran alone to its end. */
+void noteAloneSuccess(CrashSuspects &suspects, std::uint64_t fingerprint, TimePoint now);
+
+/** Takes news from another process. Commutative and idempotent. */
+void mergeNews(CrashSuspects &suspects, std::span<const SuspectNews> news, const CrashSettings &settings, TimePoint now);
+
+/** News to pass on, the most recent first, at most so many. */
+std::vector<SuspectNews> suspectNews(const CrashSuspects &suspects, std::size_t max, const CrashSettings &settings, TimePoint now);
+
+/** Drops records that have no effect any more. To be called now and then. */
+void forgetOld(CrashSuspects &suspects, const CrashSettings &settings, TimePoint now);
+
+/** Verdict in a rank. */
+Verdict verdictOf(SuspectRank rank) noexcept;
+
+} // namespace snipehill
--- /dev/null
+++ b/src/request/include/request/prefixindex.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace snipehill
+{
+
+/** Hashes believed to be in one target's prefix cache, most recently used first. */
+struct TargetPrefixes
+{
+    std::uint64_t incarnation = 0; //!< of the sidecar whose target holds the cache
+    std::uint64_t cacheEpoch = 0; //!< see LoadReport::cacheEpoch
+    std::list<std::uint64_t> recent;
+    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> positions;
+};
+
+/** Hash and equality that look up std::string keys by std::string_view. */
+struct StringHash
+{
+    using is_transparent = void; // NOLINT(readability-identifier-naming) name demanded by the standard library
+    std::size_t operator()(std::string_view text) const noexcept
+    {
+        return std::hash<std::string_view>{}(text);
+    }
+};
+
+/** Bounded knowledge of which prompt prefixes each target has cached. Not thread safe; the owner locks. */
+struct PrefixIndex
+{
+    std::size_t hashesPerTarget = 4096; //!< the least recently used hash is dropped beyond this
+    std::unordered_map<std::string, TargetPrefixes, StringHash, std::equal_to<>> targets;
+};
+
+/** Notes that a request with these leading blocks was sent to a target, which will cache them. */
+void noteRouted(PrefixIndex &index, std::string_view target, std::span<const std::uint64_t> hashes);
+
+/** Notes a cache event: the target stored a block, or removed it. */
+void noteCacheEvent(PrefixIndex &index, std::string_view target, std::uint64_t hash, bool stored);
+
+/** Notes the cache epoch of a load report; a new epoch or incarnation voids what is known of the target. */
+void noteCacheEpoch(PrefixIndex &index, std::string_view target, std::uint64_t incarnation, std::uint64_t epoch);
+
+/** Drops a target that has left. */
+void forgetTarget(PrefixIndex &index, std::string_view target);
+
+/** Number of leading blocks of a request that the target is believed to hold. */
+std::size_t coveredBlocks(const PrefixIndex &index, std::string_view target, std::span<const std::uint64_t> hashes);
+
+} // namespace snipehill
--- /dev/null
+++ b/src/request/include/request/roleplan.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <core/loadreport.h>
+#include <core/time.h>
+
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace snipehill
+{
+
+/** Demand of one model in tokens a second. */
+struct TokenDemand
+{
+    double prefill = 0;
+    double decode = 0;
+};
+
+/** Fast and slow moving averages of a model's demand. */
+struct DemandAverages
+{
+    TokenDemand fast;
+    TokenDemand slow;
+    TimePoint updated{};
+    bool started = false;
+};
+
+/** Settings of the role plan. */
+struct RolePlanSettings
+{
+    seconds fastAverage{30}; //!< time constant
+    seconds slowAverage{300};
+    seconds changeTime{20}; //!< drain and change: the engine serves nothing for so long
+    seconds horizon{180}; //!< a change must pay within this
+    seconds engineDwell{120}; //!< least time between two changes of one engine
+    seconds poolDwell{15}; //!< least time between two changes in one pool
+    double minGain = 0.05; //!< least drop of the worst utilisation
+    double busy = 0.7; //!< below this worst utilisation nothing is changed
+    seconds freshReport{10}; //!< a report older than this counts as missing
+    double minFresh = 0.7; //!< part of the engines that must have fresh reports
+    double mixedEfficiency = 0.85; //!< of an engine that does both kinds of work
+};
+
+/** One engine of a pool, as the planner sees it. */
+struct EngineView
+{
+    std::string instance;
+    std::string failureDomain;
+    EngineRole role = EngineRole::Mixed;
+    bool live = true; //!< serves now
+    bool changing = false; //!< an order is under way
+    std::optional<Duration> reportAge; //!< empty: no report ever
+    double prefillTokensPerSecond = 0; //!< when it did nothing else
+    double decodeTokensPerSecond = 0;
+    TimePoint lastChange{};
+    bool everChanged = false;
+};
+
+/** A role order that the plan wants given. */
+struct RoleChange
+{
+    std::string instance;
+    EngineRole role = EngineRole::Mixed;
+    double utilisationBefore = 0; //!< worst predicted one
+    double utilisationAfter = 0;
+};
+
+/** What the planner remembers of one pool (the engines of one model). */
+struct RolePool
+{
+    DemandAverages demand;
+    TimePoint lastChange{};
+    bool everChanged = false;
+};
+
+/** Adds a measurement of admitted work, taken over an interval that ends now. */
+void addDemand(DemandAverages &averages, const TokenDemand &measured, const RolePlanSettings &settings, TimePoint now);
+
+/** Demand that the plan reckons with: between the averages, nearer to the fast one the further they stand apart. */
+TokenDemand plannedDemand(const DemandAverages &averages) noexcept;
+
+/** Worst utilisation of prefill and decode when the engines that serve carry the demand; infinite where nothing serves one kind. */
+double worstUtilisation(std::span<const EngineView> engines, const TokenDemand &demand, const RolePlanSettings &settings);
+
+/**
+ * The next role change of a pool, or none. At most one engine of a pool and of a failure domain is in change
+ * at a time; the caller keeps pools of one failure domain apart by passing the domains that are busy.
+ */
+std::optional<RoleChange>
+planRoles(std::span<const EngineView> engines, const RolePool &pool, std::span<const std::string> busyDomains, const RolePlanSettings &settings, TimePoint now);
+
+/** Notes that the order for a change was given. */
+void noteRoleChange(RolePool &pool, TimePoint now) noexcept;
+
+} // namespace snipehill
