--- /dev/null
+++ b/src/serving/src/targettable.cpp
@@ -0,0 +1,219 @@
+#include "targettable.h"
+
+#include <algorithm>
+#include <map>
+
+namespace snipehill
+{
+
+namespace
+{
+
+constexpr std::size_t subsetSize = 32;
+constexpr seconds crashSuspicion{3};
+
+}
+
+TargetTable::TargetTable(std::string entryInstance)
+    : m_entry(std::move(entryInstance))
+{
+}
+
+TargetTable::Group *TargetTable::find(const std::string &group) const
+{
+    const std::lock_guard lock(m_lock);
+    const auto found = m_groups.find(group);
+    return found == m_groups.end() ? nullptr : found->second.get();
+}
+
+void TargetTable::setMembers(const std::vector<Member> &members)
+{
+    std::map<std::string, std::vector<Member>> groups;
+    std::uint32_t entries = 0;
+    for (const Member &member : members) {
+        if (member.role == "sidecar") {
+            groups[member.targetGroup].push_back(member);
+        } else if (!member.leaving) {
+            ++entries;
+        }
+    }
+    {
+        const std::lock_guard lock(m_lock);
+        m_liveEntries = std::max(entries, 1U);
+        for (const auto &[name, list] : groups) {
+            auto &slot = m_groups[name];
+            if (!slot) {
+                slot = std::make_unique<Group>();
+            }
+        }
+        for (const auto &[name, group] : m_groups) {
+            groups.try_emplace(name);
+        }
+    }
+    for (const auto &[name, list] : groups) {
+        std::vector<TargetMember> candidates;
+        for (const Member &member : list) {
+            candidates.push_back({member.instance, member.failureDomain});
+        }
+        Group &group = *find(name);
+        const std::lock_guard lock(group.lock);
+        std::unordered_map<std::string, Target> subset;
+        for (const std::size_t position : targetSubset(m_entry, candidates, subsetSize)) {
+            const Member &member = list[position];
+            const auto known = group.targets.find(member.instance);
+            Target target = known == group.targets.end() ? Target() : known->second;
+            target.member = member;
+            subset[member.instance] = std::move(target);
+        }
+        for (const auto &[instance, target] : group.targets) {
+            if (!subset.contains(instance)) {
+                forgetTarget(group.prefixes, instance);
+            }
+        }
+        group.targets = std::move(subset);
+    }
+}
+
+std::vector<Endpoint> TargetTable::subsetLinks() const
+{
+    std::vector<Endpoint> links;
+    const std::lock_guard lock(m_lock);
+    for (const auto &[name, group] : m_groups) {
+        const std::lock_guard groupLock(group->lock);
+        for (const auto &[instance, target] : group->targets) {
+            links.push_back(target.member.link);
+        }
+    }
+    return links;
+}
+
+std::uint32_t TargetTable::liveEntries() const
+{
+    const std::lock_guard lock(m_lock);
+    return m_liveEntries;
+}
+
+void TargetTable::noteLoad(const LoadReport &report, TimePoint now)
+{
+    Group *group = find(report.targetGroup);
+    if (!group) {
+        return;
+    }
+    const std::lock_guard lock(group->lock);
+    const auto found = group->targets.find(report.instance);
+    if (found == group->targets.end()) {
+        return;
+    }
+    Target &target = found->second;
+    target.report = report;
+    target.reported = true;
+    target.reportedAt = now;
+    target.outstanding = {};
+    target.silent = false;
+    noteCacheEpoch(group->prefixes, report.instance, report.incarnation, report.cacheEpoch);
+}
+
+void TargetTable::noteSent(const std::string &groupName, const std::string &instance, const CostEstimate &cost)
+{
+    Group *group = find(groupName);
+    if (!group) {
+        return;
+    }
+    const std::lock_guard lock(group->lock);
+    const auto found = group->targets.find(instance);
+    if (found == group->targets.end()) {
+        return;
+    }
+    OutstandingWork &work = found->second.outstanding;
+    ++work.requests;
+    work.prefillTokens += cost.promptTokens;
+    work.decodeTokens += cost.outputTokens;
+    noteRouted(group->prefixes, instance, cost.prefixHashes);
+}
+
+void TargetTable::noteCrash(const std::string &groupName, const std::string &instance, TimePoint now)
+{
+    Group *group = find(groupName);
+    if (!group) {
+        return;
+    }
+    const std::lock_guard lock(group->lock);
+    const auto found = group->targets.find(instance);
+    if (found != group->targets.end()) {
+        found->second.suspectUntil = now + crashSuspicion;
+    }
+    forgetTarget(group->prefixes, instance);
+}
+
+void TargetTable::noteSilent(const std::string &groupName, const std::string &instance, bool silent)
+{
+    Group *group = find(groupName);
+    if (!group) {
+        return;
+    }
+    const std::lock_guard lock(group->lock);
+    const auto found = group->targets.find(instance);
+    if (found != group->targets.end()) {
+        found->second.silent = silent;
+    }
+}
+
+TargetView TargetTable::viewOf(const Target &target, TimePoint now)
+{
+    TargetView view;
+    view.instance = target.member.instance;
+    view.failureDomain = target.member.failureDomain;
+    view.report = target.report;
+    view.reported = target.reported;
+    view.reportAge = target.reported ? now - target.reportedAt : Duration();
+    view.outstanding = target.outstanding;
+    view.leaving = target.member.leaving;
+    view.silent = target.silent;
+    view.suspect = now < target.suspectUntil;
+    return view;
+}
+
+std::vector<TargetView> TargetTable::views(const std::string &groupName, const std::vector<std::uint64_t> &prefixHashes, TimePoint now) const
+{
+    std::vector<TargetView> views;
+    const Group *group = find(groupName);
+    if (!group) {
+        return views;
+    }
+    const std::lock_guard lock(group->lock);
+    views.reserve(group->targets.size());
+    for (const auto &[instance, target] : group->targets) {
+        views.push_back(viewOf(target, now));
+        views.back().coveredTokens = coveredBlocks(group->prefixes, instance, prefixHashes) * tokensPerPrefixBlock();
+    }
+    return views;
+}
+
+std::optional<Endpoint> TargetTable::linkOf(const std::string &groupName, const std::string &instance) const
+{
+    const Group *group = find(groupName);
+    if (!group) {
+        return std::nullopt;
+    }
+    const std::lock_guard lock(group->lock);
+    const auto found = group->targets.find(instance);
+    if (found == group->targets.end()) {
+        return std::nullopt;
+    }
+    return found->second.member.link;
+}
+
+std::vector<TargetView> TargetTable::allViews(TimePoint now) const
+{
+    std::vector<TargetView> views;
+    const std::lock_guard lock(m_lock);
+    for (const auto &[name, group] : m_groups) {
+        const std::lock_guard groupLock(group->lock);
+        for (const auto &[instance, target] : group->targets) {
+            views.push_back(viewOf(target, now));
+        }
+    }
+    return views;
+}
+
+}
--- /dev/null
+++ b/src/serving/src/wireconvert.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <connection/httpserver.h>
+#include <core/loadreport.h>
+#include <core/refusal.h>
+#include <request/crashsuspects.h>
+
+#include <link.pb.h>
+
+#include <vector>
+
+namespace snipehill
+{
+
+void fillLoad(wire::Load &message, const LoadReport &report);
+LoadReport readLoad(const wire::Load &message);
+
+void fillRefusal(wire::RefusalMessage &message, const Refusal &refusal);
+Refusal readRefusal(const wire::RefusalMessage &message);
+
+void fillSuspects(wire::Load &message, const std::vector<SuspectNews> &news);
+std::vector<SuspectNews> readSuspects(const wire::Load &message);
+
+HeaderList readHeaders(const google::protobuf::RepeatedPtrField<wire::Header> &headers);
+void fillHeaders(google::protobuf::RepeatedPtrField<wire::Header> &message, const HeaderList &headers);
+
+}
