Read settings by a table and write events one line each

Operators need every wrong setting named with what it may be, so fields stand in one table that the parser, the messages and the page of settings share. Weighed: a hand-written parser for each section, which would say the same thing three times. Unknown and duplicate fields, wrong types and ranges, and relations between timings are errors. Events are filtered by kind, so that a failing peer can't flood the log; counts of repeats are written with the next one or once the window has passed.

The roles are still to be wired.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,4 +1,84 @@
-int main()
+#include "run.h"
+
+#include <process/log.h>
+
+#include <popt.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+
+namespace
 {
-    return 0;
+
+using namespace snipehill;
+
+enum ExitCode {
+    Success = 0,
+    BadSettings = 1,
+    BadUsage = 2,
+};
+
+/** Options of the command line; popt stores pointers that it allocates. */
+struct Options
+{
+    char *settings = nullptr;
+    char *checkSettings = nullptr;
+    int version = 0;
+};
+
+int checkSettings(const char *path)
+{
+    Reason reason;
+    const auto settings = readSettingsFile(path, reason);
+    if (!settings) {
+        std::fprintf(stderr, "%s\n", reason.detail.c_str());
+        return BadSettings;
+    }
+    std::printf("%s: good, %s %s\n", path, toString(settings->role), settings->instance.c_str());
+    return Success;
+}
+
+int runProcess(const char *path)
+{
+    Reason reason;
+    const auto settings = readSettingsFile(path, reason);
+    if (!settings) {
+        logEvent(Part::Settings, Level::Error, "not usable", reason);
+        return BadSettings;
+    }
+    startLogging(settings->logging, settings->instance);
+    const int code = settings->role == ProcessRole::Entry ? runEntry(*settings) : runSidecar(*settings);
+    flushLog(TimePoint::max());
+    return code;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    Options options;
+    const poptOption table[] = {{"settings", 's', POPT_ARG_STRING, &options.settings, 0, "run with the settings in FILE", "FILE"},
+                                {"check-settings", 'c', POPT_ARG_STRING, &options.checkSettings, 0, "check FILE and exit: 0 good, 1 with an error", "FILE"},
+                                {"version", 'v', POPT_ARG_NONE, &options.version, 0, "print the version and exit", nullptr},
+                                POPT_AUTOHELP POPT_TABLEEND};
+    const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(poptGetContext("snipehilld", argc, const_cast<const char **>(argv), table, 0),
+                                                                             poptFreeContext);
+    const int parsed = poptGetNextOpt(context.get());
+    if (parsed < -1) {
+        std::fprintf(stderr, "%s: %s\n", poptBadOption(context.get(), POPT_BADOPTION_NOALIAS), poptStrerror(parsed));
+        return BadUsage;
+    }
+    if (options.version) {
+        std::printf("snipehilld %s\n", SNIPEHILL_VERSION);
+        return Success;
+    }
+    if (options.checkSettings) {
+        return checkSettings(options.checkSettings);
+    }
+    if (!options.settings || poptPeekArg(context.get())) {
+        poptPrintUsage(context.get(), stderr, 0);
+        return BadUsage;
+    }
+    return runProcess(options.settings);
 }
--- /dev/null
+++ b/src/daemon/run.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <process/settings.h>
+
+namespace snipehill
+{
+
+/** Runs an entry until it is told to end and has drained; returns the exit code of the process. */
+int runEntry(const Settings &settings);
+
+/** Runs a sidecar until it is told to end and has drained; returns the exit code of the process. */
+int runSidecar(const Settings &settings);
+
+} // namespace snipehill
--- /dev/null
+++ b/src/process/include/process/log.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <core/reason.h>
+#include <process/settings.h>
+
+#include <concepts>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace snipehill
+{
+
+/** Part of the system that an event comes from; its name is the prefix of the log line. */
+enum class Part {
+    Process,
+    Settings,
+    Entry,
+    Sidecar,
+    Link,
+    Config,
+    Lease,
+    Grant,
+    Usage,
+    Roles,
+    Orders,
+    Intents,
+    Members,
+    Admin,
+};
+
+/** "entry", "lease" and so on. */
+const char *toString(Part part) noexcept;
+
+/** A value that belongs to an event. */
+struct LogField
+{
+    LogField(std::string_view fieldName, std::string_view text) : name(fieldName), value(text) { }
+    LogField(std::string_view fieldName, const std::string &text) : LogField(fieldName, std::string_view(text)) { }
+    LogField(std::string_view fieldName, const char *text) : LogField(fieldName, std::string_view(text)) { }
+    template<typename Number>
+    requires(std::integral<Number> || std::floating_point<Number>) LogField(std::string_view fieldName, Number number)
+        : name(fieldName), value(std::to_string(number)), isNumber(true)
+    {
+    }
+
+    std::string name;
+    std::string value;
+    bool isNumber = false;
+};
+
+using LogFields = std::vector<LogField>;
+
+/** Sets level and form and names the process in JSON lines. Once, before threads start; until then events go out as text. */
+void startLogging(const LoggingSettings &settings, const std::string &instance);
+
+/**
+ * Writes one line to standard error. Thread-safe.
+ *
+ * The message is a short sentence that is the same for all events of its kind; what differs goes into the
+ * fields. Equal events within LoggingSettings::repeatWindow are counted and the count is written with the
+ * next one or by flushLog(). Of warnings and errors those are equal that have the same part, message, step and peer,
+ * of others those whose fields are the same too.
+ */
+void logEvent(Part part, Level level, std::string_view message, LogFields fields = {});
+
+/** The same with the step, the peer and the detail of a failure. */
+void logEvent(Part part, Level level, std::string_view message, const Reason &reason, LogFields fields = {});
+
+/** Writes counts of repeats that are still held back, and flushes. Called once a second and before the end. */
+void flushLog(TimePoint now);
+
+/** An event as it follows time and level in a line. */
+std::string formatEvent(LogFormat format, Part part, std::string_view message, const LogFields &fields);
+
+} // namespace snipehill
--- /dev/null
+++ b/src/process/src/log.cpp
@@ -0,0 +1,197 @@
+#include <process/log.h>
+
+#include <process/repeatfilter.h>
+
+#include <json/writer.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <array>
+#include <memory>
+#include <mutex>
+
+namespace snipehill
+{
+
+namespace
+{
+
+constexpr std::size_t shardCount = 8;
+constexpr const char *textPattern = "%Y-%m-%dT%H:%M:%S.%eZ %l %v";
+constexpr const char *jsonPattern = R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v})";
+
+struct FilterShard
+{
+    std::mutex lock;
+    RepeatFilter filter;
+};
+
+struct LogState
+{
+    std::shared_ptr<spdlog::logger> logger = std::make_shared<spdlog::logger>("snipehill", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    LoggingSettings settings;
+    std::string instance;
+    std::array<FilterShard, shardCount> shards;
+};
+
+void applySettings(LogState &state)
+{
+    state.logger->set_pattern(state.settings.format == LogFormat::Json ? jsonPattern : textPattern, spdlog::pattern_time_type::utc);
+    state.logger->flush_on(spdlog::level::info);
+}
+
+LogState &logState()
+{
+    static LogState state;
+    static std::once_flag once;
+    std::call_once(once, [] {
+        applySettings(state);
+    });
+    return state;
+}
+
+spdlog::level::level_enum toSpdlog(Level level)
+{
+    static constexpr std::array levels{spdlog::level::debug, spdlog::level::info, spdlog::level::warn, spdlog::level::err};
+    return levels[static_cast<std::size_t>(level)];
+}
+
+std::string quoted(std::string_view text)
+{
+    return Json::valueToQuotedString(std::string(text).c_str());
+}
+
+/** Text as it may stand in one line: quoted when it holds anything but plain characters. */
+std::string inLine(const std::string &text)
+{
+    const bool plain = !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char c) {
+        return c > ' ' && c < 127 && c != '"' && c != '\\' && c != '=';
+    });
+    return plain ? text : quoted(text);
+}
+
+void write(Level level, Part part, std::string_view message, LogFields fields, std::uint64_t heldBack)
+{
+    LogState &state = logState();
+    if (heldBack > 0) {
+        fields.emplace_back("repeats", heldBack);
+    }
+    if (state.settings.format == LogFormat::Json && !state.instance.empty()) {
+        fields.emplace_back("instance", state.instance);
+    }
+    state.logger->log(toSpdlog(level), "{}", formatEvent(state.settings.format, part, message, fields));
+}
+
+constexpr char keySeparator = '\x1f';
+
+std::string eventKey(Part part, Level level, std::string_view message, const std::string &detail)
+{
+    return std::string(1, char('0' + int(level))) + std::string(1, char('A' + int(part))) + std::string(message) + keySeparator + detail;
+}
+
+/** Writes the number of events held back after the last one that was written. */
+void writeRepeats(const RepeatCount &repeats)
+{
+    const auto level = static_cast<Level>(repeats.event[0] - '0');
+    const auto part = static_cast<Part>(repeats.event[1] - 'A');
+    const auto end = repeats.event.find(keySeparator);
+    LogFields fields;
+    if (end + 1 < repeats.event.size()) {
+        fields.emplace_back("of", repeats.event.substr(end + 1));
+    }
+    write(level, part, repeats.event.substr(2, end - 2), std::move(fields), repeats.count);
+}
+
+void filterAndWrite(Part part, Level level, std::string_view message, LogFields fields, const std::string &kind)
+{
+    LogState &state = logState();
+    if (level < state.settings.level) {
+        return;
+    }
+    const std::string key = eventKey(part, level, message, kind);
+    FilterShard &shard = state.shards[std::hash<std::string>()(key) % shardCount];
+    std::optional<std::uint64_t> heldBack;
+    {
+        const std::lock_guard guard(shard.lock);
+        heldBack = admitEvent(shard.filter, key, Clock::now(), state.settings.repeatWindow);
+    }
+    if (heldBack) {
+        write(level, part, message, std::move(fields), *heldBack);
+    }
+}
+
+std::string joined(const LogFields &fields)
+{
+    std::string text;
+    for (const LogField &field : fields) {
+        text += (text.empty() ? "" : " ") + field.name + "=" + inLine(field.value);
+    }
+    return text;
+}
+
+} // namespace
+
+const char *toString(Part part) noexcept
+{
+    static constexpr std::array names{
+        "process", "settings", "entry", "sidecar", "link", "config", "lease", "grant", "usage", "roles", "orders", "intents", "members", "admin"};
+    return names[static_cast<std::size_t>(part)];
+}
+
+void startLogging(const LoggingSettings &settings, const std::string &instance)
+{
+    LogState &state = logState();
+    state.settings = settings;
+    state.instance = instance;
+    state.logger->set_level(toSpdlog(settings.level));
+    applySettings(state);
+}
+
+void logEvent(Part part, Level level, std::string_view message, LogFields fields)
+{
+    const std::string kind = level < Level::Warning ? joined(fields) : std::string();
+    filterAndWrite(part, level, message, std::move(fields), kind);
+}
+
+void logEvent(Part part, Level level, std::string_view message, const Reason &reason, LogFields fields)
+{
+    fields.emplace_back("step", toString(reason.step));
+    if (!reason.peer.empty()) {
+        fields.emplace_back("peer", reason.peer);
+    }
+    fields.emplace_back("detail", reason.detail);
+    const std::string kind = std::string("step=") + toString(reason.step) + (reason.peer.empty() ? "" : " peer=" + reason.peer);
+    filterAndWrite(part, level, message, std::move(fields), kind);
+}
+
+void flushLog(TimePoint now)
+{
+    LogState &state = logState();
+    for (FilterShard &shard : state.shards) {
+        std::vector<RepeatCount> counts;
+        {
+            const std::lock_guard guard(shard.lock);
+            counts = expireEvents(shard.filter, now, state.settings.repeatWindow);
+        }
+        for (const RepeatCount &repeats : counts) {
+            writeRepeats(repeats);
+        }
+    }
+    state.logger->flush();
+}
+
+std::string formatEvent(LogFormat format, Part part, std::string_view message, const LogFields &fields)
+{
+    if (format == LogFormat::Text) {
+        const std::string values = joined(fields);
+        return std::string(toString(part)) + ": " + std::string(message) + (values.empty() ? "" : " " + values);
+    }
+    std::string line = "\"part\":" + quoted(toString(part)) + ",\"message\":" + quoted(message);
+    for (const LogField &field : fields) {
+        line += "," + quoted(field.name) + ":" + (field.isNumber ? field.value : quoted(field.value));
+    }
+    return line;
+}
+
+} // namespace snipehill
--- /dev/null
+++ b/src/process/src/settings.cpp
@@ -0,0 +1,227 @@
+#include <process/settings.h>
+
+#include "settingstable.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <json/reader.h>
+#include <json/value.h>
+
+#include <fstream>
+#include <memory>
+#include <set>
+#include <sstream>
+
+namespace snipehill
+{
+
+namespace
+{
+
+constexpr int nestingLimit = 16;
+
+/** Thrown inside this file only: unwinds to parseSettings(). */
+struct Invalid
+{
+    std::string detail;
+};
+
+[[noreturn]] void fail(const std::string &path, const std::string &problem)
+{
+    throw Invalid{path + ": " + problem};
+}
+
+std::string firstLine(std::string text)
+{
+    for (char &c : text) {
+        c = c == '\n' ? ' ' : c;
+    }
+    while (text.ends_with(' ')) {
+        text.pop_back();
+    }
+    return text;
+}
+
+Json::Value parseJson(std::string_view text)
+{
+    Json::CharReaderBuilder builder;
+    builder["rejectDupKeys"] = true;
+    builder["failIfExtra"] = true;
+    builder["stackLimit"] = nestingLimit;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    Json::Value root;
+    std::string errors;
+    try {
+        if (!reader->parse(text.data(), text.data() + text.size(), &root, &errors)) {
+            throw Invalid{firstLine(errors)};
+        }
+    } catch (const Json::Exception &) {
+        throw Invalid{"values nest too deeply"};
+    }
+    if (!root.isObject()) {
+        throw Invalid{"the file must hold one JSON object"};
+    }
+    return root;
+}
+
+const Json::Value *find(const Json::Value &root, const std::string &path)
+{
+    const Json::Value *value = &root;
+    std::istringstream parts(path);
+    std::string part;
+    while (std::getline(parts, part, '.')) {
+        value = value->isObject() ? value->find(part.data(), part.data() + part.size()) : nullptr;
+        if (!value) {
+            return nullptr;
+        }
+    }
+    return value;
+}
+
+/** Dotted paths of all fields and of the sections that hold them. */
+std::set<std::string> knownPaths(std::set<std::string> &sections)
+{
+    std::set<std::string> known;
+    for (const TableField &field : settingsTable()) {
+        known.insert(field.path);
+        if (const auto dot = field.path.find('.'); dot != std::string::npos) {
+            sections.insert(field.path.substr(0, dot));
+        }
+    }
+    return known;
+}
+
+std::string joinNames(const std::set<std::string> &known, const std::string &prefix)
+{
+    std::string names;
+    for (const std::string &path : known) {
+        const std::string name = prefix.empty() ? path.substr(0, path.find('.')) : path.substr(std::min(prefix.size(), path.size()));
+        if (path.starts_with(prefix) && !names.ends_with(name)) {
+            names += (names.empty() ? "" : ", ") + name;
+        }
+    }
+    return names;
+}
+
+void rejectUnknown(const Json::Value &root)
+{
+    std::set<std::string> sections;
+    const std::set<std::string> known = knownPaths(sections);
+    for (const std::string &name : root.getMemberNames()) {
+        if (!sections.contains(name)) {
+            if (!known.contains(name)) {
+                fail(name, "unknown field; known here are " + joinNames(known, ""));
+            }
+            continue;
+        }
+        if (!root[name].isObject()) {
+            fail(name, "must be an object");
+        }
+        for (const std::string &member : root[name].getMemberNames()) {
+            if (!known.contains(name + "." + member)) {
+                fail(name + "." + member, "unknown field; known here are " + joinNames(known, name + "."));
+            }
+        }
+    }
+}
+
+void applyField(const TableField &field, const Json::Value &root, Settings &settings)
+{
+    const Json::Value *value = find(root, field.path);
+    const bool wanted = !field.onlyFor || *field.onlyFor == settings.role;
+    if (!value) {
+        if (field.required && wanted) {
+            fail(field.path, std::string("missing; must be ") + allowedText(field));
+        }
+        return;
+    }
+    if (!wanted && field.path.find("platform.") != 0) {
+        fail(field.path, std::string("not used by role ") + toString(settings.role));
+    }
+    if (!applyValue(field, *value, settings)) {
+        fail(field.path, "must be " + allowedText(field));
+    }
+}
+
+bool isLoopback(const Endpoint &endpoint)
+{
+    boost::system::error_code error;
+    return boost::asio::ip::make_address(endpoint.address, error).is_loopback() && !error;
+}
+
+void checkRelations(const Settings &settings)
+{
+    const TimingSettings &timings = settings.timings;
+    if (timings.leaseMargin * 2 >= timings.lease) {
+        fail("timings.leaseMarginMs", "must be less than half of timings.leaseMs");
+    }
+    if (timings.grant >= timings.lease) {
+        fail("timings.grantMs", "must be less than timings.leaseMs");
+    }
+    if (settings.link.heartbeat >= timings.lease) {
+        fail("link.heartbeatMs", "must be less than timings.leaseMs");
+    }
+    if (settings.drain.balancerDelay > settings.drain.bound) {
+        fail("drain.balancerDelayMs", "must be at most drain.boundMs");
+    }
+    if (!settings.admin.allowRemote && !isLoopback(settings.admin.listen)) {
+        fail("admin.listen", "must be a loopback address unless admin.allowRemote is true");
+    }
+    const bool entry = settings.role == ProcessRole::Entry;
+    std::set<Endpoint> listens;
+    for (const Endpoint &listen : {settings.link.listen, settings.admin.listen, entry ? settings.callers.listen : Endpoint{}}) {
+        if (listen.port != 0 && !listens.insert(listen).second) {
+            fail("listen", "two servers can't share " + toString(listen));
+        }
+    }
+}
+
+} // namespace
+
+const char *toString(ProcessRole role) noexcept
+{
+    return role == ProcessRole::Entry ? "entry" : "sidecar";
+}
+
+std::vector<SettingsField> settingsFields()
+{
+    std::vector<SettingsField> fields;
+    for (const TableField &field : settingsTable()) {
+        fields.push_back({field.path, allowedText(field), defaultText(field)});
+    }
+    return fields;
+}
+
+std::optional<Settings> parseSettings(std::string_view text, Reason &reason)
+{
+    try {
+        const Json::Value root = parseJson(text);
+        rejectUnknown(root);
+        Settings settings;
+        for (const TableField &field : settingsTable()) {
+            applyField(field, root, settings);
+        }
+        checkRelations(settings);
+        return settings;
+    } catch (const Invalid &invalid) {
+        reason = {Step::Settings, "", invalid.detail};
+        return std::nullopt;
+    }
+}
+
+std::optional<Settings> readSettingsFile(const std::string &path, Reason &reason)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        reason = {Step::Settings, "", path + ": can't be read"};
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    auto settings = parseSettings(text.str(), reason);
+    if (!settings) {
+        reason.detail = path + ": " + reason.detail;
+    }
+    return settings;
+}
+
+} // namespace snipehill
