--- a/src/request/include/request/roleplan.h
+++ b/src/request/include/request/roleplan.h
@@ -25,6 +25,8 @@
     TokenDemand fast;
     TokenDemand slow;
     TimePoint updated{};
+    TimePoint sideSince{}; //!< since when the fast ratio of prefill to decode stands on one side of the slow one
+    bool prefillRises = false; //!< the side
     bool started = false;
 };
 
@@ -33,6 +35,7 @@
 {
     seconds fastAverage{30}; //!< time constant
     seconds slowAverage{300};
+    seconds persistence{60}; //!< a shift that has lasted so long is believed in full
     seconds changeTime{20}; //!< drain and change: the engine serves nothing for so long
     seconds horizon{180}; //!< a change must pay within this
     seconds engineDwell{120}; //!< least time between two changes of one engine
@@ -79,8 +82,8 @@
 /** Adds a measurement of admitted work, taken over an interval that ends now. */
 void addDemand(DemandAverages &averages, const TokenDemand &measured, const RolePlanSettings &settings, TimePoint now);
 
-/** Demand that the plan reckons with: between the averages, nearer to the fast one the further they stand apart. */
-TokenDemand plannedDemand(const DemandAverages &averages) noexcept;
+/** Demand that the plan reckons with: between the averages, nearer to the fast one the longer the shift has lasted. */
+TokenDemand plannedDemand(const DemandAverages &averages, const RolePlanSettings &settings, TimePoint now) noexcept;
 
 /** Worst utilisation of prefill and decode when the engines that serve carry the demand; infinite where nothing serves one kind. */
 double worstUtilisation(std::span<const EngineView> engines, const TokenDemand &demand, const RolePlanSettings &settings);
--- a/src/request/include/request/scaleplan.h
+++ b/src/request/include/request/scaleplan.h
@@ -35,7 +35,7 @@
 struct ScaleState
 {
     std::optional<TimePoint> shortSince; //!< more targets were needed since
-    std::optional<TimePoint> amplySince; //!< fewer targets would do since
+    std::optional<TimePoint> ampleSince; //!< fewer targets would do since
     std::optional<TimePoint> lastStop;
 };
 
--- a/src/request/include/request/targetchoice.h
+++ b/src/request/include/request/targetchoice.h
@@ -3,6 +3,7 @@
 #include <core/loadreport.h>
 #include <core/reason.h>
 #include <core/time.h>
+#include <version/records.h>
 
 #include <cstdint>
 #include <optional>
@@ -43,7 +44,8 @@
     std::uint64_t promptTokens = 0;
     std::uint64_t outputTokens = 0;
     bool alone = false; //!< must run with nothing else on the target
-    bool needsDecode = true; //!< false: only the prefill runs there, the cache is transferred afterwards
+    std::uint64_t fingerprint = 0; //!< decides the target of a request that must run alone
+    TargetKind kind = TargetKind::Engine; //!< plain services have no token rates
 };
 
 /** Settings of the choice. */
@@ -56,6 +58,8 @@
     double staleness = 0.25; //!< predicted wait added per unit of report age
     milliseconds maxStaleness{2000}; //!< the most that age adds
     double interference = 0.5; //!< weight of decode work that a prefill delays, and the reverse
+    milliseconds decodePressure{500}; //!< cost of joining a target whose slots are all in use, before the weight
+    milliseconds roleMismatch{1000}; //!< added when the engine's role is for the other kind of work
     milliseconds suspectPenalty{3000}; //!< added to a target that died a short while ago
 };
 
@@ -66,9 +70,10 @@
     Duration prefill{}; //!< of the part that the cache doesn't cover
     Duration interference{}; //!< from streams that share the target
     Duration staleness{}; //!< for the age of the report
+    Duration penalty{}; //!< for an unfit role or a recent crash
     Duration total() const noexcept
     {
-        return wait + prefill + interference + staleness;
+        return wait + prefill + interference + staleness + penalty;
     }
 };
 
@@ -82,15 +87,16 @@
 /** Prefill rate of a target in tokens a second: measured, else the default. */
 double prefillRate(const TargetView &target, const ChoiceSettings &settings) noexcept;
 
-/** True when the target may get new work at all: accepting, neither leaving nor silent, role fits. */
-bool isEligible(const TargetView &target, const PlacementRequest &request) noexcept;
+/** True when the target may get new work at all: accepting, neither leaving nor silent. */
+bool isEligible(const TargetView &target) noexcept;
 
 /** Predicted cost of placing the request on the target. */
 PlacementCost predictCost(const TargetView &target, const PlacementRequest &request, const ChoiceSettings &settings) noexcept;
 
 /**
  * Chooses a target for one attempt: the cheapest of a few drawn at random, or of the whole subset when the
- * draw has no eligible one.
+ * draw has no eligible one. A request that must run alone goes to the eligible target with the highest
+ * rendezvous hash for its fingerprint, so that its copies meet in one queue.
  *
  * @param targets the entry's subset of the target group
  * @param tried instances that this request has already failed on or been refused by
--- /dev/null
+++ b/src/request/src/admission.cpp
@@ -0,0 +1,157 @@
+#include <request/admission.h>
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+#include <utility>
+
+namespace snipehill
+{
+
+namespace
+{
+
+constexpr unsigned tooManyRequests = 429;
+constexpr unsigned serviceUnavailable = 503;
+
+double inSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+seconds boundedRetryAfter(double wait, const AdmissionSettings &settings)
+{
+    const auto whole = seconds(static_cast<std::int64_t>(std::ceil(std::clamp(wait, 0.0, static_cast<double>(settings.maxRetryAfter.count())))));
+    return std::max(whole, seconds(1));
+}
+
+Refusal refuse(unsigned status, std::string detail, double wait, const AdmissionSettings &settings)
+{
+    Refusal refusal;
+    refusal.status = status;
+    refusal.reason = Reason{Step::Admit, {}, std::move(detail)};
+    refusal.retryAfter = boundedRetryAfter(wait, settings);
+    return refusal;
+}
+
+void drain(RateBucket &bucket, double rate, TimePoint now)
+{
+    bucket.level = std::max(0.0, bucket.level - rate * inSeconds(now - bucket.updated));
+    bucket.updated = now;
+}
+
+/** Seconds until the bucket takes the amount; 0: now. An amount above the capacity waits for an empty bucket. */
+double bucketWait(const RateBucket &bucket, double rate, double amount, const AdmissionSettings &settings)
+{
+    const double capacity = std::max(amount, rate * static_cast<double>(settings.burst.count()));
+    const double excess = bucket.level + amount - capacity;
+    return excess <= 0 ? 0 : excess / rate;
+}
+
+double shareFor(const WorkspaceUse &use, std::uint32_t entries, const AdmissionSettings &settings, TimePoint now)
+{
+    if (use.share && now < use.shareUntil) {
+        return *use.share;
+    }
+    return std::max(settings.minShare, 1.0 / std::max(1U, entries));
+}
+
+std::optional<Refusal> checkDeadline(const AdmissionRequest &request, const AdmissionSettings &settings)
+{
+    if (!request.predictedDelay) {
+        return refuse(serviceUnavailable, "no target accepts requests", 1, settings);
+    }
+    if (*request.predictedDelay <= request.remaining) {
+        return std::nullopt;
+    }
+    return refuse(serviceUnavailable, "no target can answer before the deadline", inSeconds(*request.predictedDelay - request.remaining), settings);
+}
+
+std::optional<Refusal> checkLimits(WorkspaceUse &use, const Workspace &workspace, double share, double tokens, const AdmissionSettings &settings, TimePoint now)
+{
+    const double running = std::max(1.0, std::floor(workspace.concurrentRequests * share));
+    if (workspace.concurrentRequests > 0 && use.running >= running) {
+        return refuse(tooManyRequests, "too many concurrent requests of the workspace", 1, settings);
+    }
+    double wait = 0;
+    if (workspace.requestsPerSecond > 0) {
+        drain(use.requests, workspace.requestsPerSecond * share, now);
+        wait = bucketWait(use.requests, workspace.requestsPerSecond * share, 1, settings);
+    }
+    if (workspace.tokensPerSecond > 0) {
+        drain(use.tokens, workspace.tokensPerSecond * share, now);
+        wait = std::max(wait, bucketWait(use.tokens, workspace.tokensPerSecond * share, tokens, settings));
+    }
+    if (wait <= 0) {
+        return std::nullopt;
+    }
+    return refuse(tooManyRequests, "the workspace has used up its limit", wait, settings);
+}
+
+} // namespace
+
+std::optional<Refusal> admit(Admission &admission,
+                             const Workspace &workspace,
+                             const AdmissionRequest &request,
+                             std::uint32_t entries,
+                             const AdmissionSettings &settings,
+                             TimePoint now)
+{
+    WorkspaceUse &use = admission.workspaces[workspace.name];
+    const double tokens = static_cast<double>(request.promptTokens + request.outputTokens);
+    use.demand += tokens;
+    if (auto refusal = checkDeadline(request, settings)) {
+        return refusal;
+    }
+    if (auto refusal = checkLimits(use, workspace, shareFor(use, entries, settings, now), tokens, settings, now)) {
+        return refusal;
+    }
+    use.requests.level += 1;
+    use.tokens.level += tokens;
+    ++use.running;
+    return std::nullopt;
+}
+
+void release(Admission &admission, std::string_view workspace, std::int64_t tokensOverEstimate)
+{
+    const auto known = admission.workspaces.find(workspace);
+    if (known == admission.workspaces.end()) {
+        return;
+    }
+    WorkspaceUse &use = known->second;
+    use.running -= std::min(use.running, 1U);
+    use.tokens.level = std::max(0.0, use.tokens.level + static_cast<double>(tokensOverEstimate));
+}
+
+double takeDemand(Admission &admission, std::string_view workspace)
+{
+    const auto known = admission.workspaces.find(workspace);
+    return known == admission.workspaces.end() ? 0 : std::exchange(known->second.demand, 0);
+}
+
+void takeShare(Admission &admission, std::string_view workspace, double share, TimePoint until)
+{
+    const auto known = admission.workspaces.find(workspace);
+    if (known != admission.workspaces.end()) {
+        known->second.share = share;
+        known->second.shareUntil = until;
+    }
+}
+
+double shareOf(LimitKeeper &keeper, std::string_view workspace, std::string_view entry, double demand, Duration validity, TimePoint now)
+{
+    constexpr double evenPart = 0.1;
+    auto &entries = keeper.workspaces[std::string(workspace)];
+    entries[std::string(entry)] = EntryDemand{demand, now};
+    std::erase_if(entries, [&](const auto &known) {
+        return now - known.second.reported > validity;
+    });
+    double total = 0;
+    for (const auto &[name, known] : entries) {
+        total += known.demand;
+    }
+    const double even = 1.0 / static_cast<double>(entries.size());
+    return total <= 0 ? even : evenPart * even + (1 - evenPart) * demand / total;
+}
+
+} // namespace snipehill
--- /dev/null
+++ b/src/request/src/fairqueue.cpp
@@ -0,0 +1,229 @@
+#include <request/fairqueue.h>
+
+#include <algorithm>
+
+namespace snipehill
+{
+
+namespace
+{
+
+double chargeOf(const QueuedRequest &request, std::uint64_t cost)
+{
+    return static_cast<double>(cost) / std::max(request.weight, 1e-6);
+}
+
+/** Gives the first waiting request of a workspace its start tag and makes the workspace eligible. */
+void activate(FairQueue &queue, const std::string &name, WorkspaceQueue &workspace)
+{
+    QueuedRequest &first = workspace.waiting.front();
+    first.startTag = std::max(queue.virtualTime, workspace.finishTag);
+    queue.backlogged.emplace(first.startTag, name);
+}
+
+void deactivate(FairQueue &queue, const std::string &name, const WorkspaceQueue &workspace)
+{
+    queue.backlogged.erase({workspace.waiting.front().startTag, name});
+}
+
+/** Drops a workspace that owes nothing, so that memory follows the active workspaces. */
+void dropIfIdle(FairQueue &queue, const std::string &name)
+{
+    const auto found = queue.workspaces.find(name);
+    if (found == queue.workspaces.end() || !found->second.waiting.empty() || found->second.running > 0) {
+        return;
+    }
+    const bool idleTarget = queue.running == 0 && queue.owners.empty();
+    if (idleTarget || found->second.finishTag <= queue.virtualTime) {
+        queue.workspaces.erase(found);
+    }
+    if (idleTarget) {
+        queue.workspaces.clear();
+        queue.virtualTime = 0;
+    }
+}
+
+bool mayTakeSlot(const WorkspaceQueue &workspace, const FairQueueSettings &settings)
+{
+    const bool reserves = settings.slots > 2 * settings.reservedSlots;
+    const std::uint32_t most = reserves ? settings.slots - settings.reservedSlots : settings.slots;
+    return workspace.running < most;
+}
+
+void startRequest(FairQueue &queue, WorkspaceQueue &workspace, const QueuedRequest &request)
+{
+    queue.virtualTime = std::max(queue.virtualTime, request.startTag);
+    workspace.finishTag = request.startTag + chargeOf(request, request.costTokens);
+    ++workspace.running;
+    ++queue.running;
+    queue.deadlines.erase({request.deadline, request.attempt});
+    queue.owners.erase(request.attempt);
+}
+
+QueuedRequest startAlone(FairQueue &queue)
+{
+    QueuedRequest request = std::move(queue.aloneLine.front());
+    queue.aloneLine.pop_front();
+    WorkspaceQueue &workspace = queue.workspaces[request.workspace];
+    request.startTag = std::max(queue.virtualTime, workspace.finishTag);
+    startRequest(queue, workspace, request);
+    queue.aloneRunning = true;
+    queue.sinceAlone = 0;
+    return request;
+}
+
+std::optional<QueuedRequest> startNext(FairQueue &queue, const FairQueueSettings &settings)
+{
+    for (const auto &[tag, name] : queue.backlogged) {
+        WorkspaceQueue &workspace = queue.workspaces.at(name);
+        if (!mayTakeSlot(workspace, settings)) {
+            continue;
+        }
+        const std::string owner = name; // the set's element goes away below
+        deactivate(queue, owner, workspace);
+        QueuedRequest request = std::move(workspace.waiting.front());
+        workspace.waiting.pop_front();
+        startRequest(queue, workspace, request);
+        if (!workspace.waiting.empty()) {
+            activate(queue, owner, workspace);
+        }
+        return request;
+    }
+    return std::nullopt;
+}
+
+template<typename Queue> std::optional<QueuedRequest> takeFrom(Queue &waiting, AttemptId attempt)
+{
+    const auto found = std::find_if(waiting.begin(), waiting.end(), [attempt](const QueuedRequest &request) {
+        return request.attempt == attempt;
+    });
+    if (found == waiting.end()) {
+        return std::nullopt;
+    }
+    QueuedRequest request = std::move(*found);
+    waiting.erase(found);
+    return request;
+}
+
+} // namespace
+
+std::uint64_t queueCost(std::uint64_t promptTokens, std::uint64_t outputTokens) noexcept
+{
+    constexpr std::uint64_t promptTokensPerOutputToken = 20; // batched prefill against one decode step
+    return promptTokens / promptTokensPerOutputToken + outputTokens + 1;
+}
+
+std::size_t waitingCount(const FairQueue &queue) noexcept
+{
+    return queue.owners.size();
+}
+
+bool enqueue(FairQueue &queue, QueuedRequest request, const FairQueueSettings &settings)
+{
+    if (waitingCount(queue) >= settings.maxWaiting || !queue.owners.emplace(request.attempt, request.workspace).second) {
+        return false;
+    }
+    queue.deadlines.emplace(request.deadline, request.attempt);
+    const std::string name = request.workspace;
+    WorkspaceQueue &workspace = queue.workspaces[name];
+    if (request.alone) {
+        queue.aloneLine.push_back(std::move(request));
+        return true;
+    }
+    workspace.waiting.push_back(std::move(request));
+    if (workspace.waiting.size() == 1) {
+        activate(queue, name, workspace);
+    }
+    return true;
+}
+
+std::optional<QueuedRequest> dequeue(FairQueue &queue, const FairQueueSettings &settings)
+{
+    if (queue.aloneRunning) {
+        return std::nullopt;
+    }
+    const bool aloneTurn = !queue.aloneLine.empty() && (queue.backlogged.empty() || queue.sinceAlone >= settings.slots);
+    if (aloneTurn) {
+        // The target drains first: others wait until the request has run.
+        return queue.running == 0 ? std::optional(startAlone(queue)) : std::nullopt;
+    }
+    if (queue.running >= settings.slots) {
+        return std::nullopt;
+    }
+    std::optional<QueuedRequest> next = startNext(queue, settings);
+    if (next && !queue.aloneLine.empty()) {
+        ++queue.sinceAlone;
+    }
+    return next;
+}
+
+void finish(FairQueue &queue, const QueuedRequest &request, std::uint64_t actualCostTokens)
+{
+    queue.running -= std::min(queue.running, 1U);
+    if (request.alone) {
+        queue.aloneRunning = false;
+    }
+    const auto found = queue.workspaces.find(request.workspace);
+    if (found == queue.workspaces.end()) {
+        return;
+    }
+    WorkspaceQueue &workspace = found->second;
+    workspace.running -= std::min(workspace.running, 1U);
+    const bool waits = !workspace.waiting.empty();
+    if (waits) {
+        deactivate(queue, request.workspace, workspace);
+    }
+    workspace.finishTag += chargeOf(request, actualCostTokens) - chargeOf(request, request.costTokens);
+    if (waits) {
+        activate(queue, request.workspace, workspace);
+    }
+    dropIfIdle(queue, request.workspace);
+}
+
+std::optional<QueuedRequest> cancelWaiting(FairQueue &queue, AttemptId attempt)
+{
+    const auto owner = queue.owners.find(attempt);
+    if (owner == queue.owners.end()) {
+        return std::nullopt;
+    }
+    const std::string name = owner->second;
+    queue.owners.erase(owner);
+    WorkspaceQueue &workspace = queue.workspaces.at(name);
+    std::optional<QueuedRequest> request = takeFrom(queue.aloneLine, attempt);
+    if (!request) {
+        deactivate(queue, name, workspace);
+        request = takeFrom(workspace.waiting, attempt);
+        if (!workspace.waiting.empty()) {
+            activate(queue, name, workspace);
+        }
+    }
+    if (request) {
+        queue.deadlines.erase({request->deadline, attempt});
+    }
+    dropIfIdle(queue, name);
+    return request;
+}
+
+std::vector<QueuedRequest> takeExpired(FairQueue &queue, TimePoint now)
+{
+    std::vector<QueuedRequest> expired;
+    while (!queue.deadlines.empty() && queue.deadlines.begin()->first <= now) {
+        const AttemptId attempt = queue.deadlines.begin()->second;
+        queue.deadlines.erase(queue.deadlines.begin());
+        if (auto request = cancelWaiting(queue, attempt)) {
+            expired.push_back(std::move(*request));
+        }
+    }
+    return expired;
+}
+
+int enginePriority(const FairQueue &queue, const QueuedRequest &request, const FairQueueSettings &settings) noexcept
+{
+    const auto found = queue.workspaces.find(request.workspace);
+    if (found == queue.workspaces.end() || found->second.running == 0) {
+        return 0;
+    }
+    return static_cast<int>(std::min(found->second.running - 1, settings.slots));
+}
+
+} // namespace snipehill
--- /dev/null
+++ b/src/request/src/retrybudget.cpp
@@ -0,0 +1,22 @@
+#include <request/retrybudget.h>
+
+#include <algorithm>
+
+namespace snipehill
+{
+
+void noteFirstAttempt(RetryBudget &budget, const RetryBudgetSettings &settings) noexcept
+{
+    budget.credit = std::min(settings.maxCredit, budget.credit + settings.retriesPerRequest);
+}
+
+bool takeRetry(RetryBudget &budget) noexcept
+{
+    if (budget.credit < 1) {
+        return false;
+    }
+    budget.credit -= 1;
+    return true;
+}
+
+} // namespace snipehill
--- /dev/null
+++ b/src/request/src/roleplan.cpp
@@ -0,0 +1,200 @@
+#include <request/roleplan.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace snipehill
+{
+
+namespace
+{
+
+constexpr double infiniteUtilisation = 10; // stands for "nothing serves it" where gains are compared
+
+double inSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+double approach(double average, double measured, double elapsed, seconds constant)
+{
+    const double weight = 1 - std::exp(-elapsed / static_cast<double>(constant.count()));
+    return average + weight * (measured - average);
+}
+
+TokenDemand approach(const TokenDemand &average, const TokenDemand &measured, double elapsed, seconds constant)
+{
+    return {approach(average.prefill, measured.prefill, elapsed, constant), approach(average.decode, measured.decode, elapsed, constant)};
+}
+
+/** True when the fast average leans more towards prefill than the slow one. */
+bool leansToPrefill(const DemandAverages &averages)
+{
+    return averages.fast.prefill * averages.slow.decode > averages.slow.prefill * averages.fast.decode;
+}
+
+struct Capacity
+{
+    TokenDemand dedicated;
+    TokenDemand mixed; //!< if all mixed engines did only the one or the other
+};
+
+Capacity capacityOf(std::span<const EngineView> engines, const RolePlanSettings &settings)
+{
+    Capacity capacity;
+    for (const EngineView &engine : engines) {
+        if (!engine.live || engine.changing) {
+            continue;
+        }
+        if (engine.role == EngineRole::Prefill) {
+            capacity.dedicated.prefill += engine.prefillTokensPerSecond;
+        } else if (engine.role == EngineRole::Decode) {
+            capacity.dedicated.decode += engine.decodeTokensPerSecond;
+        } else {
+            capacity.mixed.prefill += settings.mixedEfficiency * engine.prefillTokensPerSecond;
+            capacity.mixed.decode += settings.mixedEfficiency * engine.decodeTokensPerSecond;
+        }
+    }
+    return capacity;
+}
+
+double ratio(double demand, double capacity)
+{
+    if (demand <= 0) {
+        return 0;
+    }
+    return capacity > 0 ? demand / capacity : std::numeric_limits<double>::infinity();
+}
+
+bool hasFreshReport(const EngineView &engine, const RolePlanSettings &settings)
+{
+    return engine.reportAge && *engine.reportAge <= settings.freshReport;
+}
+
+/** Enough of the engines have reported lately, and none is in change. */
+bool mayPlan(std::span<const EngineView> engines, const RolePool &pool, const RolePlanSettings &settings, TimePoint now)
+{
+    if (pool.everChanged && now - pool.lastChange < settings.poolDwell) {
+        return false;
+    }
+    std::size_t live = 0;
+    std::size_t fresh = 0;
+    for (const EngineView &engine : engines) {
+        if (engine.changing) {
+            return false;
+        }
+        live += engine.live ? 1 : 0;
+        fresh += engine.live && hasFreshReport(engine, settings) ? 1 : 0;
+    }
+    return live > 1 && static_cast<double>(fresh) >= settings.minFresh * static_cast<double>(live);
+}
+
+bool mayChange(const EngineView &engine, std::span<const std::string> busyDomains, const RolePlanSettings &settings, TimePoint now)
+{
+    const bool dwells = engine.everChanged && now - engine.lastChange < settings.engineDwell;
+    const bool busy = std::find(busyDomains.begin(), busyDomains.end(), engine.failureDomain) != busyDomains.end();
+    return engine.live && hasFreshReport(engine, settings) && !dwells && !busy;
+}
+
+/** Utilisation as far as it hurts: nothing is gained below the busy mark. */
+double felt(double utilisation, const RolePlanSettings &settings)
+{
+    return std::clamp(utilisation, settings.busy, infiniteUtilisation);
+}
+
+/** Gain of a change over the horizon in utilisation-seconds, less what the change itself costs. */
+double netGain(double before, double during, double after, const RolePlanSettings &settings)
+{
+    const double change = static_cast<double>(settings.changeTime.count());
+    const double rest = static_cast<double>(settings.horizon.count()) - change;
+    const double gain = (felt(before, settings) - felt(after, settings)) * rest;
+    const double loss = (felt(during, settings) - felt(before, settings)) * change;
+    return gain - loss;
+}
+
+} // namespace
+
+void addDemand(DemandAverages &averages, const TokenDemand &measured, const RolePlanSettings &settings, TimePoint now)
+{
+    if (!averages.started) {
+        averages = DemandAverages{measured, measured, now, now, false, true};
+        return;
+    }
+    const double elapsed = inSeconds(now - averages.updated);
+    averages.fast = approach(averages.fast, measured, elapsed, settings.fastAverage);
+    averages.slow = approach(averages.slow, measured, elapsed, settings.slowAverage);
+    averages.updated = now;
+    const bool side = leansToPrefill(averages);
+    if (side != averages.prefillRises) {
+        averages.prefillRises = side;
+        averages.sideSince = now;
+    }
+}
+
+TokenDemand plannedDemand(const DemandAverages &averages, const RolePlanSettings &settings, TimePoint now) noexcept
+{
+    const double lasted = inSeconds(now - averages.sideSince) / static_cast<double>(settings.persistence.count());
+    const double trust = std::clamp(lasted, 0.0, 1.0);
+    return {averages.slow.prefill + trust * (averages.fast.prefill - averages.slow.prefill),
+            averages.slow.decode + trust * (averages.fast.decode - averages.slow.decode)};
+}
+
+double worstUtilisation(std::span<const EngineView> engines, const TokenDemand &demand, const RolePlanSettings &settings)
+{
+    const Capacity capacity = capacityOf(engines, settings);
+    const double prefill = ratio(demand.prefill, capacity.dedicated.prefill + capacity.mixed.prefill);
+    const double decode = ratio(demand.decode, capacity.dedicated.decode + capacity.mixed.decode);
+    double joint = 0;
+    if (capacity.mixed.prefill > 0 && capacity.mixed.decode > 0) {
+        // Mixed engines give each kind the part of their time that evens out both utilisations.
+        const double work = demand.prefill / capacity.mixed.prefill + demand.decode / capacity.mixed.decode;
+        const double room = 1 + capacity.dedicated.prefill / capacity.mixed.prefill + capacity.dedicated.decode / capacity.mixed.decode;
+        joint = work / room;
+    }
+    return std::max({prefill, decode, joint});
+}
+
+std::optional<RoleChange>
+planRoles(std::span<const EngineView> engines, const RolePool &pool, std::span<const std::string> busyDomains, const RolePlanSettings &settings, TimePoint now)
+{
+    if (!pool.demand.started || !mayPlan(engines, pool, settings, now)) {
+        return std::nullopt;
+    }
+    const TokenDemand demand = plannedDemand(pool.demand, settings, now);
+    const double before = worstUtilisation(engines, demand, settings);
+    if (before < settings.busy) {
+        return std::nullopt;
+    }
+    std::vector<EngineView> trial(engines.begin(), engines.end());
+    std::optional<RoleChange> best;
+    double bestGain = 0;
+    for (EngineView &engine : trial) {
+        if (!mayChange(engine, busyDomains, settings, now)) {
+            continue;
+        }
+        const EngineRole current = engine.role;
+        engine.changing = true;
+        const double during = worstUtilisation(trial, demand, settings);
+        engine.changing = false;
+        for (const EngineRole role : {EngineRole::Mixed, EngineRole::Prefill, EngineRole::Decode}) {
+            engine.role = role;
+            const double after = worstUtilisation(trial, demand, settings);
+            const double gain = netGain(before, during, after, settings);
+            if (role != current && gain > bestGain && std::min(before, infiniteUtilisation) - after >= settings.minGain) {
+                bestGain = gain;
+                best = RoleChange{engine.instance, role, before, after};
+            }
+        }
+        engine.role = current;
+    }
+    return best;
+}
+
+void noteRoleChange(RolePool &pool, TimePoint now) noexcept
+{
+    pool.lastChange = now;
+    pool.everChanged = true;
+}
+
+} // namespace snipehill
