Declare leases, grants, orders, usage and the control plane

Belief comes from own records that are read back, so an answer lost to an append needs no case of its own. A usage booking names the run of the sidecar and the window that the sidecar chose; keeping copies by the entry's own clock was ruled out, as a booking could then be counted in two windows.

--- /dev/null
+++ b/src/process/include/process/leasekeeper.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <connection/endpoint.h>
+#include <process/leaseholder.h>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace snipehill
+{
+
+/** Names of lease scopes. */
+namespace scopes
+{
+constexpr const char *usage = "usage"; //!< closes and reports usage windows
+constexpr const char *snapshot = "snapshot"; //!< keeps live records from ageing out
+std::string targets(const std::string &failureDomain); //!< starts and stops targets
+std::string roles(const std::string &targetGroup); //!< gives orders to engines
+} // namespace scopes
+
+/** State of one scope for operators. */
+struct LeaseStatus
+{
+    std::string scope;
+    LeasePhase phase = LeasePhase::Unread;
+    bool believes = false;
+    Offset epoch = noOffset; //!< own one
+    std::string holder; //!< as the log tells
+};
+
+/**
+ * Holds or seeks the leases of several scopes over the log service.
+ *
+ * One reader follows the stream "leases" for all scopes, and the records that are due at one time go out in
+ * one append. Thread-safe; start() spawns coroutines that keep the object's state alive until stop().
+ */
+class LeaseKeeper
+{
+public:
+    LeaseKeeper(boost::asio::any_io_executor executor, Endpoint log, Incarnation self, LeaseSettings settings);
+    ~LeaseKeeper();
+    LeaseKeeper(const LeaseKeeper &) = delete;
+    LeaseKeeper &operator=(const LeaseKeeper &) = delete;
+
+    /** Becomes a candidate for a scope; nothing happens if it is one already. */
+    void addScope(const std::string &scope);
+    void start();
+    /** Releases what is held and stops; the releases go out if the log answers. */
+    void stop();
+
+    /** The lease on the scope is believed in for as long as the call may take. Asked right before each platform call. */
+    bool mayCall(const std::string &scope, milliseconds callBound) const;
+    /** Fencing number of the lease last held, also past the end of belief while no successor was read. */
+    std::optional<Offset> epoch(const std::string &scope) const;
+    const Incarnation &self() const noexcept;
+    std::vector<LeaseStatus> status() const;
+
+    struct State;
+
+private:
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace snipehill
--- /dev/null
+++ b/src/process/include/process/rolechange.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <process/grant.h>
+
+#include <memory>
+#include <string>
+
+namespace snipehill
+{
+
+/** What the runner of an order does next. */
+enum class OrderStep {
+    Drain, //!< stop accepting, wait until idle
+    Send, //!< check the grant and send the order
+    AskState, //!< read the engine's state
+    Finish, //!< accept work again
+};
+
+/** Engine's answer to GET /state. */
+struct EngineState
+{
+    EngineRole role = EngineRole::Mixed;
+    bool changing = false;
+    std::string model;
+    std::string modelVersion;
+    Offset lastFence = noOffset;
+    std::string lastOrderId;
+};
+
+/**
+ * Course of one order towards the engine, as a Boost.MSM machine: draining, sending, confirming, ended.
+ * Holds no clock and does no I/O. Not thread-safe.
+ */
+class RoleChange
+{
+public:
+    explicit RoleChange(std::string orderId);
+    ~RoleChange();
+    RoleChange(const RoleChange &) = delete;
+    RoleChange &operator=(const RoleChange &) = delete;
+
+    void onIdle(); //!< no stream runs any more
+    void onDrainBound(); //!< streams still run at the bound: nothing was sent, nothing is cut
+    void onGrantLapsed(); //!< before the order was sent
+    void onAccepted(); //!< the engine answered 200
+    void onRefused(std::string detail); //!< the engine answered that it does not take the order
+    void onUnanswered(); //!< it may have got it
+    void onEngineState(const EngineState &state, bool settled); //!< settled: no copy can be under way any more
+    void onConfirmBound(); //!< the engine can't be asked
+
+    OrderStep step() const noexcept;
+    OrderState state() const noexcept;
+    const std::string &detail() const noexcept;
+
+private:
+    struct Machine;
+    std::unique_ptr<Machine> m_machine;
+};
+
+} // namespace snipehill
--- /dev/null
+++ b/src/process/include/process/sidecarauthority.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <connection/endpoint.h>
+#include <connection/rpc.h>
+#include <process/rolechange.h>
+#include <process/usage.h>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace snipehill
+{
+
+/** What the data path of a sidecar offers to an order. All functions are thread-safe and do not block. */
+struct DrainHooks
+{
+    std::function<void()> stopAccepting; //!< new work is answered "not run"
+    std::function<std::size_t()> running; //!< requests on the target and in the queue
+    std::function<void(EngineRole role, bool accepting)> resume; //!< end of the order, with the role that the engine has
+};
+
+/** Settings of a sidecar's authority over its target. */
+struct SidecarAuthoritySettings
+{
+    Incarnation self;
+    Endpoint log;
+    Endpoint target;
+    std::string targetGroup;
+    bool engine = true; //!< false: a plain service, no grants are given
+    GrantSettings grant;
+    milliseconds drainBound{30000}; //!< an order that can't drain within it fails
+    milliseconds orderBound{2000}; //!< for one call to the engine
+    milliseconds confirmBound{60000}; //!< for the engine to end its change
+    milliseconds pollInterval{100};
+};
+
+/**
+ * Everything that a sidecar decides about orders to its engine and about usage.
+ *
+ * Wiring: construct, add methods() to the link's RpcMethods, start(). The data path calls
+ * usage().count() when an answer has ended and puts the window into the end frame.
+ * Offers grant.request, grant.renew, order.run, order.state, usage.read, usage.settled.
+ * Thread-safe.
+ */
+class SidecarAuthority
+{
+public:
+    SidecarAuthority(boost::asio::any_io_executor executor,
+                     SidecarAuthoritySettings settings,
+                     DrainHooks hooks,
+                     PeerCall call,
+                     std::function<std::vector<Endpoint>()> peers);
+    ~SidecarAuthority();
+    SidecarAuthority(const SidecarAuthority &) = delete;
+    SidecarAuthority &operator=(const SidecarAuthority &) = delete;
+
+    RpcMethods methods();
+    void start();
+    void stop();
+    SidecarUsage &usage() noexcept;
+
+    struct State;
+
+private:
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace snipehill
