--- a/src/daemon/run.cpp
+++ b/src/daemon/run.cpp
@@ -1,20 +1,79 @@
 #include "run.h"
 
 #include <process/log.h>
+#include <serving/entry.h>
+#include <serving/sidecar.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <functional>
+#include <thread>
+#include <vector>
 
 namespace snipehill
 {
 
-int runEntry(const Settings &)
+namespace
+{
+
+namespace asio = boost::asio;
+
+/** First signal: drain, then end. Later ones: say what an end would cut. */
+template<typename Role>
+void waitForSignal(asio::signal_set &signals, asio::io_context &context, Role &role, bool draining)
+{
+    signals.async_wait([&signals, &context, &role, draining](const boost::system::error_code &error, int) {
+        if (error) {
+            return;
+        }
+        if (draining) {
+            logEvent(Part::Process, Level::Warning, "still draining", {{"wouldCut", role.active()}});
+        } else {
+            logEvent(Part::Process, Level::Info, "draining", {{"active", role.active()}});
+            role.drain([&context] { context.stop(); });
+        }
+        waitForSignal(signals, context, role, true);
+    });
+}
+
+template<typename Role>
+int run(const Settings &settings)
 {
-    logEvent(Part::Process, Level::Error, "role entry is not built yet");
-    return 1;
+    asio::io_context context(static_cast<int>(settings.threads));
+    Role role(context, settings);
+    Reason reason;
+    if (!role.start(reason)) {
+        logEvent(Part::Process, Level::Error, "cannot start", reason);
+        return 1;
+    }
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    waitForSignal(signals, context, role, false);
+    logEvent(Part::Process, Level::Info, "started", {{"instance", settings.instance}, {"role", toString(settings.role)}});
+    std::vector<std::thread> threads;
+    for (std::uint32_t i = 1; i < settings.threads; ++i) {
+        threads.emplace_back([&context] { context.run(); });
+    }
+    context.run();
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    logEvent(Part::Process, Level::Info, "ended");
+    flushLog(Clock::now());
+    return 0;
+}
+
 }
 
-int runSidecar(const Settings &)
+int runEntry(const Settings &settings)
 {
-    logEvent(Part::Process, Level::Error, "role sidecar is not built yet");
-    return 1;
+    return run<Entry>(settings);
 }
 
-} // namespace snipehill
+int runSidecar(const Settings &settings)
+{
+    return run<Sidecar>(settings);
+}
+
+}
--- /dev/null
+++ b/src/serving/src/calleranswer.cpp
@@ -0,0 +1,149 @@
+#include "calleranswer.h"
+
+#include "wireconvert.h"
+
+#include <json/reader.h>
+#include <json/value.h>
+
+namespace snipehill
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::size_t maxHeldBytes = 32U << 20U;
+constexpr std::string_view eventEnd = "\n\n";
+constexpr std::string_view dataField = "data: ";
+
+}
+
+CallerAnswer::CallerAnswer(HttpExchange &exchange, std::string requestId)
+    : m_exchange(exchange)
+    , m_requestId(std::move(requestId))
+{
+}
+
+asio::awaitable<bool> CallerAnswer::takeHead(const wire::Head &head)
+{
+    if (m_streaming) {
+        co_return true; // a resumed answer goes on under the head that the caller has
+    }
+    m_status = head.status();
+    m_headers = readHeaders(head.headers());
+    m_headers.emplace_back("X-Request-Id", m_requestId);
+    if (!head.stream()) {
+        co_return true;
+    }
+    m_streaming = true;
+    const bool sent = co_await m_exchange.beginStream(m_status, m_headers);
+    co_return sent;
+}
+
+asio::awaitable<bool> CallerAnswer::takeEnd(const wire::Usage &usage)
+{
+    m_usage.set_prompt_tokens(m_usage.prompt_tokens() + usage.prompt_tokens());
+    m_usage.set_output_tokens(m_usage.output_tokens() + usage.output_tokens());
+    if (m_streaming) {
+        const bool finished = co_await m_exchange.finish();
+        co_return finished;
+    }
+    const bool sent = co_await m_exchange.respond(m_status, m_headers, std::move(m_held));
+    co_return sent;
+}
+
+asio::awaitable<bool> CallerAnswer::take(const wire::Frame &frame)
+{
+    if (frame.has_head()) {
+        const bool sent = co_await takeHead(frame.head());
+        co_return sent;
+    }
+    if (frame.has_end()) {
+        const bool sent = co_await takeEnd(frame.end());
+        co_return sent;
+    }
+    if (!m_firstData) {
+        m_firstData = Clock::now();
+    }
+    if (!m_streaming) {
+        m_held += frame.data();
+        co_return m_held.size() <= maxHeldBytes;
+    }
+    m_events += frame.data();
+    ++m_eventCount;
+    const bool sent = co_await m_exchange.write(frame.data());
+    co_return sent;
+}
+
+asio::awaitable<void> CallerAnswer::refuse(Refusal refusal)
+{
+    if (!m_streaming) {
+        m_status = refusal.status;
+        co_await m_exchange.respond(refusal.status, problemHeaders(refusal, m_requestId), problemBody(refusal, m_requestId));
+        co_return;
+    }
+    // The missing last chunk tells the caller that the answer is not whole, the event tells why.
+    const std::string event = "event: error\ndata: " + problemBody(refusal, m_requestId) + "\n\n";
+    co_await m_exchange.write(event);
+    m_exchange.abort();
+}
+
+bool CallerAnswer::streaming() const noexcept
+{
+    return m_streaming;
+}
+
+void CallerAnswer::discardHeld()
+{
+    m_held.clear();
+}
+
+std::string CallerAnswer::deliveredText() const
+{
+    return textOfEvents(m_events);
+}
+
+std::uint32_t CallerAnswer::deliveredEvents() const noexcept
+{
+    return m_eventCount;
+}
+
+unsigned CallerAnswer::status() const noexcept
+{
+    return m_status;
+}
+
+const wire::Usage &CallerAnswer::usage() const noexcept
+{
+    return m_usage;
+}
+
+std::optional<TimePoint> CallerAnswer::firstData() const noexcept
+{
+    return m_firstData;
+}
+
+std::string textOfEvents(std::string_view events)
+{
+    std::string text;
+    const Json::CharReaderBuilder builder;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    while (!events.empty()) {
+        const auto end = events.find(eventEnd);
+        std::string_view event = events.substr(0, end);
+        events = end == std::string_view::npos ? std::string_view() : events.substr(end + eventEnd.size());
+        if (!event.starts_with(dataField)) {
+            continue;
+        }
+        event.remove_prefix(dataField.size());
+        Json::Value chunk;
+        if (reader->parse(event.data(), event.data() + event.size(), &chunk, nullptr) && chunk.isObject() && chunk["choices"].isArray()
+            && !chunk["choices"].empty()) {
+            text += chunk["choices"][0]["delta"]["content"].asString();
+        }
+    }
+    return text;
+}
+
+}
--- /dev/null
+++ b/src/serving/src/calleranswer.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "callerrequest.h"
+
+#include <connection/httpserver.h>
+
+#include <link.pb.h>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace snipehill
+{
+
+/**
+ * The answer to one caller, put together from the frames of one or more attempts. On the strand of the
+ * caller's connection. A streamed answer is passed on as it comes; any other is held until it is whole, so
+ * that it can still be replaced.
+ */
+class CallerAnswer
+{
+public:
+    CallerAnswer(HttpExchange &exchange, std::string requestId);
+
+    /** Takes the next frame; false when the caller is gone. */
+    boost::asio::awaitable<bool> take(const wire::Frame &frame);
+    /** Sends a refusal, or cuts a stream that has begun after an event that says why. */
+    boost::asio::awaitable<void> refuse(Refusal refusal);
+
+    bool streaming() const noexcept;
+    /** Drops what an attempt left of an answer that was held back. */
+    void discardHeld();
+    /** Text of all output tokens that the caller has, read from the events passed on. */
+    std::string deliveredText() const;
+    std::uint32_t deliveredEvents() const noexcept;
+    unsigned status() const noexcept;
+    const wire::Usage &usage() const noexcept;
+    std::optional<TimePoint> firstData() const noexcept;
+
+private:
+    boost::asio::awaitable<bool> takeHead(const wire::Head &head);
+    boost::asio::awaitable<bool> takeEnd(const wire::Usage &usage);
+
+    HttpExchange &m_exchange;
+    std::string m_requestId;
+    HeaderList m_headers;
+    unsigned m_status = 0;
+    bool m_streaming = false; //!< the head has gone out
+    std::string m_held; //!< body of an answer that is not streamed
+    std::string m_events; //!< events passed on, to resume from
+    std::uint32_t m_eventCount = 0;
+    wire::Usage m_usage;
+    std::optional<TimePoint> m_firstData;
+};
+
+/** Output text of the chat-completions chunks in a run of server-sent events. */
+std::string textOfEvents(std::string_view events);
+
+}
--- /dev/null
+++ b/src/serving/src/entry.cpp
@@ -0,0 +1,160 @@
+#include <serving/entry.h>
+
+#include "entrycontext.h"
+#include "entryrequest.h"
+#include "processparts.h"
+#include "wireconvert.h"
+
+#include <connection/httpserver.h>
+#include <process/log.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace snipehill
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr milliseconds drainPoll{50};
+
+HttpServerLimits callerLimits(const CallersSettings &settings)
+{
+    HttpServerLimits limits;
+    limits.headerBytes = settings.headerBytes;
+    limits.bodyBytes = settings.bodyBytes;
+    limits.headerCount = settings.headerCount;
+    limits.idleTimeout = settings.idleTimeout;
+    limits.requestTimeout = settings.requestTimeout;
+    return limits;
+}
+
+}
+
+struct Entry::Parts {
+    Parts(asio::io_context &io, const Settings &settings)
+        : executor(io.get_executor())
+        , identity{{settings.instance, randomId()}, "entry", settings.link.heartbeat}
+        , targets(settings.instance)
+        , members(settings.platform.instances, settings.timings.instancesPoll, executor)
+        , links(executor, identity, linkHandlers())
+        , config(followerOptions(settings), executor, links.peerCall())
+        , context{.settings = settings, .config = config, .members = members, .links = links, .targets = targets, .router = router}
+        , callers(executor, callerLimits(settings.callers), [this](HttpExchange &exchange) { return serveCaller(context, exchange); })
+    {
+    }
+
+    LinkHandlers linkHandlers()
+    {
+        LinkHandlers handlers;
+        handlers.message = [this](const LinkPointer &link, const wire::LinkMessage &message) { receive(link, message); };
+        handlers.closed = [this](const LinkPointer &link) { router.linkClosed(link.get()); };
+        return handlers;
+    }
+
+    void receive(const LinkPointer &link, const wire::LinkMessage &message)
+    {
+        if (message.has_frame()) {
+            if (message.frame().has_load()) {
+                takeLoad(message.frame().load());
+            }
+            AttemptMessage delivered;
+            delivered.frame = message.frame();
+            if (!router.deliver(message.frame().attempt_id(), link.get(), std::move(delivered))) {
+                ++droppedFrames;
+            }
+        } else if (message.has_resolved()) {
+            AttemptMessage delivered;
+            delivered.resolved = message.resolved();
+            router.deliver(message.resolved().attempt_id(), link.get(), std::move(delivered));
+        } else if (message.has_load()) {
+            takeLoad(message.load());
+        }
+    }
+
+    void takeLoad(const wire::Load &load)
+    {
+        const TimePoint now = Clock::now();
+        targets.noteLoad(readLoad(load), now);
+        if (load.suspects_size() > 0) {
+            const std::lock_guard lock(context.suspects.lock);
+            mergeNews(context.suspects.suspects, readSuspects(load.suspects()), context.suspects.settings, now);
+        }
+    }
+
+    asio::any_io_executor executor;
+    LinkIdentity identity;
+    AttemptRouter router;
+    TargetTable targets;
+    Members members;
+    LinkTable links;
+    ConfigFollower config;
+    EntryContext context;
+    HttpServer callers;
+    std::unique_ptr<LinkServer> linkServer;
+    std::atomic<std::uint64_t> droppedFrames{0}; //!< of attempts that have ended or were replaced
+    std::atomic<bool> draining{false};
+};
+
+Entry::Entry(asio::io_context &context, const Settings &settings)
+    : m_parts(std::make_unique<Parts>(context, settings))
+{
+}
+
+Entry::~Entry() = default;
+
+bool Entry::start(Reason &reason)
+{
+    Parts &parts = *m_parts;
+    const Settings &settings = parts.context.settings;
+    RpcMethods methods;
+    parts.config.offerMethods(methods);
+    LinkHandlers serverHandlers = parts.linkHandlers();
+    serverHandlers.rpc = std::make_shared<RpcDispatcher>(std::move(methods));
+    parts.linkServer = std::make_unique<LinkServer>(parts.executor, parts.identity, std::move(serverHandlers));
+    parts.members.onChange([&parts, self = settings.instance](const MemberList &members) {
+        parts.targets.setMembers(*members);
+        parts.links.keepOpen(parts.targets.subsetLinks());
+        parts.config.setPeers(configPeers(*members, self));
+    });
+    if (!parts.linkServer->start(settings.link.listen, reason)) {
+        return false;
+    }
+    parts.links.start();
+    parts.members.start();
+    parts.config.start();
+    return parts.callers.start(settings.callers.listen, reason);
+}
+
+std::size_t Entry::active() const
+{
+    return m_parts->callers.activeExchanges();
+}
+
+void Entry::drain(std::function<void()> done)
+{
+    // Passed as parameters: a coroutine must not refer to the captures of a lambda that is gone.
+    const auto run = [](Parts *parts, std::function<void()> finished) -> asio::awaitable<void> {
+        const DrainSettings &drain = parts->context.settings.drain;
+        parts->draining = true;
+        parts->callers.closeAfterAnswers();
+        asio::steady_timer timer(parts->executor, drain.balancerDelay);
+        co_await timer.async_wait(asio::use_awaitable);
+        parts->callers.stopAccepting();
+        const TimePoint bound = Clock::now() + drain.bound;
+        while (parts->callers.activeExchanges() > 0 && Clock::now() < bound) {
+            timer.expires_after(drainPoll);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        finished();
+    };
+    asio::co_spawn(asio::make_strand(m_parts->executor), run(m_parts.get(), std::move(done)), asio::detached);
+}
+
+}
--- /dev/null
+++ b/src/serving/src/entryattempt.cpp
@@ -0,0 +1,292 @@
+#include "entryattempt.h"
+
+#include "wireconvert.h"
+
+#include <process/log.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace snipehill
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr milliseconds connectTimeout{1000};
+constexpr milliseconds resolveBound{4000}; //!< after which a sidecar that can't be reached is given up
+constexpr milliseconds resolveRetryDelay{100};
+constexpr std::size_t maxSuspectNews = 8; //!< in one message
+constexpr milliseconds deadlineMargin{100}; //!< lets the sidecar's own refusal arrive before the caller's deadline
+
+milliseconds untilDeadline(const CallerRequest &request)
+{
+    return std::chrono::duration_cast<milliseconds>(request.deadline - Clock::now());
+}
+
+wire::LinkMessage buildRun(EntryContext &context, const CallerRequest &request, AttemptId attempt, const AttemptTarget &target, const CallerAnswer &answer)
+{
+    wire::LinkMessage message;
+    wire::Run &run = *message.mutable_run();
+    run.set_attempt_id(attempt);
+    run.set_request_id(request.id);
+    run.set_workspace(request.workspace.name);
+    run.set_weight(request.workspace.weight);
+    run.set_route(request.route.name);
+    run.set_target_group(request.route.targetGroup);
+    run.set_method(request.method);
+    run.set_path(request.path);
+    fillHeaders(*run.mutable_headers(), request.headers);
+    run.set_body(request.body);
+    run.set_config_offset(request.config->offset);
+    run.set_deadline_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, (untilDeadline(request) - deadlineMargin).count())));
+    run.set_idempotent(request.route.idempotent);
+    run.set_idempotency_key(request.idempotencyKey);
+    run.set_prompt_tokens(request.cost.promptTokens);
+    run.set_output_tokens(request.cost.outputTokens);
+    run.set_fingerprint(request.fingerprint);
+    run.set_alone(target.alone);
+    run.set_traceparent(request.traceparent);
+    {
+        const std::lock_guard lock(context.suspects.lock);
+        fillSuspects(*run.mutable_suspects(), suspectNews(context.suspects.suspects, maxSuspectNews, context.suspects.settings, Clock::now()));
+    }
+    if (answer.streaming()) {
+        run.set_resume_text(answer.deliveredText());
+        run.set_resume_tokens(answer.deliveredEvents());
+    }
+    return message;
+}
+
+AttemptResult lost(Reason reason)
+{
+    AttemptResult result;
+    result.end = AttemptEnd::LostContact;
+    result.refusal = {Outcome::OutcomeUnknown, 502, std::move(reason), std::nullopt};
+    return result;
+}
+
+/** The coroutine's state of one attempt. */
+class Attempt
+{
+public:
+    Attempt(EntryContext &context, const CallerRequest &request, AttemptTarget target, CallerAnswer &answer, asio::any_io_executor strand)
+        : m_context(context)
+        , m_request(request)
+        , m_target(std::move(target))
+        , m_answer(answer)
+        , m_id(randomId())
+        , m_inbox(std::make_shared<AttemptInbox>(std::move(strand)))
+    {
+    }
+
+    ~Attempt()
+    {
+        m_context.router.remove(m_id);
+    }
+    Attempt(const Attempt &) = delete;
+    Attempt &operator=(const Attempt &) = delete;
+
+    asio::awaitable<AttemptResult> run()
+    {
+        Reason reason;
+        m_link = co_await m_context.links.open(m_target.link, std::min(connectTimeout, untilDeadline(m_request)), reason);
+        if (!m_link) {
+            m_context.targets.noteSilent(m_request.route.targetGroup, m_target.instance, true);
+            AttemptResult result;
+            result.end = AttemptEnd::Refused;
+            result.refusal = {Outcome::NotRun, 503, reason, seconds(1)};
+            co_return result;
+        }
+        m_context.router.add(m_id, m_inbox, m_link.get());
+        m_link->send(buildRun(m_context, m_request, m_id, m_target, m_answer));
+        m_context.targets.noteSent(m_request.route.targetGroup, m_target.instance, m_request.cost);
+        // A link that closed before the inbox was known told nobody.
+        if (!m_link->isOpen()) {
+            postClosed();
+        }
+        AttemptResult result = co_await readAnswer();
+        co_return result;
+    }
+
+private:
+    void postClosed()
+    {
+        AttemptMessage closed;
+        closed.linkClosed = true;
+        m_inbox->post(std::move(closed));
+    }
+
+    asio::awaitable<AttemptResult> readAnswer()
+    {
+        while (true) {
+            auto message = co_await m_inbox->next(m_request.deadline);
+            if (!message) {
+                AttemptResult expired = expire();
+                co_return expired;
+            }
+            std::optional<AttemptResult> result;
+            if (message->linkClosed) {
+                result = co_await resolve();
+            } else if (message->frame) {
+                result = co_await takeFrame(*message->frame);
+            }
+            if (result) {
+                co_return std::move(*result);
+            }
+        }
+    }
+
+    asio::awaitable<std::optional<AttemptResult>> takeFrame(const wire::Frame &frame)
+    {
+        if (frame.sequence() <= m_lastSequence) {
+            co_return std::nullopt; // sent again after a resolve, and known
+        }
+        if (frame.sequence() != m_lastSequence + 1) {
+            m_link->close(); // a gap: ask again from the last good frame
+            co_return std::nullopt;
+        }
+        m_lastSequence = frame.sequence();
+        if (frame.has_refusal()) {
+            acknowledge();
+            co_return refused(frame.refusal());
+        }
+        const bool sent = co_await m_answer.take(frame);
+        if (!sent) {
+            cancel();
+            AttemptResult gone;
+            gone.end = AttemptEnd::CallerGone;
+            co_return gone;
+        }
+        // One acknowledgement for all that was waiting.
+        if (m_inbox->empty() || frame.has_end()) {
+            acknowledge();
+        }
+        if (!frame.has_end()) {
+            co_return std::nullopt;
+        }
+        if (m_context.countUsage) {
+            m_context.countUsage(m_request.workspace.name, m_link->peer(), frame.end());
+        }
+        co_return AttemptResult();
+    }
+
+    static AttemptResult refused(const wire::RefusalMessage &message)
+    {
+        AttemptResult result;
+        result.end = AttemptEnd::Refused;
+        result.refusal = readRefusal(message);
+        result.owner = {message.owner(), message.owner_incarnation()};
+        result.targetCrashed = message.target_crashed();
+        result.inFlight.assign(message.in_flight().begin(), message.in_flight().end());
+        return result;
+    }
+
+    /** Asks over a new connection what became of the attempt; empty when its frames go on. */
+    asio::awaitable<std::optional<AttemptResult>> resolve()
+    {
+        const TimePoint giveUp = std::min(m_request.deadline, Clock::now() + resolveBound);
+        Reason reason{Step::Resolve, m_target.instance, "contact lost"};
+        while (Clock::now() < giveUp) {
+            const LinkPointer link = co_await m_context.links.open(m_target.link, connectTimeout, reason);
+            if (link) {
+                auto outcome = co_await askOver(link, giveUp);
+                if (outcome) {
+                    co_return std::move(*outcome);
+                }
+            }
+            asio::steady_timer timer(co_await asio::this_coro::executor, resolveRetryDelay);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        m_context.targets.noteSilent(m_request.route.targetGroup, m_target.instance, true);
+        reason.step = Step::Resolve;
+        logEvent(Part::Entry, Level::Warning, "attempt not resolved", reason, {{"request", m_request.id}});
+        if (Clock::now() >= m_request.deadline) {
+            co_return expire();
+        }
+        co_return lost(reason);
+    }
+
+    /** Outer empty: the link closed again. Inner empty: the attempt goes on over this link. */
+    asio::awaitable<std::optional<std::optional<AttemptResult>>> askOver(LinkPointer link, TimePoint giveUp)
+    {
+        m_link = link;
+        m_context.router.add(m_id, m_inbox, m_link.get());
+        wire::LinkMessage question;
+        question.mutable_resolve()->set_attempt_id(m_id);
+        question.mutable_resolve()->set_last_sequence(m_lastSequence);
+        m_link->send(question);
+        if (!m_link->isOpen()) {
+            postClosed();
+        }
+        while (true) {
+            auto message = co_await m_inbox->next(giveUp);
+            if (!message || message->linkClosed) {
+                co_return std::nullopt;
+            }
+            if (message->frame) {
+                continue; // only frames that follow the answer count
+            }
+            if (message->resolved && message->resolved->state() == wire::Resolved::NEVER_SEEN) {
+                AttemptResult result;
+                result.end = AttemptEnd::Refused;
+                result.refusal = {Outcome::NotRun, 503, {Step::Resolve, m_target.instance, "the attempt was never seen"}, seconds(1)};
+                co_return std::optional<AttemptResult>(std::move(result));
+            }
+            if (message->resolved) {
+                co_return std::optional<AttemptResult>();
+            }
+        }
+    }
+
+    AttemptResult expire()
+    {
+        cancel();
+        AttemptResult result;
+        result.end = AttemptEnd::Expired;
+        result.refusal = {Outcome::OutcomeUnknown, 504, {Step::Answer, m_target.instance, "the deadline has passed"}, std::nullopt};
+        return result;
+    }
+
+    void acknowledge()
+    {
+        wire::LinkMessage message;
+        message.mutable_ack()->set_attempt_id(m_id);
+        message.mutable_ack()->set_sequence(m_lastSequence);
+        m_link->send(message);
+    }
+
+    void cancel()
+    {
+        wire::LinkMessage message;
+        message.mutable_cancel()->set_attempt_id(m_id);
+        if (m_link) {
+            m_link->send(message);
+        }
+    }
+
+    EntryContext &m_context;
+    const CallerRequest &m_request;
+    AttemptTarget m_target;
+    CallerAnswer &m_answer;
+    AttemptId m_id;
+    std::shared_ptr<AttemptInbox> m_inbox;
+    LinkPointer m_link;
+    std::uint32_t m_lastSequence = 0;
+};
+
+}
+
+asio::awaitable<AttemptResult> runAttempt(EntryContext &context, const CallerRequest &request, AttemptTarget target, CallerAnswer &answer)
+{
+    Attempt attempt(context, request, std::move(target), answer, co_await asio::this_coro::executor);
+    AttemptResult result = co_await attempt.run();
+    co_return result;
+}
+
+}
--- /dev/null
+++ b/src/serving/src/entrycontext.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "inbox.h"
+#include "targettable.h"
+
+#include <process/configfollower.h>
+#include <process/controlplane.h>
+#include <process/members.h>
+#include <process/settings.h>
+#include <request/admission.h>
+#include <request/crashsuspects.h>
+#include <request/retrybudget.h>
+#include <serving/linktable.h>
+
+#include <array>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace snipehill
+{
+
+/** Admission state of the workspaces, in shards by name. */
+struct AdmissionShards {
+    struct Shard {
+        std::mutex lock;
+        Admission admission;
+    };
+    static constexpr std::size_t count = 16;
+    std::array<Shard, count> shards;
+
+    Shard &of(std::string_view workspace)
+    {
+        return shards[std::hash<std::string_view>()(workspace) % count];
+    }
+};
+
+/** Retry budgets by target group. */
+struct RetryBudgets {
+    std::mutex lock;
+    std::map<std::string, RetryBudget> budgets;
+};
+
+/** Crash suspects known to this process. */
+struct SharedSuspects {
+    std::mutex lock;
+    CrashSuspects suspects;
+    CrashSettings settings;
+};
+
+/** Everything that requests of an entry share. Made once by Entry, outlives all requests. */
+struct EntryContext {
+    const Settings &settings;
+    ConfigFollower &config;
+    Members &members;
+    LinkTable &links;
+    TargetTable &targets;
+    AttemptRouter &router;
+    AdmissionShards admission;
+    RetryBudgets retries;
+    SharedSuspects suspects;
+    std::function<void(const std::string &workspace, const Incarnation &sidecar, const wire::Usage &usage)> countUsage; //!< second copy
+};
+
+}
--- /dev/null
+++ b/src/serving/src/entryrequest.cpp
@@ -0,0 +1,293 @@
+#include "entryrequest.h"
+
+#include "calleranswer.h"
+#include "callerrequest.h"
+#include "entryattempt.h"
+
+#include <process/log.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace snipehill
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr int maxAttempts = 6; //!< of one request whose answer has not begun
+constexpr milliseconds noTargetDelay{200}; //!< between looks for a target that can go on with a begun answer
+constexpr unsigned overloadStatus = 429;
+constexpr unsigned blockedStatus = 422;
+
+/** The coroutine's state of one request. */
+class Request
+{
+public:
+    Request(EntryContext &context, CallerRequest request, CallerAnswer &answer)
+        : m_context(context)
+        , m_request(std::move(request))
+        , m_answer(answer)
+    {
+    }
+
+    asio::awaitable<void> run()
+    {
+        if (auto refusal = admitNow()) {
+            co_await m_answer.refuse(std::move(*refusal));
+            co_return;
+        }
+        auto refusal = co_await runAttempts();
+        if (refusal) {
+            co_await m_answer.refuse(std::move(*refusal));
+        }
+        releaseNow();
+    }
+
+private:
+    PlacementRequest placement() const
+    {
+        return {.promptTokens = m_request.cost.promptTokens, .outputTokens = m_request.cost.outputTokens, .alone = m_alone};
+    }
+
+    std::vector<TargetView> views() const
+    {
+        return m_context.targets.views(m_request.route.targetGroup, m_request.cost.prefixHashes, Clock::now());
+    }
+
+    std::optional<Refusal> admitNow()
+    {
+        const TimePoint now = Clock::now();
+        AdmissionRequest request;
+        request.promptTokens = m_request.cost.promptTokens;
+        request.outputTokens = m_request.cost.outputTokens;
+        request.remaining = m_request.deadline - now;
+        request.predictedDelay = bestPredictedDelay(views(), placement(), ChoiceSettings());
+        auto &shard = m_context.admission.of(m_request.workspace.name);
+        const std::lock_guard lock(shard.lock);
+        return admit(shard.admission, m_request.workspace, request, m_context.targets.liveEntries(), AdmissionSettings(), now);
+    }
+
+    void releaseNow()
+    {
+        const auto used = static_cast<std::int64_t>(m_answer.usage().prompt_tokens() + m_answer.usage().output_tokens());
+        const auto estimated = static_cast<std::int64_t>(m_request.cost.promptTokens + m_request.cost.outputTokens);
+        auto &shard = m_context.admission.of(m_request.workspace.name);
+        const std::lock_guard lock(shard.lock);
+        release(shard.admission, m_request.workspace.name, used - estimated);
+    }
+
+    /** Runs attempts until the answer is whole; otherwise the refusal to send, empty if the caller is gone. */
+    asio::awaitable<std::optional<Refusal>> runAttempts()
+    {
+        {
+            const std::lock_guard lock(m_context.retries.lock);
+            noteFirstAttempt(m_context.retries.budgets[m_request.route.targetGroup]);
+        }
+        for (int attempts = 0; attempts < maxAttempts || m_answer.streaming(); ++attempts) {
+            if (auto blocked = judgeNow()) {
+                co_return blocked;
+            }
+            Reason reason;
+            const auto target = chooseNow(reason);
+            if (!target && !m_answer.streaming()) {
+                co_return noTarget(std::move(reason));
+            }
+            if (!target) {
+                const bool waited = co_await waitForTarget();
+                if (!waited) {
+                    co_return Refusal{Outcome::OutcomeUnknown, 504, std::move(reason), std::nullopt};
+                }
+                continue;
+            }
+            const AttemptResult result = co_await runAttempt(m_context, m_request, *target, m_answer);
+            if (result.end == AttemptEnd::Complete || result.end == AttemptEnd::CallerGone) {
+                co_return std::nullopt;
+            }
+            if (auto final = judgeResult(result, *target)) {
+                co_return final;
+            }
+        }
+        co_return m_last;
+    }
+
+    /** How the request may run now; a refusal if it may not run at all. */
+    std::optional<Refusal> judgeNow()
+    {
+        const std::lock_guard lock(m_context.suspects.lock);
+        const Judgement judgement = judge(m_context.suspects.suspects, m_request.fingerprint, m_context.suspects.settings, Clock::now());
+        m_alone = judgement != Judgement::Clear;
+        if (judgement != Judgement::Blocked) {
+            return std::nullopt;
+        }
+        return Refusal{Outcome::Rejected, blockedStatus, {Step::ChooseTarget, {}, "this request crashed the targets that ran it"}, std::nullopt};
+    }
+
+    std::optional<AttemptTarget> chooseNow(Reason &reason)
+    {
+        if (m_owner) {
+            return ownerTarget(reason);
+        }
+        const std::vector<TargetView> targets = views();
+        std::string instance;
+        if (m_request.route.idempotent) {
+            const auto choice = chooseTarget(targets, placement(), m_tried, randomId(), ChoiceSettings(), reason);
+            instance = choice ? choice->instance : std::string();
+        } else {
+            instance = keyedTarget(targets, reason);
+        }
+        const auto link = m_context.targets.linkOf(m_request.route.targetGroup, instance);
+        if (instance.empty() || !link) {
+            return std::nullopt;
+        }
+        return AttemptTarget{instance, *link, m_alone};
+    }
+
+    /** The eligible target that repeats of the same key reach too. */
+    std::string keyedTarget(const std::vector<TargetView> &targets, Reason &reason) const
+    {
+        std::vector<TargetMember> members;
+        for (const TargetView &target : targets) {
+            const bool tried = std::find(m_tried.begin(), m_tried.end(), target.instance) != m_tried.end();
+            if (!tried && isEligible(target, placement())) {
+                members.push_back({target.instance, target.failureDomain});
+            }
+        }
+        const auto owner = rendezvousOwner(m_request.idempotencyKey, members);
+        if (!owner) {
+            reason = {Step::ChooseTarget, m_request.route.targetGroup, "no target accepts work"};
+            return {};
+        }
+        return members[*owner].instance;
+    }
+
+    std::optional<AttemptTarget> ownerTarget(Reason &reason) const
+    {
+        for (const Member &member : *m_context.members.snapshot()) {
+            if (member.instance == m_owner->instance) {
+                return AttemptTarget{member.instance, member.link, false};
+            }
+        }
+        reason = {Step::RecordIntent, m_owner->instance, "the instance that ran the request under this key is gone"};
+        return std::nullopt;
+    }
+
+    Refusal noTarget(Reason reason) const
+    {
+        if (m_owner) {
+            return {Outcome::OutcomeUnknown, 504, std::move(reason), std::nullopt};
+        }
+        if (m_last && (m_mayHaveRun || m_last->outcome == Outcome::NotRun)) {
+            return *m_last;
+        }
+        return {Outcome::NotRun, 503, std::move(reason), seconds(1)};
+    }
+
+    asio::awaitable<bool> waitForTarget()
+    {
+        m_tried.clear();
+        asio::steady_timer timer(co_await asio::this_coro::executor, noTargetDelay);
+        co_await timer.async_wait(asio::use_awaitable);
+        co_return Clock::now() < m_request.deadline;
+    }
+
+    /** The refusal that ends the request, or empty when another attempt may be made. */
+    std::optional<Refusal> judgeResult(const AttemptResult &result, const AttemptTarget &target)
+    {
+        logEvent(Part::Entry,
+                 Level::Info,
+                 "attempt failed",
+                 result.refusal.reason,
+                 {{"request", m_request.id}, {"outcome", toString(result.refusal.outcome)}});
+        m_answer.discardHeld();
+        m_tried.push_back(target.instance);
+        noteCrashOf(result, target);
+        if (result.end == AttemptEnd::Expired || result.refusal.outcome == Outcome::Rejected) {
+            return finalRefusal(result.refusal);
+        }
+        if (!result.owner.instance.empty() && !m_owner) {
+            m_owner = result.owner;
+            m_last = result.refusal;
+            return std::nullopt;
+        }
+        if (m_owner) {
+            // The owner could not tell; nobody else may run the key.
+            return Refusal{Outcome::OutcomeUnknown, 504, result.refusal.reason, std::nullopt};
+        }
+        const bool maybeRan = result.refusal.outcome == Outcome::OutcomeUnknown;
+        m_mayHaveRun = m_mayHaveRun || maybeRan;
+        m_last = result.refusal;
+        // Without contact the claim on the key decides which sidecar runs the request, so a second one may be asked.
+        const bool repeatable = m_request.route.idempotent || !maybeRan || result.end == AttemptEnd::LostContact;
+        if (!repeatable || !mayRetry(result)) {
+            return finalRefusal(result.refusal);
+        }
+        return std::nullopt;
+    }
+
+    /** "Not run" holds only if it holds for every attempt. */
+    Refusal finalRefusal(Refusal refusal) const
+    {
+        if (m_mayHaveRun && refusal.outcome == Outcome::NotRun) {
+            refusal.outcome = Outcome::OutcomeUnknown;
+            refusal.status = 504;
+        }
+        return refusal;
+    }
+
+    void noteCrashOf(const AttemptResult &result, const AttemptTarget &target)
+    {
+        if (!result.targetCrashed) {
+            return;
+        }
+        const TimePoint now = Clock::now();
+        m_context.targets.noteCrash(m_request.route.targetGroup, target.instance, now);
+        const std::lock_guard lock(m_context.suspects.lock);
+        noteCrash(m_context.suspects.suspects, result.inFlight, target.alone, m_context.suspects.settings, now);
+    }
+
+    /** Planned changes, crashes and lost contact are retried freely; overload and failures within the budget. */
+    bool mayRetry(const AttemptResult &result)
+    {
+        const bool overloaded = result.refusal.status == overloadStatus;
+        const bool unplannedFailure = result.refusal.outcome == Outcome::OutcomeUnknown && !result.targetCrashed && result.end == AttemptEnd::Refused;
+        if (m_answer.streaming() || (!overloaded && !unplannedFailure)) {
+            return true;
+        }
+        const std::lock_guard lock(m_context.retries.lock);
+        return takeRetry(m_context.retries.budgets[m_request.route.targetGroup]);
+    }
+
+    EntryContext &m_context;
+    CallerRequest m_request;
+    CallerAnswer &m_answer;
+    std::vector<std::string> m_tried; //!< instances that refused or failed
+    std::optional<Incarnation> m_owner; //!< of the idempotency key, which alone can answer
+    std::optional<Refusal> m_last;
+    bool m_mayHaveRun = false;
+    bool m_alone = false;
+};
+
+}
+
+asio::awaitable<void> serveCaller(EntryContext &context, HttpExchange &exchange)
+{
+    const std::string requestId = randomRequestId();
+    const TimePoint now = Clock::now();
+    const CallerChecks checks{context.config.current(), context.config.freshness(now), context.settings.callers.jsonDepth};
+    auto request = readCallerRequest(exchange.request(), checks, requestId, now);
+    CallerAnswer answer(exchange, requestId);
+    if (auto *refusal = std::get_if<Refusal>(&request)) {
+        co_await answer.refuse(std::move(*refusal));
+        co_return;
+    }
+    Request run(context, std::move(std::get<CallerRequest>(request)), answer);
+    co_await run.run();
+}
+
+}
--- /dev/null
+++ b/src/serving/src/entryrequest.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "entrycontext.h"
+
+#include <connection/httpserver.h>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace snipehill
+{
+
+/**
+ * Serves one caller's request from its head to the end of its answer: authentication, admission, attempts,
+ * answer. Runs on the strand of the caller's connection.
+ */
+boost::asio::awaitable<void> serveCaller(EntryContext &context, HttpExchange &exchange);
+
+}
--- /dev/null
+++ b/src/serving/src/eventsplitter.cpp
@@ -0,0 +1,73 @@
+#include "eventsplitter.h"
+
+#include <json/reader.h>
+#include <json/value.h>
+
+#include <memory>
+
+namespace snipehill
+{
+
+namespace
+{
+
+constexpr std::string_view eventEnd = "\n\n";
+constexpr std::string_view dataField = "data: ";
+constexpr std::string_view doneEvent = "data: [DONE]";
+constexpr std::string_view usageField = "\"usage\":{";
+
+}
+
+bool readUsage(std::string_view json, EventProgress &progress)
+{
+    Json::Value value;
+    const Json::CharReaderBuilder builder;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    if (!reader->parse(json.data(), json.data() + json.size(), &value, nullptr) || !value.isObject() || !value["usage"].isObject()) {
+        return false;
+    }
+    progress.promptTokens = value["usage"]["prompt_tokens"].asUInt64();
+    progress.outputTokens = value["usage"]["completion_tokens"].asUInt64();
+    progress.usageSeen = true;
+    return true;
+}
+
+void EventSplitter::note(std::string_view event)
+{
+    if (event == doneEvent) {
+        m_progress.done = true;
+        return;
+    }
+    if (!event.starts_with(dataField)) {
+        return;
+    }
+    ++m_progress.dataEvents;
+    // Only events that name usage are parsed: the others are most of the stream.
+    if (event.find(usageField) != std::string_view::npos) {
+        readUsage(event.substr(dataField.size()), m_progress);
+    }
+}
+
+std::string EventSplitter::take(std::string_view bytes)
+{
+    m_partial += bytes;
+    const auto last = m_partial.rfind(eventEnd);
+    if (last == std::string::npos) {
+        return {};
+    }
+    std::string whole = m_partial.substr(0, last + eventEnd.size());
+    m_partial.erase(0, whole.size());
+    for (std::string_view rest = whole; !rest.empty();) {
+        const auto end = rest.find(eventEnd);
+        note(rest.substr(0, end));
+        rest.remove_prefix(end + eventEnd.size());
+    }
+    return whole;
+}
+
+const EventProgress &EventSplitter::progress() const noexcept
+{
+    return m_progress;
+}
+
+}
--- /dev/null
+++ b/src/serving/src/processparts.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <process/configfollower.h>
+#include <process/members.h>
+#include <process/settings.h>
+
+#include <string>
+#include <vector>
+
+namespace snipehill
+{
+
+/** Options of the config follower, from the settings. */
+ConfigFollowerOptions followerOptions(const Settings &settings);
+
+/** All other members, as the config follower knows them. */
+std::vector<ConfigPeer> configPeers(const std::vector<Member> &members, const std::string &self);
+
+}
--- /dev/null
+++ b/src/serving/src/sidecar.cpp
@@ -0,0 +1,235 @@
+#include <serving/sidecar.h>
+
+#include "processparts.h"
+#include "sidecarcontext.h"
+#include "wireconvert.h"
+
+#include <process/log.h>
+#include <serving/linktable.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace snipehill
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr milliseconds sweepInterval{50};
+constexpr int sweepsPerCleaning = 20; //!< attempts nobody asks for are looked for once a second
+constexpr milliseconds drainPoll{50};
+
+}
+
+struct Sidecar::Parts {
+    Parts(asio::io_context &io, const Settings &settings)
+        : executor(io.get_executor())
+        , self{settings.instance, randomId()}
+        , identity{self, "sidecar", settings.link.heartbeat}
+        , members(settings.platform.instances, settings.timings.instancesPoll, executor)
+        , peers(executor, identity, LinkHandlers())
+        , config(followerOptions(settings), executor, peers.peerCall())
+        , context{.settings = settings,
+                  .self = self,
+                  .executor = executor,
+                  .attempts = {},
+                  .queue{executor, settings.target.slots},
+                  .keyed = {},
+                  .health{executor, settings.target.address, [this] { targetChanged(); }},
+                  .intents{intentOptions(settings, self), executor}}
+    {
+    }
+
+    static IntentWriterOptions intentOptions(const Settings &settings, const Incarnation &self)
+    {
+        IntentWriterOptions options;
+        options.log = settings.platform.log;
+        options.self = self;
+        return options;
+    }
+
+    LinkHandlers serverHandlers()
+    {
+        LinkHandlers handlers;
+        handlers.message = [this](const LinkPointer &link, const wire::LinkMessage &message) { receive(link, message); };
+        handlers.opened = [this](const LinkPointer &link) {
+            wire::LinkMessage message;
+            *message.mutable_load() = context.load();
+            link->send(message);
+        };
+        return handlers;
+    }
+
+    void receive(const LinkPointer &link, const wire::LinkMessage &message)
+    {
+        if (message.has_run()) {
+            acceptRun(context, message.run(), link);
+        } else if (message.has_ack()) {
+            if (const auto attempt = context.attempts.find(message.ack().attempt_id())) {
+                attempt->acknowledge(message.ack().sequence());
+            }
+        } else if (message.has_cancel()) {
+            if (const auto attempt = context.attempts.find(message.cancel().attempt_id())) {
+                cancelAttempt(context, attempt);
+            }
+        } else if (message.has_resolve()) {
+            resolve(link, message.resolve());
+        }
+    }
+
+    void resolve(const LinkPointer &link, const wire::Resolve &question)
+    {
+        if (const auto attempt = context.attempts.findOrForbid(question.attempt_id(), Clock::now())) {
+            attempt->rebind(link, question.last_sequence());
+            return;
+        }
+        wire::LinkMessage answer;
+        answer.mutable_resolved()->set_attempt_id(question.attempt_id());
+        answer.mutable_resolved()->set_state(wire::Resolved::NEVER_SEEN);
+        link->send(answer);
+    }
+
+    /** Tells all entries at once, because they route by it. */
+    void broadcastLoad()
+    {
+        if (!server) {
+            return;
+        }
+        wire::LinkMessage message;
+        *message.mutable_load() = context.load();
+        for (const LinkPointer &link : server->links()) {
+            link->send(message);
+        }
+    }
+
+    void targetChanged()
+    {
+        logEvent(Part::Sidecar, Level::Warning, context.health.up() ? "target is back" : "target is down");
+        if (!context.health.up()) {
+            refuseQueued("the target is down");
+        }
+        broadcastLoad();
+    }
+
+    void refuseQueued(const char *detail)
+    {
+        for (const AttemptPointer &attempt : context.queue.takeAll()) {
+            refuseWaiting(context, attempt, {Outcome::NotRun, 503, {Step::Queue, context.settings.instance, detail}, seconds(1)});
+        }
+    }
+
+    void sweepQueue()
+    {
+        for (const AttemptPointer &attempt : context.queue.takeExpired(Clock::now())) {
+            refuseWaiting(context, attempt, {Outcome::NotRun, 504, {Step::Queue, context.settings.instance, "the deadline passed in the queue"}, std::nullopt});
+        }
+    }
+
+    void sweepAttempts()
+    {
+        const TimePoint now = Clock::now();
+        for (const AttemptPointer &attempt : context.attempts.all()) {
+            if (!attempt->settled() && attempt->isOrphaned(now)) {
+                cancelAttempt(context, attempt);
+            }
+        }
+        context.attempts.sweep(now);
+        const std::lock_guard lock(context.suspects.lock);
+        forgetOld(context.suspects.suspects, context.suspects.settings, now);
+    }
+
+    std::size_t unsettled() const
+    {
+        std::size_t count = 0;
+        for (const AttemptPointer &attempt : context.attempts.all()) {
+            count += attempt->settled() || attempt->cancelled() ? 0 : 1;
+        }
+        return count;
+    }
+
+    static asio::awaitable<void> sweepLoop(Parts *parts)
+    {
+        asio::steady_timer timer(parts->executor);
+        for (int sweeps = 0; !parts->stopped; ++sweeps) {
+            parts->sweepQueue();
+            if (sweeps % sweepsPerCleaning == 0) {
+                parts->sweepAttempts();
+            }
+            timer.expires_after(sweepInterval);
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+    }
+
+    /** Refuses new work, waits until every answer was acknowledged and every record appended, or the bound. */
+    static asio::awaitable<void> drainLoop(Parts *parts, std::function<void()> finished)
+    {
+        parts->context.leaving = true;
+        parts->broadcastLoad();
+        asio::steady_timer timer(parts->executor);
+        const TimePoint bound = Clock::now() + parts->context.settings.drain.bound;
+        while ((parts->unsettled() > 0 || !parts->context.intents.idle()) && Clock::now() < bound) {
+            timer.expires_after(drainPoll);
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+        parts->stopped = true;
+        finished();
+    }
+
+    asio::any_io_executor executor;
+    Incarnation self;
+    LinkIdentity identity;
+    Members members;
+    LinkTable peers;
+    ConfigFollower config;
+    SidecarContext context;
+    std::unique_ptr<LinkServer> server;
+    std::atomic<bool> stopped{false};
+};
+
+Sidecar::Sidecar(asio::io_context &context, const Settings &settings)
+    : m_parts(std::make_unique<Parts>(context, settings))
+{
+}
+
+Sidecar::~Sidecar() = default;
+
+bool Sidecar::start(Reason &reason)
+{
+    Parts &parts = *m_parts;
+    const Settings &settings = parts.context.settings;
+    RpcMethods methods;
+    parts.config.offerMethods(methods);
+    LinkHandlers handlers = parts.serverHandlers();
+    handlers.rpc = std::make_shared<RpcDispatcher>(std::move(methods));
+    parts.server = std::make_unique<LinkServer>(parts.executor, parts.identity, std::move(handlers));
+    if (!parts.server->start(settings.link.listen, reason)) {
+        return false;
+    }
+    parts.members.onChange([&parts](const MemberList &members) { parts.config.setPeers(configPeers(*members, parts.self.instance)); });
+    parts.peers.start();
+    parts.members.start();
+    parts.config.start();
+    parts.context.health.start();
+    parts.context.intents.start();
+    asio::co_spawn(asio::make_strand(parts.executor), Parts::sweepLoop(&parts), asio::detached);
+    return true;
+}
+
+std::size_t Sidecar::active() const
+{
+    return m_parts->unsettled();
+}
+
+void Sidecar::drain(std::function<void()> done)
+{
+    asio::co_spawn(asio::make_strand(m_parts->executor), Parts::drainLoop(m_parts.get(), std::move(done)), asio::detached);
+}
+
+}
--- /dev/null
+++ b/src/serving/src/targetexchange.cpp
@@ -0,0 +1,246 @@
+#include "targetexchange.h"
+
+#include "wireconvert.h"
+
+#include <boost/asio/this_coro.hpp>
+#include <boost/beast/core/string.hpp>
+#include <json/reader.h>
+#include <json/value.h>
+#include <json/writer.h>
+
+#include <algorithm>
+#include <array>
+
+namespace snipehill
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+constexpr milliseconds connectTimeout{1000};
+constexpr std::size_t maxUsageBodyBytes = 4U << 20U;
+constexpr std::array<std::string_view, 7> fieldsOfOneConnection{
+    "connection", "keep-alive", "proxy-connection", "transfer-encoding", "content-length", "upgrade", "trailer"};
+
+milliseconds remaining(const SidecarAttempt &attempt)
+{
+    return std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(attempt.deadline() - Clock::now()));
+}
+
+HttpRequest buildRequest(const wire::Run &run, const ExchangeTarget &target)
+{
+    HttpRequest request;
+    request.method_string(run.method());
+    request.target(run.path());
+    request.version(11);
+    request.set(http::field::host, toString(target.endpoint));
+    for (const wire::Header &header : run.headers()) {
+        request.insert(header.name(), header.value());
+    }
+    request.set("X-Request-Id", run.request_id());
+    if (!run.workspace().empty()) {
+        request.set("X-Workspace", run.workspace());
+    }
+    if (!run.idempotent()) {
+        request.set("Idempotency-Key", run.idempotency_key());
+    }
+    if (!run.traceparent().empty()) {
+        request.set("traceparent", run.traceparent());
+    }
+    request.body() = target.engine ? engineBody(run, target.priority) : run.body();
+    if (target.engine && request.body().empty()) {
+        request.body() = run.body();
+    }
+    request.keep_alive(run.idempotent());
+    request.prepare_payload();
+    return request;
+}
+
+HeaderList answerHeaders(const http::response_header<> &head)
+{
+    HeaderList headers;
+    for (const auto &field : head) {
+        const boost::beast::string_view name = field.name_string();
+        const bool dropped = boost::beast::iequals(name, "X-Request-Id")
+            || std::any_of(fieldsOfOneConnection.begin(), fieldsOfOneConnection.end(), [name](std::string_view other) {
+                   return boost::beast::iequals(name, {other.data(), other.size()});
+               });
+        if (!dropped) {
+            headers.emplace_back(std::string(name), std::string(field.value()));
+        }
+    }
+    return headers;
+}
+
+/** The coroutine's state of one exchange. */
+class Exchange
+{
+public:
+    Exchange(Lane &lane, AttemptPointer attempt, ExchangeTarget target, AnswerSink sink)
+        : m_lane(lane)
+        , m_attempt(std::move(attempt))
+        , m_target(std::move(target))
+        , m_sink(std::move(sink))
+    {
+    }
+
+    asio::awaitable<ExchangeResult> run()
+    {
+        const bool reused = m_lane.connection != nullptr && m_attempt->run().idempotent();
+        co_await runOnce(reused);
+        if (reused && m_result.end == ExchangeEnd::Failed && !m_headSeen) {
+            // A kept connection may have been closed by the target in the meantime; that says nothing about it.
+            m_result = {};
+            co_await runOnce(false);
+        }
+        if (m_lane.connection && !m_lane.connection->reusable()) {
+            m_lane.connection->abort();
+            m_lane.connection.reset();
+        }
+        co_return std::move(m_result);
+    }
+
+private:
+    asio::awaitable<void> runOnce(bool reuse)
+    {
+        if (!reuse) {
+            m_lane.connection = std::make_unique<HttpConnection>(m_lane.strand);
+            const bool connected = co_await m_lane.connection->connect(m_target.endpoint, connectTimeout, m_result.reason);
+            if (!connected) {
+                m_result.end = ExchangeEnd::NotSent;
+                co_return;
+            }
+        }
+        m_attempt->onCancel([this, strand = m_lane.strand] {
+            asio::post(strand, [this, alive = std::weak_ptr<bool>(m_alive)] {
+                if (alive.lock() && m_lane.connection) {
+                    m_lane.connection->abort();
+                }
+            });
+        });
+        co_await sendAndRead();
+        m_attempt->onCancel(nullptr);
+        if (m_result.end == ExchangeEnd::Failed && m_attempt->cancelled()) {
+            m_result.end = ExchangeEnd::Cancelled;
+        }
+    }
+
+    asio::awaitable<void> sendAndRead()
+    {
+        HttpConnection &connection = *m_lane.connection;
+        m_result.end = ExchangeEnd::Failed;
+        const HttpRequest request = buildRequest(m_attempt->run(), m_target);
+        const bool sent = co_await connection.send(request, remaining(*m_attempt), m_result.reason);
+        if (!sent) {
+            co_return;
+        }
+        const bool answered = co_await connection.readHead(remaining(*m_attempt), m_result.reason);
+        if (!answered || !belongsToRequest(connection.head())) {
+            co_return;
+        }
+        m_headSeen = true;
+        m_result.firstByte = Clock::now();
+        const std::string_view type = connection.head()[http::field::content_type];
+        m_stream = m_target.engine && type.starts_with("text/event-stream");
+        m_sink.head(connection.head().result_int(), answerHeaders(connection.head()), m_stream);
+        co_await readBody(connection);
+    }
+
+    /** An answer that names another request is the late answer of an earlier one. */
+    bool belongsToRequest(const http::response_header<> &head)
+    {
+        const auto id = head.find("X-Request-Id");
+        if (id == head.end() || id->value() == m_attempt->run().request_id()) {
+            return true;
+        }
+        m_result.reason = {Step::RunOnTarget, toString(m_target.endpoint), "the answer is that of another request"};
+        return false;
+    }
+
+    asio::awaitable<void> readBody(HttpConnection &connection)
+    {
+        std::string whole;
+        while (true) {
+            const bool open = co_await m_attempt->waitForWindow();
+            if (!open) {
+                m_result.reason = {Step::Answer, {}, "cancelled, or the deadline has passed"};
+                co_return;
+            }
+            auto piece = co_await connection.readSome(remaining(*m_attempt), m_result.reason);
+            if (!piece) {
+                co_return;
+            }
+            if (piece->empty()) {
+                break;
+            }
+            if (m_stream) {
+                pass(m_events.take(*piece));
+            } else {
+                if (m_target.engine && whole.size() < maxUsageBodyBytes) {
+                    whole += *piece;
+                }
+                pass(std::move(*piece));
+            }
+        }
+        m_result.progress = m_events.progress();
+        if (m_target.engine && !m_stream) {
+            readUsage(whole, m_result.progress);
+        }
+        if (m_stream && !m_result.progress.done) {
+            m_result.reason = {Step::RunOnTarget, toString(m_target.endpoint), "the stream ended without its last event"};
+            co_return;
+        }
+        m_result.end = ExchangeEnd::Complete;
+    }
+
+    void pass(std::string data)
+    {
+        if (!data.empty()) {
+            m_sink.data(std::move(data));
+        }
+        m_result.progress = m_events.progress();
+    }
+
+    Lane &m_lane;
+    AttemptPointer m_attempt;
+    ExchangeTarget m_target;
+    AnswerSink m_sink;
+    ExchangeResult m_result;
+    EventSplitter m_events;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    bool m_headSeen = false;
+    bool m_stream = false;
+};
+
+}
+
+std::string engineBody(const wire::Run &run, int priority)
+{
+    Json::Value body;
+    const Json::CharReaderBuilder builder;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    const std::string &text = run.body();
+    if (!reader->parse(text.data(), text.data() + text.size(), &body, nullptr) || !body.isObject()) {
+        return {};
+    }
+    body["priority"] = priority;
+    if (run.resume_tokens() > 0) {
+        body["resume_text"] = run.resume_text();
+        body["resume_tokens"] = run.resume_tokens();
+    }
+    Json::StreamWriterBuilder writer;
+    writer["indentation"] = "";
+    return Json::writeString(writer, body);
+}
+
+asio::awaitable<ExchangeResult> exchangeWithTarget(Lane &lane, AttemptPointer attempt, ExchangeTarget target, AnswerSink sink)
+{
+    Exchange exchange(lane, std::move(attempt), std::move(target), std::move(sink));
+    ExchangeResult result = co_await exchange.run();
+    co_return result;
+}
+
+}
--- a/src/serving/src/wireconvert.cpp
+++ b/src/serving/src/wireconvert.cpp
@@ -75,21 +75,21 @@
     return refusal;
 }
 
-void fillSuspects(wire::Load &message, const std::vector<SuspectNews> &news)
+void fillSuspects(SuspectField &message, const std::vector<SuspectNews> &news)
 {
     for (const SuspectNews &one : news) {
-        wire::Suspect *suspect = message.add_suspects();
+        wire::Suspect *suspect = message.Add();
         suspect->set_fingerprint(one.fingerprint);
         suspect->set_rank(one.rank);
         suspect->set_age_ms(static_cast<std::uint64_t>(one.age.count()));
     }
 }
 
-std::vector<SuspectNews> readSuspects(const wire::Load &message)
+std::vector<SuspectNews> readSuspects(const SuspectField &message)
 {
     std::vector<SuspectNews> news;
-    news.reserve(static_cast<std::size_t>(message.suspects_size()));
-    for (const wire::Suspect &suspect : message.suspects()) {
+    news.reserve(static_cast<std::size_t>(message.size()));
+    for (const wire::Suspect &suspect : message) {
         news.push_back({suspect.fingerprint(), suspect.rank(), milliseconds(suspect.age_ms())});
     }
     return news;
--- a/src/serving/src/wireconvert.h
+++ b/src/serving/src/wireconvert.h
@@ -18,8 +18,9 @@
 void fillRefusal(wire::RefusalMessage &message, const Refusal &refusal);
 Refusal readRefusal(const wire::RefusalMessage &message);
 
-void fillSuspects(wire::Load &message, const std::vector<SuspectNews> &news);
-std::vector<SuspectNews> readSuspects(const wire::Load &message);
+using SuspectField = google::protobuf::RepeatedPtrField<wire::Suspect>;
+void fillSuspects(SuspectField &message, const std::vector<SuspectNews> &news);
+std::vector<SuspectNews> readSuspects(const SuspectField &message);
 
 HeaderList readHeaders(const google::protobuf::RepeatedPtrField<wire::Header> &headers);
 void fillHeaders(google::protobuf::RepeatedPtrField<wire::Header> &message, const HeaderList &headers);
