Add stand-ins for log, engine, service and platform

Proofs and the demo need the platform's interfaces and targets as processes whose faults can be set. One program holds the four kinds; several may share a process. It runs on one thread, so no state is locked.

--- /dev/null
+++ b/tests/standins/service.cpp
@@ -0,0 +1,81 @@
+#include "standin.h"
+
+#include <unistd.h>
+
+#include <map>
+
+namespace snipehill::standins
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr int crashStatus = 70;
+
+/**
+ * Plain service: any method and path. Counts how often each posting ran. Faults: beforeMs (delay before it
+ * runs), lateMs (delay of the answer), cutAnswers (the next N run, then the connection closes without
+ * answer); both delays may also stand in a request's query. Bodies with DIE-BEFORE or DIE-AFTER end the
+ * process before or after they run, bodies with CUT-ME run and get no answer.
+ */
+class Service : public StandIn
+{
+public:
+    using StandIn::StandIn;
+
+    asio::awaitable<void> handle(HttpExchange &exchange) override
+    {
+        const auto &request = exchange.request();
+        const Target target = splitTarget(std::string(request.target()));
+        Json::Value entry;
+        entry["method"] = std::string(request.method_string());
+        entry["path"] = target.path;
+        entry["requestId"] = header(exchange, "X-Request-Id");
+        entry["idempotencyKey"] = header(exchange, "Idempotency-Key");
+        entry["headers"] = headersOf(exchange);
+        entry["body"] = request.body();
+        journal.add("received", entry);
+        co_await pause(milliseconds(queryNumber(target, "beforeMs", faults.number("", "beforeMs", 0))));
+        if (contains(request.body(), "DIE-BEFORE")) {
+            _exit(crashStatus);
+        }
+        entry["runs"] = ++m_runs[entry["idempotencyKey"].asString().empty() ? entry["requestId"].asString() : entry["idempotencyKey"].asString()];
+        journal.add("run", entry);
+        if (contains(request.body(), "DIE-AFTER")) {
+            _exit(crashStatus);
+        }
+        co_await pause(milliseconds(queryNumber(target, "lateMs", faults.number("", "lateMs", 0))));
+        if (contains(request.body(), "CUT-ME") || faults.take("", "cutAnswers")) {
+            exchange.abort();
+            co_return;
+        }
+        Json::Value answer;
+        answer["method"] = entry["method"];
+        answer["path"] = std::string(request.target());
+        answer["echo"] = request.body();
+        answer["runs"] = entry["runs"];
+        co_await respondJson(exchange, 200, std::move(answer));
+        entry.removeMember("body");
+        entry.removeMember("headers");
+        journal.add("answered", std::move(entry));
+    }
+
+private:
+    static bool contains(const std::string &text, const char *mark)
+    {
+        return text.find(mark) != std::string::npos;
+    }
+
+    std::map<std::string, int> m_runs; //!< by Idempotency-Key, or X-Request-Id without one
+};
+
+} // namespace
+
+std::unique_ptr<StandIn> makeService(std::string name, std::string journalFile)
+{
+    return std::make_unique<Service>(std::move(name), std::move(journalFile));
+}
+
+} // namespace snipehill::standins
