--- a/src/connection/include/connection/endpoint.h
+++ b/src/connection/include/connection/endpoint.h
@@ -11,7 +11,8 @@
 {
 
 /** IP address and TCP port of a peer. */
-struct Endpoint {
+struct Endpoint
+{
     std::string address;
     std::uint16_t port = 0;
     friend bool operator==(const Endpoint &, const Endpoint &) = default;
@@ -24,4 +25,4 @@
 /** "127.0.0.1:8080" */
 std::string toString(const Endpoint &endpoint);
 
-}
+} // namespace snipehill
--- a/src/connection/include/connection/httpclient.h
+++ b/src/connection/include/connection/httpclient.h
@@ -23,7 +23,8 @@
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
 /** One request to a peer of the platform, on a connection of its own. */
-struct HttpCall {
+struct HttpCall
+{
     Endpoint peer;
     boost::beast::http::verb method = boost::beast::http::verb::get;
     std::string target = "/"; //!< path and query
@@ -75,4 +76,4 @@
     bool m_clean = true; //!< no exchange is under way and none failed
 };
 
-}
+} // namespace snipehill
--- a/src/connection/include/connection/httpserver.h
+++ b/src/connection/include/connection/httpserver.h
@@ -19,7 +19,8 @@
 {
 
 /** Bounds on what an HTTP client may send. */
-struct HttpServerLimits {
+struct HttpServerLimits
+{
     std::uint32_t headerBytes = 16384;
     std::uint64_t bodyBytes = 8U << 20U;
     std::uint32_t headerCount = 100;
@@ -85,4 +86,4 @@
     std::shared_ptr<State> m_state;
 };
 
-}
+} // namespace snipehill
--- a/src/connection/src/endpoint.cpp
+++ b/src/connection/src/endpoint.cpp
@@ -32,4 +32,4 @@
     return (six ? "[" + endpoint.address + "]" : endpoint.address) + ":" + std::to_string(endpoint.port);
 }
 
-}
+} // namespace snipehill
--- a/src/connection/src/httpclient.cpp
+++ b/src/connection/src/httpclient.cpp
@@ -48,7 +48,7 @@
     stream.close();
 }
 
-}
+} // namespace
 
 asio::awaitable<std::optional<HttpResponse>> httpCall(HttpCall call, Reason &reason)
 {
@@ -87,10 +87,7 @@
     co_return parser.release();
 }
 
-HttpConnection::HttpConnection(asio::any_io_executor executor)
-    : m_stream(std::move(executor))
-{
-}
+HttpConnection::HttpConnection(asio::any_io_executor executor) : m_stream(std::move(executor)) { }
 
 asio::awaitable<bool> HttpConnection::connect(Endpoint peer, milliseconds timeout, Reason &reason)
 {
@@ -176,4 +173,4 @@
     return m_peer;
 }
 
-}
+} // namespace snipehill
--- a/src/connection/src/httpserver.cpp
+++ b/src/connection/src/httpserver.cpp
@@ -35,9 +35,10 @@
 constexpr milliseconds acceptRetryDelay{50};
 constexpr unsigned unprocessable = 400;
 
-}
+} // namespace
 
-struct HttpServer::State {
+struct HttpServer::State
+{
     asio::any_io_executor executor;
     HttpServerLimits limits;
     HttpHandler handler;
@@ -60,11 +61,7 @@
 {
 public:
     Exchange(Stream &stream, const HttpServer::State &state, http::request<http::string_body> request, const std::string &client)
-        : m_stream(stream)
-        , m_state(state)
-        , m_request(std::move(request))
-        , m_client(client)
-        , m_keepAlive(m_request.keep_alive())
+        : m_stream(stream), m_state(state), m_request(std::move(request)), m_client(client), m_keepAlive(m_request.keep_alive())
     {
     }
 
@@ -152,8 +149,7 @@
     }
 
 private:
-    template<typename Response>
-    void applyHeaders(Response &response, const HeaderList &headers)
+    template<typename Response> void applyHeaders(Response &response, const HeaderList &headers)
     {
         for (const auto &[name, value] : headers) {
             response.insert(name, value);
@@ -204,8 +200,7 @@
 class IdleMark
 {
 public:
-    IdleMark(StatePointer state, const std::shared_ptr<Stream> &stream)
-        : m_state(std::move(state))
+    IdleMark(StatePointer state, const std::shared_ptr<Stream> &stream) : m_state(std::move(state))
     {
         const std::lock_guard lock(m_state->idleLock);
         m_id = m_state->nextConnection++;
@@ -295,10 +290,9 @@
     }
 }
 
-}
+} // namespace
 
-HttpServer::HttpServer(asio::any_io_executor executor, HttpServerLimits limits, HttpHandler handler)
-    : m_state(std::make_shared<State>())
+HttpServer::HttpServer(asio::any_io_executor executor, HttpServerLimits limits, HttpHandler handler) : m_state(std::make_shared<State>())
 {
     m_state->executor = std::move(executor);
     m_state->limits = limits;
@@ -366,4 +360,4 @@
     return m_state->active;
 }
 
-}
+} // namespace snipehill
--- a/src/process/include/process/controlplane.h
+++ b/src/process/include/process/controlplane.h
@@ -7,6 +7,7 @@
 #include <process/usage.h>
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
 
 #include <functional>
 #include <memory>
@@ -93,7 +94,7 @@
 
     RpcMethods methods();
     void start();
-    void stop();
+    boost::asio::awaitable<void> stop();
     EntryUsage &usageCopies() noexcept;
     LeaseKeeper &leases() noexcept;
 
--- a/src/process/include/process/lease.h
+++ b/src/process/include/process/lease.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace snipehill
 {
@@ -40,6 +41,13 @@
 /** Empty with a reason when fields are missing or of another type. */
 std::optional<LeaseRecord> parseLeaseRecord(const Json::Value &value, Reason &reason);
 
+/** A record whose effect depends on records that had aged out before the reader started. */
+struct UndecidedLease
+{
+    Offset offset = noOffset;
+    LeaseRecord record;
+};
+
 /** State of one scope after a prefix of the stream. */
 struct ScopeLease
 {
@@ -49,6 +57,7 @@
     Incarnation holder;
     milliseconds duration{0}; //!< of the latest record
     bool released = false;
+    std::vector<UndecidedLease> undecided; //!< oldest first; empty once certain
 };
 
 /** Pure fold of the stream "leases": readers of the same records agree on each record's effect. */
@@ -76,6 +85,12 @@
 /** Notes that records up to next were read, also those of other scopes and unparsable ones. */
 void noteLeasesRead(LeaseTable &table, Offset firstRetained, Offset next);
 
+/** The reader knows enough to write a claim that other readers judge alike. */
+bool mayBeClaimed(const LeaseTable &table, const std::string &scope);
+
+/** A claim that names the scope's latest effective record, or the first retained offset where none is retained. */
+LeaseRecord claimFor(const LeaseTable &table, const std::string &scope);
+
 /** Highest fencing number that the table knows of, over all scopes that begin with a prefix. */
 Offset highestEpoch(const LeaseTable &table, std::string_view scopePrefix);
 
--- a/src/process/include/process/leasekeeper.h
+++ b/src/process/include/process/leasekeeper.h
@@ -4,6 +4,7 @@
 #include <process/leaseholder.h>
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
 
 #include <functional>
 #include <memory>
@@ -49,8 +50,11 @@
     /** Becomes a candidate for a scope; nothing happens if it is one already. */
     void addScope(const std::string &scope);
     void start();
-    /** Releases what is held and stops; the releases go out if the log answers. */
-    void stop();
+    /**
+     * Believes in nothing any more, waits until the calls that were allowed have ended, and releases what was
+     * held if the log answers. Takes at most the bound of one platform call and of one append.
+     */
+    boost::asio::awaitable<void> stop();
 
     /** The lease on the scope is believed in for as long as the call may take. Asked right before each platform call. */
     bool mayCall(const std::string &scope, milliseconds callBound) const;
--- a/src/process/include/process/logclient.h
+++ b/src/process/include/process/logclient.h
@@ -23,16 +23,18 @@
 constexpr const char *intents = "intents";
 constexpr const char *usage = "usage";
 constexpr const char *orders = "orders";
-}
+} // namespace streams
 
 /** One record as the log keeps it. */
-struct LogRecord {
+struct LogRecord
+{
     Offset offset = noOffset;
     Json::Value value;
 };
 
 /** Answer to a read. */
-struct LogPage {
+struct LogPage
+{
     Offset firstRetained = 0; //!< older records have aged out
     Offset next = 0; //!< offset that the next record will get, or at which to read on
     std::vector<LogRecord> records;
@@ -47,4 +49,4 @@
  */
 boost::asio::awaitable<std::optional<Offset>> appendLog(Endpoint log, std::string stream, std::vector<Json::Value> records, Reason &reason);
 
-}
+} // namespace snipehill
--- /dev/null
+++ b/src/process/src/leaseholder.cpp
@@ -0,0 +1,243 @@
+#include <process/leaseholder.h>
+
+#include <boost/mpl/vector.hpp>
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace snipehill
+{
+
+namespace msm = boost::msm;
+
+namespace
+{
+
+constexpr int renewalsPerDuration = 3;
+constexpr std::size_t maxUnresolved = 64;
+
+struct CaughtUp
+{
+};
+struct ClaimSent
+{
+};
+struct ClaimRejected
+{
+};
+struct OwnEffective
+{
+};
+struct RivalEffective
+{
+};
+struct OwnReleased
+{
+};
+struct Gap
+{
+};
+
+struct LeaseMachineDefinition : public msm::front::state_machine_def<LeaseMachineDefinition>
+{
+    struct Unread : public msm::front::state<>
+    {
+    };
+    struct Waiting : public msm::front::state<>
+    {
+    };
+    struct Claiming : public msm::front::state<>
+    {
+    };
+    struct Holding : public msm::front::state<>
+    {
+    };
+
+    template<typename Event, typename Fsm> void no_transition(const Event &, Fsm &, int) { }
+
+    template<typename From, typename Event, typename To> using Row = msm::front::Row<From, Event, To, msm::front::none, msm::front::none>;
+
+    using initial_state = Unread;
+    using transition_table = boost::mpl::vector<Row<Unread, CaughtUp, Waiting>,
+                                                Row<Unread, OwnEffective, Holding>,
+                                                Row<Waiting, ClaimSent, Claiming>,
+                                                Row<Waiting, OwnEffective, Holding>,
+                                                Row<Claiming, OwnEffective, Holding>,
+                                                Row<Claiming, RivalEffective, Waiting>,
+                                                Row<Claiming, ClaimRejected, Waiting>,
+                                                Row<Holding, RivalEffective, Waiting>,
+                                                Row<Holding, OwnReleased, Waiting>,
+                                                Row<Waiting, Gap, Unread>,
+                                                Row<Claiming, Gap, Unread>,
+                                                Row<Holding, Gap, Unread>>;
+};
+
+// In the order in which the transition table first names the states.
+constexpr LeasePhase phases[] = {LeasePhase::Unread, LeasePhase::Waiting, LeasePhase::Claiming, LeasePhase::Holding};
+
+} // namespace
+
+struct LeaseHolder::Machine
+{
+    msm::back::state_machine<LeaseMachineDefinition> fsm;
+};
+
+TimePoint beliefEnd(TimePoint sent, const LeaseSettings &settings) noexcept
+{
+    return sent + settings.duration - settings.margin;
+}
+
+TimePoint claimableFrom(TimePoint received, milliseconds recordDuration, const LeaseSettings &settings) noexcept
+{
+    return received + recordDuration + settings.margin;
+}
+
+const char *toString(LeasePhase phase) noexcept
+{
+    switch (phase) {
+    case LeasePhase::Unread:
+        return "unread";
+    case LeasePhase::Waiting:
+        return "waiting";
+    case LeasePhase::Claiming:
+        return "claiming";
+    case LeasePhase::Holding:
+        return "holding";
+    }
+    return "";
+}
+
+LeaseHolder::LeaseHolder(std::string scope, Incarnation self, LeaseSettings settings)
+    : m_scope(std::move(scope)), m_self(std::move(self)), m_settings(settings), m_machine(std::make_unique<Machine>())
+{
+    m_machine->fsm.start();
+}
+
+LeaseHolder::~LeaseHolder() = default;
+LeaseHolder::LeaseHolder(LeaseHolder &&) noexcept = default;
+LeaseHolder &LeaseHolder::operator=(LeaseHolder &&) noexcept = default;
+
+void LeaseHolder::onRecord(const LeaseTable &table, LeaseEffect effect, const LeaseRecord &record, TimePoint received)
+{
+    const bool own = record.holder == m_self;
+    if (effect == LeaseEffect::None) {
+        const bool ownClaim = own && record.action == LeaseAction::Claim;
+        m_sent.erase(record.nonce);
+        if (ownClaim) {
+            m_machine->fsm.process_event(ClaimRejected{});
+        }
+        return;
+    }
+    m_claimableFrom = record.action == LeaseAction::Release ? received : claimableFrom(received, record.duration, m_settings);
+    if (effect == LeaseEffect::Unknown) {
+        return;
+    }
+    if (!own) {
+        m_beliefEnd.reset();
+        m_epoch.reset();
+        m_machine->fsm.process_event(RivalEffective{});
+        return;
+    }
+    if (record.action == LeaseAction::Release) {
+        m_machine->fsm.process_event(OwnReleased{});
+        return;
+    }
+    const auto sent = m_sent.find(record.nonce);
+    if (sent != m_sent.end() && !m_releasing) {
+        m_beliefEnd = beliefEnd(sent->second, m_settings);
+    }
+    m_sent.erase(record.nonce);
+    m_epoch = table.scopes.at(m_scope).epoch;
+    m_machine->fsm.process_event(OwnEffective{});
+}
+
+void LeaseHolder::onCaughtUp(const LeaseTable &table, TimePoint)
+{
+    if (phase() == LeasePhase::Unread && mayBeClaimed(table, m_scope)) {
+        m_machine->fsm.process_event(CaughtUp{});
+    }
+}
+
+void LeaseHolder::onGap()
+{
+    m_beliefEnd.reset();
+    m_machine->fsm.process_event(Gap{});
+}
+
+std::optional<LeaseRecord> LeaseHolder::nextRecord(const LeaseTable &table, TimePoint now, std::uint64_t nonce)
+{
+    const LeasePhase current = phase();
+    const bool retryDue = now - m_lastSent >= m_settings.duration / renewalsPerDuration;
+    if (m_releasing || current == LeasePhase::Unread || !mayBeClaimed(table, m_scope) || (!retryDue && m_lastSent != TimePoint{})) {
+        return std::nullopt;
+    }
+    if (current != LeasePhase::Holding && now < m_claimableFrom) {
+        return std::nullopt;
+    }
+    LeaseRecord record = claimFor(table, m_scope);
+    if (current == LeasePhase::Holding && record.replaces != noOffset) {
+        record.action = LeaseAction::Renew;
+        record.epoch = *m_epoch;
+    } else {
+        m_machine->fsm.process_event(ClaimSent{});
+    }
+    record.holder = m_self;
+    record.nonce = nonce;
+    record.duration = m_settings.duration;
+    if (m_sent.size() >= maxUnresolved) {
+        m_sent.erase(std::min_element(m_sent.begin(), m_sent.end(), [](const auto &left, const auto &right) {
+            return left.second < right.second;
+        }));
+    }
+    m_sent[nonce] = now;
+    m_lastSent = now;
+    return record;
+}
+
+std::optional<LeaseRecord> LeaseHolder::release(const LeaseTable &table, TimePoint now, std::uint64_t nonce)
+{
+    m_releasing = true;
+    m_beliefEnd.reset();
+    const auto lease = table.scopes.find(m_scope);
+    if (phase() != LeasePhase::Holding || lease == table.scopes.end() || lease->second.latest < table.firstRetained) {
+        return std::nullopt;
+    }
+    LeaseRecord record = claimFor(table, m_scope);
+    record.action = LeaseAction::Release;
+    record.epoch = *m_epoch;
+    record.holder = m_self;
+    record.nonce = nonce;
+    record.duration = m_settings.duration;
+    m_lastSent = now;
+    return record;
+}
+
+bool LeaseHolder::mayCall(TimePoint now, milliseconds callBound) const noexcept
+{
+    return m_beliefEnd && now + callBound <= *m_beliefEnd;
+}
+
+std::optional<TimePoint> LeaseHolder::believesUntil() const noexcept
+{
+    return m_beliefEnd;
+}
+
+std::optional<Offset> LeaseHolder::epoch() const noexcept
+{
+    return m_epoch;
+}
+
+LeasePhase LeaseHolder::phase() const noexcept
+{
+    return phases[m_machine->fsm.current_state()[0]];
+}
+
+const std::string &LeaseHolder::scope() const noexcept
+{
+    return m_scope;
+}
+
+} // namespace snipehill
--- /dev/null
+++ b/src/process/src/leasekeeper.cpp
@@ -0,0 +1,298 @@
+#include <process/leasekeeper.h>
+
+#include "pause.h"
+
+#include <process/logclient.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <map>
+#include <mutex>
+#include <utility>
+
+namespace snipehill
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr milliseconds followWait{1000};
+constexpr milliseconds retryPause{200};
+constexpr milliseconds tickInterval{50};
+
+} // namespace
+
+std::string scopes::targets(const std::string &failureDomain)
+{
+    return "targets/" + failureDomain;
+}
+
+std::string scopes::roles(const std::string &targetGroup)
+{
+    return "roles/" + targetGroup;
+}
+
+/** Holders and table under one lock; the coroutines keep it alive. */
+struct LeaseKeeper::State
+{
+    State(asio::any_io_executor ioExecutor, Endpoint logService, Incarnation own, LeaseSettings leaseSettings)
+        : executor(std::move(ioExecutor)), log(std::move(logService)), self(std::move(own)), settings(leaseSettings)
+    {
+    }
+
+    void applyPage(const LogPage &page, Offset readFrom, TimePoint received);
+    void applyEntry(const LogRecord &entry, TimePoint received);
+    std::vector<Json::Value> dueRecords(TimePoint now);
+    std::vector<Json::Value> releases(TimePoint now);
+    std::optional<Offset> readPosition();
+    bool isStopped();
+
+    const asio::any_io_executor executor;
+    const Endpoint log;
+    const Incarnation self;
+    const LeaseSettings settings;
+
+    std::mutex mutex;
+    std::map<std::string, LeaseHolder> holders;
+    LeaseTable table;
+    bool readOnce = false;
+    bool caughtUp = false;
+    bool stopping = false;
+    bool stopped = false;
+    TimePoint callsUntil{}; //!< end of the last call that was allowed
+};
+
+void LeaseKeeper::State::applyEntry(const LogRecord &entry, TimePoint received)
+{
+    Reason reason;
+    const auto record = parseLeaseRecord(entry.value, reason);
+    if (!record) {
+        return;
+    }
+    const LeaseEffect effect = applyLeaseRecord(table, entry.offset, *record);
+    const auto holder = holders.find(record->scope);
+    if (holder != holders.end()) {
+        holder->second.onRecord(table, effect, *record, received);
+    }
+}
+
+void LeaseKeeper::State::applyPage(const LogPage &page, Offset readFrom, TimePoint received)
+{
+    const std::lock_guard lock(mutex);
+    if (!readOnce || readFrom < page.firstRetained) {
+        table = startLeaseTable(page.firstRetained);
+        caughtUp = false;
+        readOnce = true;
+        for (auto &[scope, holder] : holders) {
+            holder.onGap();
+        }
+    }
+    for (const LogRecord &entry : page.records) {
+        applyEntry(entry, received);
+    }
+    const Offset next = page.records.empty() ? page.next : page.records.back().offset + 1;
+    noteLeasesRead(table, page.firstRetained, next);
+    caughtUp = caughtUp || page.records.empty();
+    if (caughtUp) {
+        for (auto &[scope, holder] : holders) {
+            holder.onCaughtUp(table, received);
+        }
+    }
+}
+
+std::vector<Json::Value> LeaseKeeper::State::dueRecords(TimePoint now)
+{
+    const std::lock_guard lock(mutex);
+    std::vector<Json::Value> due;
+    if (stopping) {
+        return due;
+    }
+    for (auto &[scope, holder] : holders) {
+        if (const auto record = holder.nextRecord(table, now, randomId())) {
+            due.push_back(toJson(*record));
+        }
+    }
+    return due;
+}
+
+std::vector<Json::Value> LeaseKeeper::State::releases(TimePoint now)
+{
+    const std::lock_guard lock(mutex);
+    std::vector<Json::Value> due;
+    for (auto &[scope, holder] : holders) {
+        if (const auto record = holder.release(table, now, randomId())) {
+            due.push_back(toJson(*record));
+        }
+    }
+    return due;
+}
+
+std::optional<Offset> LeaseKeeper::State::readPosition()
+{
+    const std::lock_guard lock(mutex);
+    if (!readOnce) {
+        return std::nullopt;
+    }
+    return table.next;
+}
+
+bool LeaseKeeper::State::isStopped()
+{
+    const std::lock_guard lock(mutex);
+    return stopped;
+}
+
+namespace
+{
+
+using StatePointer = std::shared_ptr<LeaseKeeper::State>;
+
+asio::awaitable<void> follow(StatePointer state)
+{
+    while (!state->isStopped()) {
+        const std::optional<Offset> position = state->readPosition();
+        const Offset from = position.value_or(0);
+        const milliseconds wait = position ? followWait : milliseconds(0);
+        Reason reason;
+        const auto page = co_await readLog(state->log, streams::leases, from, wait, reason);
+        if (!page) {
+            co_await pauseFor(retryPause);
+            continue;
+        }
+        state->applyPage(*page, from, Clock::now());
+    }
+}
+
+asio::awaitable<void> append(StatePointer state, std::vector<Json::Value> records)
+{
+    Reason reason;
+    // The records' effect is learnt by reading them back, whether or not an answer comes.
+    co_await appendLog(state->log, streams::leases, std::move(records), reason);
+}
+
+asio::awaitable<void> renew(StatePointer state)
+{
+    while (!state->isStopped()) {
+        std::vector<Json::Value> records = state->dueRecords(Clock::now());
+        if (!records.empty()) {
+            // Not awaited: an append that gets no answer must not delay the next renewal.
+            asio::co_spawn(state->executor, append(state, std::move(records)), asio::detached);
+        }
+        co_await pauseFor(tickInterval);
+    }
+}
+
+} // namespace
+
+LeaseKeeper::LeaseKeeper(asio::any_io_executor executor, Endpoint log, Incarnation self, LeaseSettings settings)
+    : m_state(std::make_shared<State>(std::move(executor), std::move(log), std::move(self), settings))
+{
+}
+
+LeaseKeeper::~LeaseKeeper()
+{
+    const std::lock_guard lock(m_state->mutex);
+    m_state->stopping = true;
+    m_state->stopped = true;
+}
+
+void LeaseKeeper::addScope(const std::string &scope)
+{
+    const std::lock_guard lock(m_state->mutex);
+    const auto [holder, added] = m_state->holders.try_emplace(scope, scope, m_state->self, m_state->settings);
+    if (!added) {
+        return;
+    }
+    // Records read before count as received now, which is later than they were.
+    const auto lease = m_state->table.scopes.find(scope);
+    if (lease != m_state->table.scopes.end()) {
+        LeaseRecord record;
+        record.scope = scope;
+        record.holder = lease->second.holder;
+        record.action = lease->second.released ? LeaseAction::Release : LeaseAction::Renew;
+        record.duration = lease->second.duration;
+        holder->second.onRecord(m_state->table, lease->second.certain ? LeaseEffect::Effective : LeaseEffect::Unknown, record, Clock::now());
+    }
+    if (m_state->caughtUp) {
+        holder->second.onCaughtUp(m_state->table, Clock::now());
+    }
+}
+
+void LeaseKeeper::start()
+{
+    asio::co_spawn(m_state->executor, follow(m_state), asio::detached);
+    asio::co_spawn(m_state->executor, renew(m_state), asio::detached);
+}
+
+asio::awaitable<void> LeaseKeeper::stop()
+{
+    const StatePointer state = m_state;
+    TimePoint callsUntil;
+    {
+        const std::lock_guard lock(state->mutex);
+        state->stopping = true;
+        callsUntil = state->callsUntil;
+    }
+    const auto remaining = std::chrono::ceil<milliseconds>(callsUntil - Clock::now());
+    if (remaining > milliseconds(0)) {
+        co_await pauseFor(remaining);
+    }
+    std::vector<Json::Value> records = state->releases(Clock::now());
+    if (!records.empty()) {
+        co_await append(state, std::move(records));
+    }
+    const std::lock_guard lock(state->mutex);
+    state->stopped = true;
+}
+
+bool LeaseKeeper::mayCall(const std::string &scope, milliseconds callBound) const
+{
+    const std::lock_guard lock(m_state->mutex);
+    const TimePoint now = Clock::now();
+    const auto holder = m_state->holders.find(scope);
+    if (m_state->stopping || holder == m_state->holders.end() || !holder->second.mayCall(now, callBound)) {
+        return false;
+    }
+    m_state->callsUntil = std::max(m_state->callsUntil, now + callBound);
+    return true;
+}
+
+std::optional<Offset> LeaseKeeper::epoch(const std::string &scope) const
+{
+    const std::lock_guard lock(m_state->mutex);
+    const auto holder = m_state->holders.find(scope);
+    if (holder == m_state->holders.end()) {
+        return std::nullopt;
+    }
+    return holder->second.epoch();
+}
+
+const Incarnation &LeaseKeeper::self() const noexcept
+{
+    return m_state->self;
+}
+
+std::vector<LeaseStatus> LeaseKeeper::status() const
+{
+    const std::lock_guard lock(m_state->mutex);
+    std::vector<LeaseStatus> statuses;
+    for (const auto &[scope, holder] : m_state->holders) {
+        LeaseStatus status;
+        status.scope = scope;
+        status.phase = holder.phase();
+        status.believes = holder.mayCall(Clock::now(), milliseconds(0));
+        status.epoch = holder.epoch().value_or(noOffset);
+        const auto lease = m_state->table.scopes.find(scope);
+        if (lease != m_state->table.scopes.end()) {
+            status.holder = lease->second.holder.instance;
+        }
+        statuses.push_back(std::move(status));
+    }
+    return statuses;
+}
+
+} // namespace snipehill
--- a/src/process/src/logclient.cpp
+++ b/src/process/src/logclient.cpp
@@ -27,7 +27,7 @@
     return value;
 }
 
-}
+} // namespace
 
 boost::asio::awaitable<std::optional<LogPage>> readLog(Endpoint log, std::string stream, Offset from, milliseconds wait, Reason &reason)
 {
@@ -73,4 +73,4 @@
     co_return (*answer)["first"].asInt64();
 }
 
-}
+} // namespace snipehill
