Test leases by seeded interleavings under virtual time

Three processes with drifting clocks compete for a scope through loss, duplicates, overtaking, pauses, restarts, outages and ageing records. Two errors of the model itself came out first: records that aged out sooner than a lease lasts, and calls of a killed process counted as unbelieved.

--- /dev/null
+++ b/tests/process/leasesimulation.cpp
@@ -0,0 +1,364 @@
+#include "leasesimulation.h"
+
+#include <algorithm>
+#include <memory>
+
+namespace snipehill::test
+{
+
+namespace
+{
+
+constexpr int processCount = 3;
+constexpr milliseconds runTime{24000};
+constexpr milliseconds callBound{300};
+constexpr milliseconds readTimeout{1500};
+constexpr milliseconds leastRetention{3000}; //!< longer than a lease by any clock
+constexpr std::size_t pageRecords = 20;
+const LeaseSettings leaseSettings{.duration = milliseconds(2000), .margin = milliseconds(400)};
+
+/** The log service: appends and reads that arrive are applied at that instant. */
+struct FakeLog
+{
+    Offset firstRetained = 0;
+    std::vector<LeaseRecord> records;
+    std::vector<Duration> appended;
+    Duration outageUntil{};
+
+    bool down(Duration now) const
+    {
+        return now < outageUntil;
+    }
+};
+
+struct Process
+{
+    int index = 0;
+    Incarnation self;
+    DriftingClock clock;
+    LeaseTable table;
+    std::unique_ptr<LeaseHolder> holder;
+    bool readOnce = false;
+    bool caughtUp = false;
+    Duration pausedUntil{};
+    std::optional<std::uint64_t> awaitedRead;
+    Duration readSent{};
+    std::optional<TimePoint> mutatedBelief; //!< of the mutation BeliefFromReceipt
+    std::optional<TimePoint> recordedBelief;
+};
+
+class LeaseSimulation
+{
+public:
+    LeaseSimulation(std::uint64_t seed, LeaseMutation mutation) : m_choices(seed), m_mutation(mutation)
+    {
+        m_faults.lossPercent = static_cast<int>(m_choices.between(0, 15));
+        m_faults.duplicatePercent = static_cast<int>(m_choices.between(0, 10));
+        m_faults.slowPercent = static_cast<int>(m_choices.between(0, 15));
+        m_faults.usualDelay = m_choices.time(2, 300);
+    }
+
+    LeaseJournal run()
+    {
+        for (int index = 0; index < processCount; ++index) {
+            m_processes[index].index = index;
+            startProcess(m_processes[index]);
+            m_time.after(m_choices.time(0, 200), [this, index] {
+                tick(m_processes[index]);
+            });
+        }
+        m_time.after(m_choices.time(500, 3000), [this] {
+            injectFault();
+        });
+        m_time.run(runTime);
+        return std::move(m_journal);
+    }
+
+private:
+    void startProcess(Process &process)
+    {
+        // Drift of up to 8% each way: the margin of a fifth covers two such clocks.
+        process.clock = {TimePoint(seconds(m_choices.between(0, 100000))), 1.0 + static_cast<double>(m_choices.between(-80, 80)) / 1000};
+        process.clock.start -= std::chrono::duration_cast<Duration>(m_time.now() * process.clock.rate);
+        process.self = {"entry-" + std::to_string(process.index), m_choices.number()};
+        process.table = {};
+        process.holder = std::make_unique<LeaseHolder>("usage", process.self, settings());
+        process.readOnce = false;
+        process.caughtUp = false;
+        process.awaitedRead.reset();
+        process.mutatedBelief.reset();
+    }
+
+    LeaseSettings settings() const
+    {
+        LeaseSettings result = leaseSettings;
+        if (m_mutation == LeaseMutation::NoMargin) {
+            result.margin = milliseconds(0);
+        }
+        return result;
+    }
+
+    void injectFault()
+    {
+        ++m_journal.faults;
+        Process &process = m_processes[m_choices.between(0, processCount - 1)];
+        switch (m_choices.between(0, 4)) {
+        case 0:
+        case 1:
+            process.pausedUntil = m_time.now() + m_choices.time(200, 6000);
+            break;
+        case 2:
+            process.pausedUntil = {};
+            startProcess(process);
+            break;
+        case 3:
+            m_log.outageUntil = m_time.now() + m_choices.time(500, 5000);
+            break;
+        default:
+            ageOut(m_choices.between(1, 8));
+            break;
+        }
+        m_time.after(m_choices.time(300, 4000), [this] {
+            injectFault();
+        });
+    }
+
+    void ageOut(std::int64_t count)
+    {
+        for (; count > 0 && m_log.firstRetained < static_cast<Offset>(m_log.records.size()); --count) {
+            if (m_log.appended[static_cast<std::size_t>(m_log.firstRetained)] + leastRetention > m_time.now()) {
+                return;
+            }
+            ++m_log.firstRetained;
+        }
+    }
+
+    bool paused(const Process &process) const
+    {
+        return m_time.now() < process.pausedUntil;
+    }
+
+    /** Runs the action now, or when the pause ends; a restart in between drops it. */
+    void whenRunning(Process &process, const VirtualTime::Action &action)
+    {
+        const std::uint64_t incarnation = process.self.number;
+        if (!paused(process)) {
+            action();
+            return;
+        }
+        m_time.at(process.pausedUntil, [this, &process, incarnation, action] {
+            if (process.self.number == incarnation) {
+                whenRunning(process, action);
+            }
+        });
+    }
+
+    void tick(Process &process)
+    {
+        if (!paused(process)) {
+            appendDue(process);
+            readNext(process);
+            callPlatform(process);
+        }
+        m_time.after(m_choices.time(60, 240), [this, &process] {
+            tick(process);
+        });
+    }
+
+    void appendDue(Process &process)
+    {
+        const TimePoint now = process.clock.at(m_time.now());
+        const auto record = process.holder->nextRecord(process.table, now, m_choices.number());
+        if (!record) {
+            return;
+        }
+        m_journal.claims += record->action == LeaseAction::Claim ? 1 : 0;
+        sendMessage(m_time, m_choices, m_faults, [this, record = *record] {
+            if (!m_log.down(m_time.now())) {
+                m_log.records.push_back(record);
+                m_log.appended.push_back(m_time.now());
+            }
+        });
+    }
+
+    void readNext(Process &process)
+    {
+        if (process.awaitedRead && m_time.now() - process.readSent < readTimeout) {
+            return;
+        }
+        const std::uint64_t id = m_choices.number();
+        process.awaitedRead = id;
+        process.readSent = m_time.now();
+        const Offset from = process.readOnce ? process.table.next : 0;
+        sendMessage(m_time, m_choices, m_faults, [this, &process, id, from] {
+            if (m_log.down(m_time.now())) {
+                return;
+            }
+            LeasePageCopy page = readPage(from);
+            sendMessage(m_time, m_choices, m_faults, [this, &process, id, page = std::move(page)] {
+                whenRunning(process, [this, &process, id, page] {
+                    takePage(process, id, page);
+                });
+            });
+        });
+    }
+
+    struct LeasePageCopy
+    {
+        Offset from = 0;
+        Offset firstRetained = 0;
+        Offset first = 0;
+        std::vector<LeaseRecord> records;
+    };
+
+    LeasePageCopy readPage(Offset from) const
+    {
+        LeasePageCopy page{.from = from, .firstRetained = m_log.firstRetained, .first = std::max(from, m_log.firstRetained), .records = {}};
+        for (std::size_t offset = static_cast<std::size_t>(page.first); offset < m_log.records.size() && page.records.size() < pageRecords; ++offset) {
+            page.records.push_back(m_log.records[offset]);
+        }
+        return page;
+    }
+
+    void takePage(Process &process, std::uint64_t id, const LeasePageCopy &page)
+    {
+        if (process.awaitedRead != id) {
+            return;
+        }
+        process.awaitedRead.reset();
+        const TimePoint now = process.clock.at(m_time.now());
+        if (!process.readOnce || page.from < page.firstRetained) {
+            process.table = startLeaseTable(page.firstRetained);
+            process.readOnce = true;
+            process.caughtUp = false;
+            process.holder->onGap();
+        }
+        for (std::size_t i = 0; i < page.records.size(); ++i) {
+            takeRecord(process, page.first + static_cast<Offset>(i), page.records[i], now);
+        }
+        noteLeasesRead(process.table, page.firstRetained, page.first + static_cast<Offset>(page.records.size()));
+        process.caughtUp = process.caughtUp || page.records.empty();
+        if (process.caughtUp) {
+            process.holder->onCaughtUp(process.table, now);
+        }
+        noteBelief(process);
+    }
+
+    void takeRecord(Process &process, Offset offset, LeaseRecord record, TimePoint now)
+    {
+        if (m_mutation == LeaseMutation::AnyClaimHasEffect && record.action == LeaseAction::Claim) {
+            record.replaces = noOffset;
+            record.firstRetained = offset;
+        }
+        const LeaseEffect effect = applyLeaseRecord(process.table, offset, record);
+        if (m_mutation == LeaseMutation::NoWait) {
+            record.duration = -leaseSettings.margin;
+        }
+        process.holder->onRecord(process.table, effect, record, now);
+        if (effect == LeaseEffect::Effective) {
+            process.mutatedBelief.reset();
+            if (record.holder == process.self) {
+                process.mutatedBelief = now + leaseSettings.duration - leaseSettings.margin;
+            }
+        }
+    }
+
+    std::optional<TimePoint> believesUntil(const Process &process) const
+    {
+        return m_mutation == LeaseMutation::BeliefFromReceipt ? process.mutatedBelief : process.holder->believesUntil();
+    }
+
+    bool mayCall(const Process &process) const
+    {
+        const milliseconds bound = m_mutation == LeaseMutation::NoCallBound ? milliseconds(0) : callBound;
+        const TimePoint now = process.clock.at(m_time.now());
+        if (m_mutation == LeaseMutation::BeliefFromReceipt) {
+            return process.mutatedBelief && now + bound <= *process.mutatedBelief;
+        }
+        return process.holder->mayCall(now, bound);
+    }
+
+    void callPlatform(Process &process)
+    {
+        if (!mayCall(process) || m_choices.percent(50)) {
+            return;
+        }
+        // The process may be paused between the decision to call and the send.
+        if (m_choices.percent(10)) {
+            process.pausedUntil = m_time.now() + m_choices.time(100, 5000);
+        }
+        whenRunning(process, [this, &process] {
+            if (m_mutation != LeaseMutation::NoSecondCheck && !mayCall(process)) {
+                return;
+            }
+            // The call is cut at its bound by the caller's own clock, so it lands before or never.
+            const auto travel = std::chrono::duration_cast<Duration>(m_choices.time(0, callBound.count()) / process.clock.rate);
+            const Landing landing{process.index, process.self.number, process.holder->epoch().value_or(noOffset), m_time.now() + travel};
+            m_journal.landings.push_back(landing);
+        });
+    }
+
+    // A belief is recorded to its end even if the process dies before, since its calls may still be on their way.
+    void noteBelief(Process &process)
+    {
+        const auto until = believesUntil(process);
+        if (until == process.recordedBelief) {
+            return;
+        }
+        process.recordedBelief = until;
+        if (until && process.clock.trueTimeOf(*until) > m_time.now()) {
+            m_journal.beliefs.push_back(
+                {process.index, process.self.number, process.holder->epoch().value_or(noOffset), m_time.now(), process.clock.trueTimeOf(*until)});
+        }
+    }
+
+    VirtualTime m_time;
+    Choices m_choices;
+    LeaseMutation m_mutation;
+    NetworkFaults m_faults;
+    FakeLog m_log;
+    Process m_processes[processCount];
+    LeaseJournal m_journal;
+};
+
+bool overlap(const Belief &left, const Belief &right)
+{
+    return left.from < right.until && right.from < left.until;
+}
+
+bool covers(const Belief &belief, const Landing &landing)
+{
+    return belief.incarnation == landing.incarnation && belief.from <= landing.at && landing.at <= belief.until;
+}
+
+} // namespace
+
+LeaseJournal simulateLease(std::uint64_t seed, LeaseMutation mutation)
+{
+    return LeaseSimulation(seed, mutation).run();
+}
+
+std::vector<std::string> checkLease(const LeaseJournal &journal)
+{
+    std::vector<std::string> violations;
+    for (std::size_t i = 0; i < journal.beliefs.size(); ++i) {
+        for (std::size_t j = i + 1; j < journal.beliefs.size(); ++j) {
+            const Belief &left = journal.beliefs[i];
+            const Belief &right = journal.beliefs[j];
+            if (left.incarnation != right.incarnation && overlap(left, right)) {
+                violations.push_back("two believers: " + std::to_string(left.process) + " and " + std::to_string(right.process));
+            }
+        }
+    }
+    for (const Landing &landing : journal.landings) {
+        const bool believed = std::any_of(journal.beliefs.begin(), journal.beliefs.end(), [&landing](const Belief &belief) {
+            return covers(belief, landing);
+        });
+        if (!believed) {
+            violations.push_back("call of process " + std::to_string(landing.process) + " outside its belief");
+        }
+    }
+    return violations;
+}
+
+} // namespace snipehill::test
--- /dev/null
+++ b/tests/process/leasetest.cpp
@@ -0,0 +1,189 @@
+#include "leasesimulation.h"
+
+#include <catch2/catch.hpp>
+
+using namespace snipehill;
+using namespace snipehill::test;
+
+namespace
+{
+
+constexpr std::uint64_t leaseRuns = 10000;
+constexpr std::uint64_t mutationRuns = 600;
+
+LeaseRecord claim(Offset replaces, Offset firstRetained, const char *holder = "a")
+{
+    LeaseRecord record;
+    record.scope = "usage";
+    record.holder = {holder, 1};
+    record.replaces = replaces;
+    record.firstRetained = firstRetained;
+    record.duration = milliseconds(1000);
+    return record;
+}
+
+LeaseRecord renewal(Offset replaces, Offset epoch, const char *holder = "a")
+{
+    LeaseRecord record = claim(replaces, 0, holder);
+    record.action = LeaseAction::Renew;
+    record.epoch = epoch;
+    return record;
+}
+
+struct Applied
+{
+    Offset offset;
+    LeaseRecord record;
+    LeaseEffect effect;
+};
+
+} // namespace
+
+TEST_CASE("a lease record has effect only if it names the latest effective one", "[lease]")
+{
+    struct Case
+    {
+        const char *name;
+        Offset readFrom;
+        std::vector<Applied> steps;
+        Offset latest;
+        bool certain;
+    };
+    using enum LeaseEffect;
+    const std::vector<Case> cases{
+        {"first claim", 0, {{0, claim(noOffset, 0), Effective}}, 0, true},
+        {"second claim for none", 0, {{0, claim(noOffset, 0), Effective}, {1, claim(noOffset, 0, "b"), None}}, 0, true},
+        {"claim of the latest", 0, {{0, claim(noOffset, 0), Effective}, {1, claim(0, 0, "b"), Effective}}, 1, true},
+        {"claim of an old one", 0, {{0, claim(noOffset, 0), Effective}, {1, renewal(0, 0), Effective}, {2, claim(0, 0, "b"), None}}, 1, true},
+        {"renewal after a claim", 0, {{0, claim(noOffset, 0), Effective}, {1, claim(0, 0, "b"), Effective}, {2, renewal(0, 0), None}}, 1, true},
+        {"renewal of another's", 0, {{0, claim(noOffset, 0), Effective}, {1, renewal(0, 0, "b"), None}}, 0, true},
+        {"aged out, reader remembers", 0, {{0, claim(noOffset, 0), Effective}, {9, claim(noOffset, 5, "b"), Effective}}, 9, true},
+        {"aged out, claimant read before", 0, {{4, claim(noOffset, 0), Effective}, {9, claim(noOffset, 4, "b"), None}}, 4, true},
+        {"aged out, fresh reader", 5, {{9, claim(noOffset, 5, "b"), Effective}}, 9, true},
+        {"fresh reader can't know", 5, {{9, claim(noOffset, 4, "b"), Unknown}}, 9, false},
+        {"fresh reader, named later", 5, {{9, renewal(3, 1), Unknown}, {12, renewal(9, 1), Effective}}, 12, true},
+        {"fresh reader, overtaken", 5, {{9, renewal(3, 1), Unknown}, {12, claim(noOffset, 10, "b"), Effective}}, 12, true},
+        {"fresh reader, overtaken in between",
+         5,
+         {{9, renewal(3, 1), Unknown}, {10, claim(noOffset, 8, "b"), Unknown}, {12, renewal(9, 1), Effective}},
+         12,
+         true},
+        {"fresh reader, duplicate undecided", 5, {{8, renewal(3, 1), Unknown}, {9, renewal(3, 1), Unknown}, {12, claim(8, 5, "b"), Effective}}, 12, true},
+    };
+    for (const Case &c : cases) {
+        INFO(c.name);
+        LeaseTable table = startLeaseTable(c.readFrom);
+        for (const Applied &step : c.steps) {
+            INFO("offset " << step.offset);
+            REQUIRE(applyLeaseRecord(table, step.offset, step.record) == step.effect);
+        }
+        REQUIRE(table.scopes.at("usage").latest == c.latest);
+        REQUIRE(table.scopes.at("usage").certain == c.certain);
+    }
+}
+
+TEST_CASE("a release ends the epoch without a wait", "[lease]")
+{
+    LeaseTable table = startLeaseTable(0);
+    REQUIRE(applyLeaseRecord(table, 0, claim(noOffset, 0)) == LeaseEffect::Effective);
+    LeaseRecord release = renewal(0, 0);
+    release.action = LeaseAction::Release;
+    REQUIRE(applyLeaseRecord(table, 1, release) == LeaseEffect::Effective);
+    REQUIRE(applyLeaseRecord(table, 2, renewal(1, 0)) == LeaseEffect::None);
+    LeaseHolder candidate("usage", {"b", 1}, {});
+    const TimePoint now(seconds(50));
+    candidate.onRecord(table, LeaseEffect::Effective, release, now);
+    candidate.onCaughtUp(table, now);
+    REQUIRE(candidate.nextRecord(table, now, 1));
+}
+
+TEST_CASE("a candidate waits out the lease and a holder counts from the send time", "[lease]")
+{
+    const LeaseSettings settings{.duration = milliseconds(6000), .margin = milliseconds(1000)};
+    LeaseTable table = startLeaseTable(0);
+    const LeaseRecord other = claim(noOffset, 0);
+    LeaseHolder holder("usage", {"b", 1}, settings);
+    const TimePoint start(seconds(50));
+    REQUIRE(holder.phase() == LeasePhase::Unread);
+    holder.onRecord(table, applyLeaseRecord(table, 0, other), other, start);
+    REQUIRE_FALSE(holder.nextRecord(table, start + seconds(60), 1));
+    holder.onCaughtUp(table, start);
+    REQUIRE(holder.phase() == LeasePhase::Waiting);
+    REQUIRE_FALSE(holder.nextRecord(table, start + milliseconds(1999), 1));
+    const TimePoint sent = start + milliseconds(2000);
+    const auto record = holder.nextRecord(table, sent, 7);
+    REQUIRE(record);
+    REQUIRE(record->replaces == 0);
+    REQUIRE(holder.phase() == LeasePhase::Claiming);
+    REQUIRE_FALSE(holder.mayCall(sent, milliseconds(0)));
+    const TimePoint received = sent + milliseconds(900);
+    holder.onRecord(table, applyLeaseRecord(table, 1, *record), *record, received);
+    REQUIRE(holder.phase() == LeasePhase::Holding);
+    REQUIRE(holder.epoch() == 1);
+    REQUIRE(holder.believesUntil() == sent + milliseconds(5000));
+    REQUIRE(holder.mayCall(received, milliseconds(4100)));
+    REQUIRE_FALSE(holder.mayCall(received, milliseconds(4101)));
+}
+
+TEST_CASE("lease records survive their JSON form", "[lease]")
+{
+    LeaseRecord record = renewal(41, 17);
+    record.nonce = ~0ULL;
+    Reason reason;
+    const auto parsed = parseLeaseRecord(toJson(record), reason);
+    REQUIRE(parsed);
+    REQUIRE(toJson(*parsed) == toJson(record));
+    for (const char *field : {"kind", "scope", "holder", "incarnation", "nonce", "epoch", "replaces", "firstRetained", "durationMs"}) {
+        INFO(field);
+        Json::Value broken = toJson(record);
+        broken.removeMember(field);
+        REQUIRE_FALSE(parseLeaseRecord(broken, reason));
+        broken[field] = Json::Value(Json::arrayValue);
+        REQUIRE_FALSE(parseLeaseRecord(broken, reason));
+    }
+    REQUIRE_FALSE(parseLeaseRecord(Json::Value(3), reason));
+}
+
+TEST_CASE("never two believers, never a call outside belief, in any interleaving", "[lease][lost-authority][platform-orders]")
+{
+    std::size_t beliefs = 0;
+    std::size_t landings = 0;
+    std::size_t faults = 0;
+    for (const std::uint64_t seed : seedsToRun(leaseRuns)) {
+        const LeaseJournal journal = simulateLease(seed, LeaseMutation::None);
+        const auto violations = checkLease(journal);
+        if (!violations.empty()) {
+            FAIL("SNIPEHILL_SEED=" << seed << ": " << violations.front());
+        }
+        beliefs += journal.beliefs.size();
+        landings += journal.landings.size();
+        faults += journal.faults;
+    }
+    // Most runs must get somewhere, else the checkers would have nothing to look at.
+    CHECK(beliefs > 0);
+    CHECK(landings > 0);
+    WARN("lease: beliefs " << beliefs << ", calls " << landings << ", faults " << faults);
+}
+
+TEST_CASE("the lease checkers see each rule that is left out", "[lease]")
+{
+    struct Case
+    {
+        const char *name;
+        LeaseMutation mutation;
+    };
+    for (const Case &c : {Case{"belief from receipt", LeaseMutation::BeliefFromReceipt},
+                          {"no wait", LeaseMutation::NoWait},
+                          {"any claim has effect", LeaseMutation::AnyClaimHasEffect},
+                          {"no margin", LeaseMutation::NoMargin},
+                          {"no call bound", LeaseMutation::NoCallBound},
+                          {"no second check", LeaseMutation::NoSecondCheck}}) {
+        INFO(c.name);
+        std::size_t flagged = 0;
+        for (std::uint64_t seed = 1; seed <= mutationRuns; ++seed) {
+            flagged += checkLease(simulateLease(seed, c.mutation)).empty() ? 0 : 1;
+        }
+        CHECK(flagged > 0);
+        WARN(c.name << ": flagged in " << flagged << " of " << mutationRuns << " runs");
+    }
+}
