Measure target choice against random, round robin and least outstanding

A fake engine with continuous batching and a prefix cache in virtual time, open loop traffic, entries and sidecars that use the shipped decisions.

--- /dev/null
+++ b/tests/fakes/routingrun.h
@@ -0,0 +1,537 @@
+#pragma once
+
+#include "fakeengine.h"
+#include "stats.h"
+#include "workload.h"
+
+#include <request/admission.h>
+#include <request/crashsuspects.h>
+#include <request/fairqueue.h>
+#include <request/prefixindex.h>
+#include <request/retrybudget.h>
+#include <request/targetchoice.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace snipehill::fakes
+{
+
+/** How an entry picks a target. */
+enum class Policy {
+    Random,
+    RoundRobin,
+    LeastOutstanding,
+    Predicted,
+};
+
+/** Settings of a run of entries and sidecars over fake engines. */
+struct RunSettings
+{
+    Policy policy = Policy::Predicted;
+    ChoiceSettings choice;
+    FairQueueSettings queue{.slots = 16};
+    FakeEngineSettings engine;
+    AdmissionSettings admission;
+    RetryBudgetSettings retries;
+    CrashSettings crashes;
+    Workspace limits; //!< of every workspace
+    std::vector<TargetMember> members; //!< empty: so many targets over so many failure domains
+    std::uint32_t targets = 10;
+    std::uint32_t domains = 4;
+    std::uint32_t slowTargets = 4; //!< old hardware
+    double slowSpeed = 0.6;
+    std::uint32_t entries = 4;
+    std::size_t subset = 64;
+    bool fairQueue = true; //!< false: first come, first served
+    bool prefixIndex = true;
+    bool deadlineAdmission = true;
+    bool piggybackReports = true; //!< false: only the platform's lagging report
+    double reportEvery = 2; //!< seconds between the platform's reports
+    double deadline = 30; //!< seconds from due
+    double restartSeconds = 20; //!< of a crashed engine
+    std::uint64_t seed = 1;
+};
+
+/** One target and the sidecar beside it. */
+struct FakeTarget
+{
+    FakeEngine engine;
+    FairQueue queue;
+    CrashSuspects suspects;
+    std::vector<QueuedRequest> onEngine;
+    StepResult pending;
+    bool stepping = false;
+    bool down = false;
+    std::uint64_t cacheEpoch = 0;
+};
+
+/** One entry. */
+struct FakeEntry
+{
+    std::vector<TargetView> views; //!< of its subset
+    std::vector<std::uint32_t> inFlight; //!< own requests for each view
+    PrefixIndex prefixes;
+    Admission admission;
+    RetryBudget retries;
+    CrashSuspects suspects;
+    std::uint64_t turn = 0;
+};
+
+/** Outcome of a run. */
+struct RunResult
+{
+    std::vector<RequestRecord> records; //!< one for each arrival, in order
+    std::uint64_t prefilledTokens = 0;
+    std::uint64_t cachedTokens = 0;
+    std::uint32_t targetsLost = 0;
+    std::uint32_t retriesRefused = 0; //!< by the retry budget
+    std::uint64_t attempts = 0;
+};
+
+/** The run itself: one event queue in virtual time. */
+class RoutingRun
+{
+public:
+    RoutingRun(RunSettings settings, std::vector<Arrival> arrivals)
+        : m_settings(std::move(settings))
+        , m_arrivals(std::move(arrivals))
+        , m_random{m_settings.seed}
+    {
+        makeTargets();
+        makeEntries();
+        m_result.records.resize(m_arrivals.size());
+        m_tried.resize(m_arrivals.size());
+        m_generated.resize(m_arrivals.size());
+        for (std::size_t i = 0; i < m_arrivals.size(); ++i) {
+            m_result.records[i].workspace = m_arrivals[i].workspace;
+            m_result.records[i].due = m_arrivals[i].due;
+            m_result.records[i].outputTokens = m_arrivals[i].outputTokens;
+            schedule(m_arrivals[i].due, Event::Kind::Arrive, i);
+        }
+        schedule(m_settings.reportEvery, Event::Kind::Report, 0);
+    }
+
+    RunResult run()
+    {
+        while (!m_events.empty()) {
+            const Event event = m_events.top();
+            m_events.pop();
+            m_now = event.time;
+            handle(event);
+        }
+        for (const FakeTarget &target : m_targets) {
+            m_result.prefilledTokens += target.engine.prefilledTokens;
+            m_result.cachedTokens += target.engine.cachedTokens;
+        }
+        return m_result;
+    }
+
+private:
+    struct Event
+    {
+        enum class Kind {
+            Arrive,
+            Step,
+            Restart,
+            Report,
+        };
+        double time = 0;
+        std::uint64_t order = 0;
+        Kind kind = Kind::Arrive;
+        std::size_t index = 0;
+        bool operator>(const Event &other) const
+        {
+            return time != other.time ? time > other.time : order > other.order;
+        }
+    };
+
+    void makeTargets()
+    {
+        if (m_settings.members.empty()) {
+            for (std::uint32_t i = 0; i < m_settings.targets; ++i) {
+                m_settings.members.push_back({"t" + std::to_string(i), "d" + std::to_string(i % m_settings.domains)});
+            }
+        }
+        m_targets.resize(m_settings.members.size());
+        for (std::size_t i = 0; i < m_targets.size(); ++i) {
+            FakeEngineSettings &engine = m_targets[i].engine.settings;
+            engine = m_settings.engine;
+            if (i < m_settings.slowTargets) {
+                engine.prefillTokensPerSecond *= m_settings.slowSpeed;
+                engine.stepSeconds /= m_settings.slowSpeed;
+                engine.stepSecondsPerStream /= m_settings.slowSpeed;
+            }
+        }
+    }
+
+    void makeEntries()
+    {
+        m_entries.resize(m_settings.entries);
+        for (std::size_t i = 0; i < m_entries.size(); ++i) {
+            const auto subset = targetSubset("entry-" + std::to_string(i), m_settings.members, m_settings.subset);
+            for (const std::size_t position : subset) {
+                TargetView view;
+                view.instance = m_settings.members[position].instance;
+                view.failureDomain = m_settings.members[position].failureDomain;
+                m_entries[i].views.push_back(view);
+            }
+            m_entries[i].inFlight.resize(m_entries[i].views.size());
+            m_positions.push_back(subset);
+            m_reportTimes.emplace_back(subset.size(), 0.0);
+        }
+    }
+
+    void schedule(double time, Event::Kind kind, std::size_t index)
+    {
+        m_events.push({time, m_order++, kind, index});
+    }
+
+    TimePoint timePoint(double time) const
+    {
+        return TimePoint{} + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(time + 1));
+    }
+
+    void handle(const Event &event)
+    {
+        switch (event.kind) {
+        case Event::Kind::Arrive:
+            arrive(event.index);
+            break;
+        case Event::Kind::Step:
+            endStep(event.index);
+            break;
+        case Event::Kind::Restart:
+            m_targets[event.index].down = false;
+            break;
+        case Event::Kind::Report:
+            reportAll();
+            break;
+        }
+    }
+
+    void reportAll()
+    {
+        for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
+            for (const std::size_t target : m_positions[entry]) {
+                report(entry, target);
+            }
+        }
+        if (!m_events.empty()) {
+            schedule(m_now + m_settings.reportEvery, Event::Kind::Report, 0);
+        }
+    }
+
+    LoadReport makeReport(std::size_t position) const
+    {
+        const FakeTarget &target = m_targets[position];
+        LoadReport report;
+        report.instance = m_settings.members[position].instance;
+        report.accepting = !target.down;
+        report.slots = m_settings.queue.slots;
+        report.running = target.queue.running;
+        report.queued = static_cast<std::uint32_t>(waitingCount(target.queue));
+        report.queuedPrefillTokens = prefillLeft(target.engine);
+        report.queuedDecodeTokens = decodeLeft(target.engine);
+        for (const auto &[name, workspace] : target.queue.workspaces) {
+            for (const QueuedRequest &waiting : workspace.waiting) {
+                report.queuedPrefillTokens += m_arrivals[waiting.attempt].promptTokens;
+                report.queuedDecodeTokens += m_arrivals[waiting.attempt].outputTokens;
+            }
+        }
+        report.prefillTokensPerSecond = target.engine.settings.prefillTokensPerSecond;
+        report.decodeTokensPerSecond = fullDecodeRate(target.engine.settings);
+        report.cacheEpoch = target.cacheEpoch;
+        return report;
+    }
+
+    std::size_t viewOf(std::size_t entry, std::size_t target) const
+    {
+        const auto &positions = m_positions[entry];
+        return static_cast<std::size_t>(std::find(positions.begin(), positions.end(), target) - positions.begin());
+    }
+
+    void report(std::size_t entry, std::size_t target)
+    {
+        const std::size_t place = viewOf(entry, target);
+        TargetView &view = m_entries[entry].views[place];
+        view.report = makeReport(target);
+        view.reported = true;
+        view.outstanding = {};
+        m_reportTimes[entry][place] = m_now;
+        noteCacheEpoch(m_entries[entry].prefixes, view.instance, 0, view.report.cacheEpoch);
+        mergeNews(m_entries[entry].suspects, suspectNews(m_targets[target].suspects, 16, m_settings.crashes, timePoint(m_now)), m_settings.crashes, timePoint(m_now));
+    }
+
+    void piggyback(std::size_t request, std::size_t target)
+    {
+        if (m_settings.piggybackReports) {
+            report(m_arrivals[request].entry, target);
+        }
+    }
+
+    PlacementRequest placementOf(std::size_t request, bool alone) const
+    {
+        const Arrival &arrival = m_arrivals[request];
+        return {arrival.promptTokens, arrival.outputTokens, alone, arrival.fingerprint, TargetKind::Engine};
+    }
+
+    void refreshViews(std::size_t request)
+    {
+        const Arrival &arrival = m_arrivals[request];
+        FakeEntry &entry = m_entries[arrival.entry];
+        for (std::size_t i = 0; i < entry.views.size(); ++i) {
+            TargetView &view = entry.views[i];
+            view.reportAge = timePoint(m_now) - timePoint(m_reportTimes[arrival.entry][i]);
+            view.coveredTokens = m_settings.prefixIndex ? coveredBlocks(entry.prefixes, view.instance, arrival.prefixHashes) * fakeBlockTokens : 0;
+        }
+    }
+
+    void arrive(std::size_t request)
+    {
+        const Arrival &arrival = m_arrivals[request];
+        FakeEntry &entry = m_entries[arrival.entry];
+        noteFirstAttempt(entry.retries, m_settings.retries);
+        refreshViews(request);
+        AdmissionRequest admission{arrival.promptTokens, arrival.outputTokens, std::chrono::seconds(1000000), Duration{}};
+        if (m_settings.deadlineAdmission) {
+            admission.remaining = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_settings.deadline));
+            admission.predictedDelay = bestPredictedDelay(entry.views, placementOf(request, false), m_settings.choice);
+        }
+        Workspace workspace = m_settings.limits;
+        workspace.name = arrival.workspace;
+        if (admit(entry.admission, workspace, admission, m_settings.entries, m_settings.admission, timePoint(m_now))) {
+            m_result.records[request].refused = true;
+            return;
+        }
+        dispatch(request);
+    }
+
+    void endRequest(std::size_t request, bool refused)
+    {
+        const Arrival &arrival = m_arrivals[request];
+        RequestRecord &record = m_result.records[request];
+        record.refused = refused;
+        record.end = refused ? -1 : m_now;
+        release(m_entries[arrival.entry].admission, arrival.workspace, 0);
+    }
+
+    std::optional<std::size_t> pick(std::size_t request, bool alone)
+    {
+        FakeEntry &entry = m_entries[m_arrivals[request].entry];
+        const std::vector<std::string> &tried = m_tried[request];
+        if (m_settings.policy == Policy::Predicted || alone) {
+            Reason reason;
+            const auto choice = chooseTarget(entry.views, placementOf(request, alone), tried, m_random.next(), m_settings.choice, reason);
+            if (!choice) {
+                return std::nullopt;
+            }
+            const auto same = [&](const TargetView &view) { return view.instance == choice->instance; };
+            return static_cast<std::size_t>(std::find_if(entry.views.begin(), entry.views.end(), same) - entry.views.begin());
+        }
+        std::vector<std::size_t> open;
+        for (std::size_t i = 0; i < entry.views.size(); ++i) {
+            if (isEligible(entry.views[i]) && std::find(tried.begin(), tried.end(), entry.views[i].instance) == tried.end()) {
+                open.push_back(i);
+            }
+        }
+        if (open.empty()) {
+            return std::nullopt;
+        }
+        if (m_settings.policy == Policy::Random) {
+            return open[m_random.next() % open.size()];
+        }
+        const std::uint64_t start = entry.turn++;
+        std::size_t best = open[start % open.size()];
+        for (std::size_t i = 0; m_settings.policy == Policy::LeastOutstanding && i < open.size(); ++i) {
+            const std::size_t place = open[(start + i) % open.size()];
+            best = entry.inFlight[place] < entry.inFlight[best] ? place : best;
+        }
+        return best;
+    }
+
+    void dispatch(std::size_t request)
+    {
+        const Arrival &arrival = m_arrivals[request];
+        FakeEntry &entry = m_entries[arrival.entry];
+        while (true) {
+            const Judgement judgement = judge(entry.suspects, arrival.fingerprint, m_settings.crashes, timePoint(m_now));
+            const std::optional<std::size_t> place = judgement == Judgement::Blocked ? std::nullopt : pick(request, judgement == Judgement::RunAlone);
+            if (!place) {
+                endRequest(request, true);
+                return;
+            }
+            ++m_result.attempts;
+            ++m_result.records[request].attempts;
+            const std::size_t target = m_positions[arrival.entry][*place];
+            mergeNews(m_targets[target].suspects, suspectNews(entry.suspects, 16, m_settings.crashes, timePoint(m_now)), m_settings.crashes, timePoint(m_now));
+            if (accept(request, target, judgement == Judgement::RunAlone)) {
+                TargetView &view = entry.views[*place];
+                ++view.outstanding.requests;
+                view.outstanding.prefillTokens += arrival.promptTokens - std::min(arrival.promptTokens, view.coveredTokens);
+                view.outstanding.decodeTokens += arrival.outputTokens;
+                ++entry.inFlight[*place];
+                noteRouted(entry.prefixes, view.instance, arrival.prefixHashes);
+                return;
+            }
+            report(arrival.entry, target);
+            m_tried[request].push_back(m_settings.members[target].instance);
+            if (!takeRetry(entry.retries)) {
+                ++m_result.retriesRefused;
+                endRequest(request, true);
+                return;
+            }
+        }
+    }
+
+    bool accept(std::size_t request, std::size_t position, bool alone)
+    {
+        FakeTarget &target = m_targets[position];
+        const Arrival &arrival = m_arrivals[request];
+        const Judgement judgement = judge(target.suspects, arrival.fingerprint, m_settings.crashes, timePoint(m_now));
+        if (target.down || judgement == Judgement::Blocked) {
+            return false;
+        }
+        QueuedRequest queued;
+        queued.attempt = request;
+        queued.workspace = m_settings.fairQueue ? arrival.workspace : "all";
+        queued.weight = arrival.weight;
+        queued.costTokens = queueCost(arrival.promptTokens, arrival.outputTokens);
+        queued.deadline = timePoint(arrival.due + m_settings.deadline);
+        queued.alone = alone || judgement == Judgement::RunAlone;
+        if (!enqueue(target.queue, queued, m_settings.queue)) {
+            return false;
+        }
+        pump(position);
+        return true;
+    }
+
+    void pump(std::size_t position)
+    {
+        FakeTarget &target = m_targets[position];
+        for (const QueuedRequest &expired : takeExpired(target.queue, timePoint(m_now))) {
+            leave(expired.attempt, position);
+            endRequest(expired.attempt, true);
+        }
+        while (!target.down) {
+            const std::optional<QueuedRequest> next = dequeue(target.queue, m_settings.queue);
+            if (!next) {
+                break;
+            }
+            const Arrival &arrival = m_arrivals[next->attempt];
+            const std::uint64_t done = m_generated[next->attempt];
+            FakeStream stream{next->attempt, arrival.promptTokens + done, arrival.outputTokens - std::min(done, arrival.outputTokens - 1), arrival.prefixHashes};
+            stream.priority = m_settings.fairQueue ? enginePriority(target.queue, *next, m_settings.queue) : 0;
+            stream.crashes = arrival.crashes;
+            startStream(target.engine, std::move(stream));
+            target.onEngine.push_back(*next);
+        }
+        if (!target.stepping && !target.engine.streams.empty()) {
+            target.pending = step(target.engine);
+            target.stepping = true;
+            schedule(m_now + target.pending.seconds, Event::Kind::Step, position);
+        }
+    }
+
+    void leave(std::size_t request, std::size_t target)
+    {
+        const std::size_t entry = m_arrivals[request].entry;
+        --m_entries[entry].inFlight[viewOf(entry, target)];
+    }
+
+    QueuedRequest takeOnEngine(FakeTarget &target, std::uint64_t request)
+    {
+        const auto found = std::find_if(target.onEngine.begin(), target.onEngine.end(), [request](const QueuedRequest &queued) { return queued.attempt == request; });
+        QueuedRequest queued = *found;
+        target.onEngine.erase(found);
+        return queued;
+    }
+
+    void endStep(std::size_t position)
+    {
+        FakeTarget &target = m_targets[position];
+        target.stepping = false;
+        const StepResult result = std::move(target.pending);
+        if (result.crashed) {
+            crashTarget(position);
+            return;
+        }
+        for (const std::uint64_t request : result.firstTokens) {
+            if (m_result.records[request].firstToken < 0) {
+                m_result.records[request].firstToken = m_now;
+            }
+            piggyback(request, position);
+        }
+        for (const std::uint64_t request : result.finished) {
+            const QueuedRequest queued = takeOnEngine(target, request);
+            finish(target.queue, queued, queued.costTokens);
+            if (queued.alone) {
+                noteAloneSuccess(target.suspects, m_arrivals[request].fingerprint, timePoint(m_now));
+            }
+            leave(request, position);
+            endRequest(request, false);
+            piggyback(request, position);
+        }
+        pump(position);
+    }
+
+    void crashTarget(std::size_t position)
+    {
+        FakeTarget &target = m_targets[position];
+        ++m_result.targetsLost;
+        ++target.cacheEpoch;
+        target.down = true;
+        for (const FakeStream &stream : target.engine.streams) {
+            m_generated[stream.id] += stream.generated;
+        }
+        crash(target.engine);
+        std::vector<std::uint64_t> fingerprints;
+        std::vector<std::size_t> lost;
+        const bool alone = target.onEngine.size() == 1 && target.onEngine.front().alone;
+        for (const QueuedRequest &queued : target.onEngine) {
+            fingerprints.push_back(m_arrivals[queued.attempt].fingerprint);
+            lost.push_back(queued.attempt);
+        }
+        noteCrash(target.suspects, fingerprints, alone, m_settings.crashes, timePoint(m_now));
+        for (const auto &[name, workspace] : target.queue.workspaces) {
+            for (const QueuedRequest &waiting : workspace.waiting) {
+                lost.push_back(waiting.attempt);
+            }
+        }
+        for (const QueuedRequest &waiting : target.queue.aloneLine) {
+            lost.push_back(waiting.attempt);
+        }
+        target.onEngine.clear();
+        target.queue = {};
+        schedule(m_now + m_settings.restartSeconds, Event::Kind::Restart, position);
+        for (const std::size_t request : lost) {
+            leave(request, position);
+            report(m_arrivals[request].entry, position);
+        }
+        for (const std::size_t request : lost) {
+            m_tried[request].push_back(m_settings.members[position].instance);
+            refreshViews(request);
+            dispatch(request);
+        }
+    }
+
+    RunSettings m_settings;
+    std::vector<Arrival> m_arrivals;
+    Random m_random;
+    std::vector<FakeTarget> m_targets;
+    std::vector<FakeEntry> m_entries;
+    std::vector<std::vector<std::size_t>> m_positions; //!< target of each view, by entry
+    std::vector<std::vector<double>> m_reportTimes;
+    std::vector<std::vector<std::string>> m_tried;
+    std::vector<std::uint64_t> m_generated; //!< tokens already delivered by lost attempts
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+    std::uint64_t m_order = 0;
+    double m_now = 0;
+    RunResult m_result;
+};
+
+} // namespace snipehill::fakes
