--- a/src/daemon/run.cpp
+++ b/src/daemon/run.cpp
@@ -21,8 +21,7 @@
 namespace asio = boost::asio;
 
 /** First signal: drain, then end. Later ones: say what an end would cut. */
-template<typename Role>
-void waitForSignal(asio::signal_set &signals, asio::io_context &context, Role &role, bool draining)
+template<typename Role> void waitForSignal(asio::signal_set &signals, asio::io_context &context, Role &role, bool draining)
 {
     signals.async_wait([&signals, &context, &role, draining](const boost::system::error_code &error, int) {
         if (error) {
@@ -32,14 +31,15 @@
             logEvent(Part::Process, Level::Warning, "still draining", {{"wouldCut", role.active()}});
         } else {
             logEvent(Part::Process, Level::Info, "draining", {{"active", role.active()}});
-            role.drain([&context] { context.stop(); });
+            role.drain([&context] {
+                context.stop();
+            });
         }
         waitForSignal(signals, context, role, true);
     });
 }
 
-template<typename Role>
-int run(const Settings &settings)
+template<typename Role> int run(const Settings &settings)
 {
     asio::io_context context(static_cast<int>(settings.threads));
     Role role(context, settings);
@@ -53,7 +53,9 @@
     logEvent(Part::Process, Level::Info, "started", {{"instance", settings.instance}, {"role", toString(settings.role)}});
     std::vector<std::thread> threads;
     for (std::uint32_t i = 1; i < settings.threads; ++i) {
-        threads.emplace_back([&context] { context.run(); });
+        threads.emplace_back([&context] {
+            context.run();
+        });
     }
     context.run();
     for (std::thread &thread : threads) {
@@ -64,7 +66,7 @@
     return 0;
 }
 
-}
+} // namespace
 
 int runEntry(const Settings &settings)
 {
@@ -76,4 +78,4 @@
     return run<Sidecar>(settings);
 }
 
-}
+} // namespace snipehill
--- a/src/process/include/process/members.h
+++ b/src/process/include/process/members.h
@@ -17,7 +17,8 @@
 {
 
 /** One process of the system, as the platform's instance list shows it. */
-struct Member {
+struct Member
+{
     std::string instance;
     std::string role; //!< "entry" or "sidecar"
     Endpoint link;
@@ -57,4 +58,4 @@
     std::shared_ptr<State> m_state;
 };
 
-}
+} // namespace snipehill
--- a/src/process/src/members.cpp
+++ b/src/process/src/members.cpp
@@ -49,7 +49,7 @@
     return member;
 }
 
-}
+} // namespace
 
 std::optional<std::vector<Member>> parseInstanceList(std::string_view text, Reason &reason)
 {
@@ -72,6 +72,12 @@
 }
 
 struct Members::State {
+    State(Endpoint listEndpoint, milliseconds pollInterval, asio::any_io_executor executor)
+        : list(std::move(listEndpoint))
+        , poll(pollInterval)
+        , strand(asio::make_strand(std::move(executor)))
+    {
+    }
     Endpoint list;
     milliseconds poll;
     asio::strand<asio::any_io_executor> strand;
@@ -83,7 +89,7 @@
 };
 
 Members::Members(Endpoint list, milliseconds poll, asio::any_io_executor executor)
-    : m_state(std::make_shared<State>(State{.list = std::move(list), .poll = poll, .strand = asio::make_strand(executor)}))
+    : m_state(std::make_shared<State>(std::move(list), poll, std::move(executor)))
 {
 }
 
@@ -134,4 +140,4 @@
     return m_state->members;
 }
 
-}
+} // namespace snipehill
--- a/src/serving/include/serving/entry.h
+++ b/src/serving/include/serving/entry.h
@@ -33,4 +33,4 @@
     std::unique_ptr<Parts> m_parts;
 };
 
-}
+} // namespace snipehill
--- a/src/serving/include/serving/linktable.h
+++ b/src/serving/include/serving/linktable.h
@@ -43,4 +43,4 @@
     std::shared_ptr<State> m_state;
 };
 
-}
+} // namespace snipehill
--- a/src/serving/include/serving/sidecar.h
+++ b/src/serving/include/serving/sidecar.h
@@ -34,4 +34,4 @@
     std::unique_ptr<Parts> m_parts;
 };
 
-}
+} // namespace snipehill
--- a/src/serving/src/attempttable.cpp
+++ b/src/serving/src/attempttable.cpp
@@ -58,9 +58,13 @@
 {
     for (Shard &shard : m_shards) {
         const std::lock_guard lock(shard.lock);
-        std::erase_if(shard.attempts, [now](const auto &entry) { return entry.second->isDisposable(now); });
-        std::erase_if(shard.forbidden, [now](const auto &entry) { return now - entry.second > forbiddenTime; });
+        std::erase_if(shard.attempts, [now](const auto &entry) {
+            return entry.second->isDisposable(now);
+        });
+        std::erase_if(shard.forbidden, [now](const auto &entry) {
+            return now - entry.second > forbiddenTime;
+        });
     }
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/attempttable.h
+++ b/src/serving/src/attempttable.h
@@ -27,7 +27,8 @@
     void sweep(TimePoint now);
 
 private:
-    struct Shard {
+    struct Shard
+    {
         mutable std::mutex lock;
         std::unordered_map<AttemptId, AttemptPointer> attempts;
         std::unordered_map<AttemptId, TimePoint> forbidden;
@@ -37,4 +38,4 @@
     std::array<Shard, shardCount> m_shards;
 };
 
-}
+} // namespace snipehill
--- a/src/serving/src/calleranswer.cpp
+++ b/src/serving/src/calleranswer.cpp
@@ -17,13 +17,9 @@
 constexpr std::string_view eventEnd = "\n\n";
 constexpr std::string_view dataField = "data: ";
 
-}
+} // namespace
 
-CallerAnswer::CallerAnswer(HttpExchange &exchange, std::string requestId)
-    : m_exchange(exchange)
-    , m_requestId(std::move(requestId))
-{
-}
+CallerAnswer::CallerAnswer(HttpExchange &exchange, std::string requestId) : m_exchange(exchange), m_requestId(std::move(requestId)) { }
 
 asio::awaitable<bool> CallerAnswer::takeHead(const wire::Head &head)
 {
@@ -146,4 +142,4 @@
     return text;
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/calleranswer.h
+++ b/src/serving/src/calleranswer.h
@@ -58,4 +58,4 @@
 /** Output text of the chat-completions chunks in a run of server-sent events. */
 std::string textOfEvents(std::string_view events);
 
-}
+} // namespace snipehill
--- a/src/serving/src/callerrequest.cpp
+++ b/src/serving/src/callerrequest.cpp
@@ -23,8 +23,22 @@
 
 // Credentials stop here; the others concern one connection only or are set anew for the target.
 constexpr std::array<std::string_view, 16> fieldsNotForwarded{
-    "authorization", "proxy-authorization", "connection", "keep-alive",      "proxy-connection", "te",           "trailer",     "transfer-encoding",
-    "upgrade",       "content-length",      "host",       "expect",          "x-request-id",     "x-workspace",  "traceparent", "idempotency-key",
+    "authorization",
+    "proxy-authorization",
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "host",
+    "expect",
+    "x-request-id",
+    "x-workspace",
+    "traceparent",
+    "idempotency-key",
 };
 
 Refusal rejected(unsigned status, Step step, std::string detail)
@@ -93,7 +107,7 @@
     return group != config.targetGroups.end() && group->second.value.kind == TargetKind::Engine;
 }
 
-}
+} // namespace
 
 bool nestingWithin(std::string_view json, std::uint32_t bound) noexcept
 {
@@ -185,4 +199,4 @@
     return headers;
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/callerrequest.h
+++ b/src/serving/src/callerrequest.h
@@ -16,7 +16,8 @@
 {
 
 /** A caller's request after authentication. Lives until its answer has ended. */
-struct CallerRequest {
+struct CallerRequest
+{
     std::string id; //!< X-Request-Id of the answer
     std::string traceparent; //!< of the caller, may be empty
     ConfigPointer config; //!< version that governs the whole request
@@ -34,15 +35,18 @@
 };
 
 /** What the entry checks requests against. */
-struct CallerChecks {
+struct CallerChecks
+{
     ConfigPointer config;
     Freshness freshness = Freshness::Fresh;
     std::uint32_t jsonDepth = 64; //!< nesting of a JSON body for an engine
 };
 
 /** Finds route and workspace and reads the request, or says why it is refused. Keys are not kept. */
-std::variant<CallerRequest, Refusal> readCallerRequest(
-    const boost::beast::http::request<boost::beast::http::string_body> &request, const CallerChecks &checks, std::string requestId, TimePoint now);
+std::variant<CallerRequest, Refusal> readCallerRequest(const boost::beast::http::request<boost::beast::http::string_body> &request,
+                                                       const CallerChecks &checks,
+                                                       std::string requestId,
+                                                       TimePoint now);
 
 /** Nesting of a JSON text stays within the bound; strings are skipped. */
 bool nestingWithin(std::string_view json, std::uint32_t bound) noexcept;
@@ -53,4 +57,4 @@
 /** Header fields of a refusal. */
 HeaderList problemHeaders(const Refusal &refusal, const std::string &requestId);
 
-}
+} // namespace snipehill
--- a/src/serving/src/entry.cpp
+++ b/src/serving/src/entry.cpp
@@ -35,9 +35,10 @@
     return limits;
 }
 
-}
+} // namespace
 
-struct Entry::Parts {
+struct Entry::Parts
+{
     Parts(asio::io_context &io, const Settings &settings)
         : executor(io.get_executor())
         , identity{{settings.instance, randomId()}, "entry", settings.link.heartbeat}
@@ -46,15 +47,21 @@
         , links(executor, identity, linkHandlers())
         , config(followerOptions(settings), executor, links.peerCall())
         , context{.settings = settings, .config = config, .members = members, .links = links, .targets = targets, .router = router}
-        , callers(executor, callerLimits(settings.callers), [this](HttpExchange &exchange) { return serveCaller(context, exchange); })
+        , callers(executor, callerLimits(settings.callers), [this](HttpExchange &exchange) {
+            return serveCaller(context, exchange);
+        })
     {
     }
 
     LinkHandlers linkHandlers()
     {
         LinkHandlers handlers;
-        handlers.message = [this](const LinkPointer &link, const wire::LinkMessage &message) { receive(link, message); };
-        handlers.closed = [this](const LinkPointer &link) { router.linkClosed(link.get()); };
+        handlers.message = [this](const LinkPointer &link, const wire::LinkMessage &message) {
+            receive(link, message);
+        };
+        handlers.closed = [this](const LinkPointer &link) {
+            router.linkClosed(link.get());
+        };
         return handlers;
     }
 
@@ -102,10 +109,7 @@
     std::atomic<bool> draining{false};
 };
 
-Entry::Entry(asio::io_context &context, const Settings &settings)
-    : m_parts(std::make_unique<Parts>(context, settings))
-{
-}
+Entry::Entry(asio::io_context &context, const Settings &settings) : m_parts(std::make_unique<Parts>(context, settings)) { }
 
 Entry::~Entry() = default;
 
@@ -157,4 +161,4 @@
     asio::co_spawn(asio::make_strand(m_parts->executor), run(m_parts.get(), std::move(done)), asio::detached);
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/entryattempt.cpp
+++ b/src/serving/src/entryattempt.cpp
@@ -280,7 +280,7 @@
     std::uint32_t m_lastSequence = 0;
 };
 
-}
+} // namespace
 
 asio::awaitable<AttemptResult> runAttempt(EntryContext &context, const CallerRequest &request, AttemptTarget target, CallerAnswer &answer)
 {
@@ -289,4 +289,4 @@
     co_return result;
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/entryattempt.h
+++ b/src/serving/src/entryattempt.h
@@ -26,7 +26,8 @@
 };
 
 /** Result of one attempt. */
-struct AttemptResult {
+struct AttemptResult
+{
     AttemptEnd end = AttemptEnd::Complete;
     Refusal refusal; //!< of Refused, LostContact and Expired
     Incarnation owner; //!< of the idempotency key, where that is why the attempt was refused
@@ -35,7 +36,8 @@
 };
 
 /** Where an attempt runs. */
-struct AttemptTarget {
+struct AttemptTarget
+{
     std::string instance;
     Endpoint link;
     bool alone = false; //!< with nothing else on the target
@@ -47,4 +49,4 @@
  */
 boost::asio::awaitable<AttemptResult> runAttempt(EntryContext &context, const CallerRequest &request, AttemptTarget target, CallerAnswer &answer);
 
-}
+} // namespace snipehill
--- a/src/serving/src/entrycontext.h
+++ b/src/serving/src/entrycontext.h
@@ -22,8 +22,10 @@
 {
 
 /** Admission state of the workspaces, in shards by name. */
-struct AdmissionShards {
-    struct Shard {
+struct AdmissionShards
+{
+    struct Shard
+    {
         std::mutex lock;
         Admission admission;
     };
@@ -37,20 +39,23 @@
 };
 
 /** Retry budgets by target group. */
-struct RetryBudgets {
+struct RetryBudgets
+{
     std::mutex lock;
     std::map<std::string, RetryBudget> budgets;
 };
 
 /** Crash suspects known to this process. */
-struct SharedSuspects {
+struct SharedSuspects
+{
     std::mutex lock;
     CrashSuspects suspects;
     CrashSettings settings;
 };
 
 /** Everything that requests of an entry share. Made once by Entry, outlives all requests. */
-struct EntryContext {
+struct EntryContext
+{
     const Settings &settings;
     ConfigFollower &config;
     Members &members;
@@ -63,4 +68,4 @@
     std::function<void(const std::string &workspace, const Incarnation &sidecar, const wire::Usage &usage)> countUsage; //!< second copy
 };
 
-}
+} // namespace snipehill
--- a/src/serving/src/entryrequest.cpp
+++ b/src/serving/src/entryrequest.cpp
@@ -29,12 +29,7 @@
 class Request
 {
 public:
-    Request(EntryContext &context, CallerRequest request, CallerAnswer &answer)
-        : m_context(context)
-        , m_request(std::move(request))
-        , m_answer(answer)
-    {
-    }
+    Request(EntryContext &context, CallerRequest request, CallerAnswer &answer) : m_context(context), m_request(std::move(request)), m_answer(answer) { }
 
     asio::awaitable<void> run()
     {
@@ -154,7 +149,7 @@
         std::vector<TargetMember> members;
         for (const TargetView &target : targets) {
             const bool tried = std::find(m_tried.begin(), m_tried.end(), target.instance) != m_tried.end();
-            if (!tried && isEligible(target, placement())) {
+            if (!tried && isEligible(target)) {
                 members.push_back({target.instance, target.failureDomain});
             }
         }
@@ -199,11 +194,7 @@
     /** The refusal that ends the request, or empty when another attempt may be made. */
     std::optional<Refusal> judgeResult(const AttemptResult &result, const AttemptTarget &target)
     {
-        logEvent(Part::Entry,
-                 Level::Info,
-                 "attempt failed",
-                 result.refusal.reason,
-                 {{"request", m_request.id}, {"outcome", toString(result.refusal.outcome)}});
+        logEvent(Part::Entry, Level::Info, "attempt failed", result.refusal.reason, {{"request", m_request.id}, {"outcome", toString(result.refusal.outcome)}});
         m_answer.discardHeld();
         m_tried.push_back(target.instance);
         noteCrashOf(result, target);
@@ -273,7 +264,7 @@
     bool m_alone = false;
 };
 
-}
+} // namespace
 
 asio::awaitable<void> serveCaller(EntryContext &context, HttpExchange &exchange)
 {
@@ -290,4 +281,4 @@
     co_await run.run();
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/entryrequest.h
+++ b/src/serving/src/entryrequest.h
@@ -15,4 +15,4 @@
  */
 boost::asio::awaitable<void> serveCaller(EntryContext &context, HttpExchange &exchange);
 
-}
+} // namespace snipehill
--- a/src/serving/src/eventsplitter.cpp
+++ b/src/serving/src/eventsplitter.cpp
@@ -16,7 +16,7 @@
 constexpr std::string_view doneEvent = "data: [DONE]";
 constexpr std::string_view usageField = "\"usage\":{";
 
-}
+} // namespace
 
 bool readUsage(std::string_view json, EventProgress &progress)
 {
@@ -70,4 +70,4 @@
     return m_progress;
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/eventsplitter.h
+++ b/src/serving/src/eventsplitter.h
@@ -8,7 +8,8 @@
 {
 
 /** What the events passed on so far say about the answer. */
-struct EventProgress {
+struct EventProgress
+{
     bool done = false; //!< "data: [DONE]" was seen, so the answer is whole
     std::uint64_t dataEvents = 0;
     std::uint64_t promptTokens = 0; //!< from the event with the engine's usage
@@ -37,4 +38,4 @@
 /** Reads "usage" of a chat-completions object; false if it has none. */
 bool readUsage(std::string_view json, EventProgress &progress);
 
-}
+} // namespace snipehill
--- a/src/serving/src/inbox.cpp
+++ b/src/serving/src/inbox.cpp
@@ -11,10 +11,7 @@
 
 namespace asio = boost::asio;
 
-AttemptInbox::AttemptInbox(asio::any_io_executor strand)
-    : m_wakeUp(std::move(strand))
-{
-}
+AttemptInbox::AttemptInbox(asio::any_io_executor strand) : m_wakeUp(std::move(strand)) { }
 
 void AttemptInbox::post(AttemptMessage message)
 {
@@ -95,4 +92,4 @@
     }
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/inbox.h
+++ b/src/serving/src/inbox.h
@@ -20,7 +20,8 @@
 {
 
 /** What reaches an attempt at its entry. Exactly one member is set. */
-struct AttemptMessage {
+struct AttemptMessage
+{
     std::optional<wire::Frame> frame;
     std::optional<wire::Resolved> resolved;
     bool linkClosed = false;
@@ -60,11 +61,13 @@
     void linkClosed(const Link *link);
 
 private:
-    struct Slot {
+    struct Slot
+    {
         std::weak_ptr<AttemptInbox> inbox;
         const Link *link = nullptr; //!< only messages of this link count
     };
-    struct Shard {
+    struct Shard
+    {
         std::mutex lock;
         std::unordered_map<AttemptId, Slot> slots;
     };
@@ -73,4 +76,4 @@
     std::array<Shard, shardCount> m_shards;
 };
 
-}
+} // namespace snipehill
--- a/src/serving/src/keyedruns.cpp
+++ b/src/serving/src/keyedruns.cpp
@@ -19,7 +19,7 @@
     return refusal;
 }
 
-}
+} // namespace
 
 IntentKey keyOf(const wire::Run &run)
 {
@@ -118,4 +118,4 @@
     }
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/keyedruns.h
+++ b/src/serving/src/keyedruns.h
@@ -16,7 +16,8 @@
 {
 
 /** A whole answer, as attempts of the same key get it. */
-struct KeyedAnswer {
+struct KeyedAnswer
+{
     unsigned status = 0;
     HeaderList headers;
     std::string body;
@@ -45,7 +46,8 @@
     void fail(const IntentKey &key, const wire::RefusalMessage &refusal, bool mayHaveRun);
 
 private:
-    struct KeyedRun {
+    struct KeyedRun
+    {
         std::uint64_t fingerprint = 0;
         std::vector<AttemptPointer> attempts;
         std::optional<KeyedAnswer> answer;
@@ -67,4 +69,4 @@
 /** Sends a refusal and ends the attempt. */
 void emitRefusal(SidecarAttempt &attempt, const wire::RefusalMessage &refusal);
 
-}
+} // namespace snipehill
--- a/src/serving/src/linktable.cpp
+++ b/src/serving/src/linktable.cpp
@@ -24,9 +24,10 @@
 constexpr milliseconds reopenInterval{250};
 constexpr milliseconds openTimeout{1000};
 
-}
+} // namespace
 
-struct LinkTable::State {
+struct LinkTable::State
+{
     asio::any_io_executor executor;
     LinkIdentity identity;
     LinkHandlers handlers;
@@ -37,8 +38,7 @@
     std::set<Endpoint> opening;
 };
 
-LinkTable::LinkTable(asio::any_io_executor executor, LinkIdentity identity, LinkHandlers handlers)
-    : m_state(std::make_shared<State>())
+LinkTable::LinkTable(asio::any_io_executor executor, LinkIdentity identity, LinkHandlers handlers) : m_state(std::make_shared<State>())
 {
     m_state->executor = std::move(executor);
     m_state->identity = std::move(identity);
@@ -96,7 +96,7 @@
     co_return result;
 }
 
-}
+} // namespace
 
 PeerCall LinkTable::peerCall()
 {
@@ -149,4 +149,4 @@
     m_state->stopped = true;
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/processparts.cpp
+++ b/src/serving/src/processparts.cpp
@@ -25,4 +25,4 @@
     return peers;
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/processparts.h
+++ b/src/serving/src/processparts.h
@@ -16,4 +16,4 @@
 /** All other members, as the config follower knows them. */
 std::vector<ConfigPeer> configPeers(const std::vector<Member> &members, const std::string &self);
 
-}
+} // namespace snipehill
--- a/src/serving/src/sidecar.cpp
+++ b/src/serving/src/sidecar.cpp
@@ -26,9 +26,10 @@
 constexpr int sweepsPerCleaning = 20; //!< attempts nobody asks for are looked for once a second
 constexpr milliseconds drainPoll{50};
 
-}
+} // namespace
 
-struct Sidecar::Parts {
+struct Sidecar::Parts
+{
     Parts(asio::io_context &io, const Settings &settings)
         : executor(io.get_executor())
         , self{settings.instance, randomId()}
@@ -42,7 +43,11 @@
                   .attempts = {},
                   .queue{executor, settings.target.slots},
                   .keyed = {},
-                  .health{executor, settings.target.address, [this] { targetChanged(); }},
+                  .health{executor,
+                          settings.target.address,
+                          [this] {
+                              targetChanged();
+                          }},
                   .intents{intentOptions(settings, self), executor}}
     {
     }
@@ -58,7 +63,9 @@
     LinkHandlers serverHandlers()
     {
         LinkHandlers handlers;
-        handlers.message = [this](const LinkPointer &link, const wire::LinkMessage &message) { receive(link, message); };
+        handlers.message = [this](const LinkPointer &link, const wire::LinkMessage &message) {
+            receive(link, message);
+        };
         handlers.opened = [this](const LinkPointer &link) {
             wire::LinkMessage message;
             *message.mutable_load() = context.load();
@@ -193,10 +200,7 @@
     std::atomic<bool> stopped{false};
 };
 
-Sidecar::Sidecar(asio::io_context &context, const Settings &settings)
-    : m_parts(std::make_unique<Parts>(context, settings))
-{
-}
+Sidecar::Sidecar(asio::io_context &context, const Settings &settings) : m_parts(std::make_unique<Parts>(context, settings)) { }
 
 Sidecar::~Sidecar() = default;
 
@@ -212,7 +216,9 @@
     if (!parts.server->start(settings.link.listen, reason)) {
         return false;
     }
-    parts.members.onChange([&parts](const MemberList &members) { parts.config.setPeers(configPeers(*members, parts.self.instance)); });
+    parts.members.onChange([&parts](const MemberList &members) {
+        parts.config.setPeers(configPeers(*members, parts.self.instance));
+    });
     parts.peers.start();
     parts.members.start();
     parts.config.start();
@@ -232,4 +238,4 @@
     asio::co_spawn(asio::make_strand(m_parts->executor), Parts::drainLoop(m_parts.get(), std::move(done)), asio::detached);
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/sidecarattempt.cpp
+++ b/src/serving/src/sidecarattempt.cpp
@@ -17,12 +17,10 @@
 constexpr seconds orphanTime{6}; //!< longer than an entry tries to resolve
 constexpr seconds keepFinished{30}; //!< after the deadline, for entries that resolve late
 
-}
+} // namespace
 
 SidecarAttempt::SidecarAttempt(wire::Run run, LinkPointer link, TimePoint now)
-    : m_run(std::move(run))
-    , m_deadline(now + milliseconds(m_run.deadline_ms()))
-    , m_link(std::move(link))
+    : m_run(std::move(run)), m_deadline(now + milliseconds(m_run.deadline_ms())), m_link(std::move(link))
 {
 }
 
@@ -75,7 +73,9 @@
         m_unacknowledged.pop_front();
     }
     if (m_windowTimer && m_unacknowledgedBytes < windowBytes) {
-        asio::post(m_windowTimer->get_executor(), [timer = m_windowTimer] { timer->cancel(); });
+        asio::post(m_windowTimer->get_executor(), [timer = m_windowTimer] {
+            timer->cancel();
+        });
     }
 }
 
@@ -125,7 +125,9 @@
         callback = std::move(m_onCancel);
         m_onCancel = nullptr;
         if (m_windowTimer) {
-            asio::post(m_windowTimer->get_executor(), [timer = m_windowTimer] { timer->cancel(); });
+            asio::post(m_windowTimer->get_executor(), [timer = m_windowTimer] {
+                timer->cancel();
+            });
         }
     }
     if (callback) {
@@ -178,4 +180,4 @@
     return now - *m_linkClosedAt > orphanTime;
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/sidecarattempt.h
+++ b/src/serving/src/sidecarattempt.h
@@ -73,4 +73,4 @@
 
 using AttemptPointer = std::shared_ptr<SidecarAttempt>;
 
-}
+} // namespace snipehill
--- a/src/serving/src/sidecarcontext.h
+++ b/src/serving/src/sidecarcontext.h
@@ -17,7 +17,8 @@
 {
 
 /** Everything that attempts of a sidecar share. Made once by Sidecar, outlives all attempts. */
-struct SidecarContext {
+struct SidecarContext
+{
     const Settings &settings;
     Incarnation self;
     boost::asio::any_io_executor executor;
@@ -52,4 +53,4 @@
 /** Refuses an attempt that has not been started; also those attached to its key. */
 void refuseWaiting(SidecarContext &context, const AttemptPointer &attempt, Refusal refusal);
 
-}
+} // namespace snipehill
--- a/src/serving/src/sidecarqueue.cpp
+++ b/src/serving/src/sidecarqueue.cpp
@@ -18,7 +18,7 @@
     average = average == 0 ? rate : average + rateSmoothing * (rate - average);
 }
 
-}
+} // namespace
 
 SidecarQueue::SidecarQueue(boost::asio::any_io_executor executor, std::uint32_t slots)
 {
@@ -139,4 +139,4 @@
     return m_waiting.size() + m_running.size();
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/sidecarqueue.h
+++ b/src/serving/src/sidecarqueue.h
@@ -19,7 +19,8 @@
 {
 
 /** An attempt that may go to the target now, and the lane that it runs on. */
-struct DispatchedAttempt {
+struct DispatchedAttempt
+{
     AttemptPointer attempt;
     QueuedRequest request;
     Lane *lane = nullptr;
@@ -27,7 +28,8 @@
 };
 
 /** Speeds of the target over recent requests. */
-struct TargetRates {
+struct TargetRates
+{
     double prefillTokensPerSecond = 0;
     double decodeTokensPerSecond = 0;
 };
@@ -67,4 +69,4 @@
     TargetRates m_rates;
 };
 
-}
+} // namespace snipehill
--- a/src/serving/src/sidecarrun.cpp
+++ b/src/serving/src/sidecarrun.cpp
@@ -49,10 +49,7 @@
 {
 public:
     Runner(SidecarContext &context, DispatchedAttempt dispatched)
-        : m_context(context)
-        , m_dispatched(std::move(dispatched))
-        , m_attempt(m_dispatched.attempt)
-        , m_run(m_attempt->run())
+        : m_context(context), m_dispatched(std::move(dispatched)), m_attempt(m_dispatched.attempt), m_run(m_attempt->run())
     {
     }
 
@@ -221,7 +218,9 @@
             answer.status = status;
             answer.headers = std::move(headers);
         };
-        sink.data = [&answer](std::string data) { answer.body += data; };
+        sink.data = [&answer](std::string data) {
+            answer.body += data;
+        };
         ExchangeResult result = co_await exchange(std::move(sink));
         if (result.end == ExchangeEnd::Complete) {
             noteSuccessAlone();
@@ -277,7 +276,7 @@
     return own == Judgement::Clear && run.alone() ? Judgement::RunAlone : own;
 }
 
-}
+} // namespace
 
 wire::Load SidecarContext::load() const
 {
@@ -357,4 +356,4 @@
     attempt->cancel();
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/targetexchange.cpp
+++ b/src/serving/src/targetexchange.cpp
@@ -22,8 +22,8 @@
 
 constexpr milliseconds connectTimeout{1000};
 constexpr std::size_t maxUsageBodyBytes = 4U << 20U;
-constexpr std::array<std::string_view, 7> fieldsOfOneConnection{
-    "connection", "keep-alive", "proxy-connection", "transfer-encoding", "content-length", "upgrade", "trailer"};
+constexpr std::array<std::string_view, 7>
+    fieldsOfOneConnection{"connection", "keep-alive", "proxy-connection", "transfer-encoding", "content-length", "upgrade", "trailer"};
 
 milliseconds remaining(const SidecarAttempt &attempt)
 {
@@ -66,8 +66,8 @@
         const boost::beast::string_view name = field.name_string();
         const bool dropped = boost::beast::iequals(name, "X-Request-Id")
             || std::any_of(fieldsOfOneConnection.begin(), fieldsOfOneConnection.end(), [name](std::string_view other) {
-                   return boost::beast::iequals(name, {other.data(), other.size()});
-               });
+                                 return boost::beast::iequals(name, {other.data(), other.size()});
+                             });
         if (!dropped) {
             headers.emplace_back(std::string(name), std::string(field.value()));
         }
@@ -80,10 +80,7 @@
 {
 public:
     Exchange(Lane &lane, AttemptPointer attempt, ExchangeTarget target, AnswerSink sink)
-        : m_lane(lane)
-        , m_attempt(std::move(attempt))
-        , m_target(std::move(target))
-        , m_sink(std::move(sink))
+        : m_lane(lane), m_attempt(std::move(attempt)), m_target(std::move(target)), m_sink(std::move(sink))
     {
     }
 
@@ -215,7 +212,7 @@
     bool m_stream = false;
 };
 
-}
+} // namespace
 
 std::string engineBody(const wire::Run &run, int priority)
 {
@@ -243,4 +240,4 @@
     co_return result;
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/targetexchange.h
+++ b/src/serving/src/targetexchange.h
@@ -18,17 +18,16 @@
 {
 
 /** One place in which a request runs on the target: a strand and the connection kept on it. */
-struct Lane {
-    explicit Lane(boost::asio::any_io_executor executor)
-        : strand(boost::asio::make_strand(executor))
-    {
-    }
+struct Lane
+{
+    explicit Lane(boost::asio::any_io_executor executor) : strand(boost::asio::make_strand(executor)) { }
     boost::asio::strand<boost::asio::any_io_executor> strand;
     std::unique_ptr<HttpConnection> connection; //!< kept from the last request, null or reusable
 };
 
 /** Takes the answer as it comes in. */
-struct AnswerSink {
+struct AnswerSink
+{
     std::function<void(unsigned status, HeaderList headers, bool stream)> head;
     std::function<void(std::string data)> data;
 };
@@ -42,7 +41,8 @@
 };
 
 /** Result of an exchange. */
-struct ExchangeResult {
+struct ExchangeResult
+{
     ExchangeEnd end = ExchangeEnd::Complete;
     Reason reason; //!< of NotSent and Failed
     EventProgress progress; //!< of an engine's answer
@@ -50,7 +50,8 @@
 };
 
 /** Where and how to send. */
-struct ExchangeTarget {
+struct ExchangeTarget
+{
     Endpoint endpoint;
     bool engine = false;
     int priority = 0; //!< for engines
@@ -66,4 +67,4 @@
 /** Body for an engine: priority, and the output to go on after. Empty if the body is no JSON object. */
 std::string engineBody(const wire::Run &run, int priority);
 
-}
+} // namespace snipehill
--- a/src/serving/src/targethealth.cpp
+++ b/src/serving/src/targethealth.cpp
@@ -23,9 +23,10 @@
 constexpr int probesAfterFailure = 3; //!< a dying process may accept for a moment
 constexpr milliseconds watchInterval{100};
 
-}
+} // namespace
 
-struct TargetHealth::State {
+struct TargetHealth::State
+{
     asio::any_io_executor executor;
     Endpoint target;
     std::function<void()> changed;
@@ -37,8 +38,7 @@
     std::map<AttemptId, std::uint64_t> lastCrash; //!< what the target ran when it died
 };
 
-TargetHealth::TargetHealth(asio::any_io_executor executor, Endpoint target, std::function<void()> changed)
-    : m_state(std::make_shared<State>())
+TargetHealth::TargetHealth(asio::any_io_executor executor, Endpoint target, std::function<void()> changed) : m_state(std::make_shared<State>())
 {
     m_state->executor = std::move(executor);
     m_state->target = std::move(target);
@@ -136,4 +136,4 @@
     m_state->stopped = true;
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/targethealth.h
+++ b/src/serving/src/targethealth.h
@@ -19,7 +19,8 @@
 {
 
 /** Finding about an exchange with the target that failed. */
-struct FailureFinding {
+struct FailureFinding
+{
     bool crashed = false; //!< the target is gone: nothing listens on its address
     std::vector<std::uint64_t> inFlight; //!< fingerprints of the requests that it ran
 };
@@ -53,4 +54,4 @@
     std::shared_ptr<State> m_state;
 };
 
-}
+} // namespace snipehill
--- a/src/serving/src/targettable.cpp
+++ b/src/serving/src/targettable.cpp
@@ -12,12 +12,9 @@
 constexpr std::size_t subsetSize = 32;
 constexpr seconds crashSuspicion{3};
 
-}
+} // namespace
 
-TargetTable::TargetTable(std::string entryInstance)
-    : m_entry(std::move(entryInstance))
-{
-}
+TargetTable::TargetTable(std::string entryInstance) : m_entry(std::move(entryInstance)) { }
 
 TargetTable::Group *TargetTable::find(const std::string &group) const
 {
@@ -216,4 +213,4 @@
     return views;
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/targettable.h
+++ b/src/serving/src/targettable.h
@@ -45,7 +45,8 @@
     std::vector<TargetView> allViews(TimePoint now) const;
 
 private:
-    struct Target {
+    struct Target
+    {
         Member member;
         LoadReport report;
         bool reported = false;
@@ -54,7 +55,8 @@
         TimePoint suspectUntil{};
         bool silent = false;
     };
-    struct Group {
+    struct Group
+    {
         mutable std::mutex lock;
         std::unordered_map<std::string, Target> targets; //!< of the subset
         PrefixIndex prefixes;
@@ -68,4 +70,4 @@
     std::uint32_t m_liveEntries = 1;
 };
 
-}
+} // namespace snipehill
--- a/src/serving/src/wireconvert.cpp
+++ b/src/serving/src/wireconvert.cpp
@@ -12,7 +12,7 @@
 constexpr std::uint32_t lastOutcome = static_cast<std::uint32_t>(Outcome::Rejected);
 constexpr std::uint32_t lastStep = static_cast<std::uint32_t>(Step::Shutdown);
 
-}
+} // namespace
 
 void fillLoad(wire::Load &message, const LoadReport &report)
 {
@@ -114,4 +114,4 @@
     }
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/wireconvert.h
+++ b/src/serving/src/wireconvert.h
@@ -25,4 +25,4 @@
 HeaderList readHeaders(const google::protobuf::RepeatedPtrField<wire::Header> &headers);
 void fillHeaders(google::protobuf::RepeatedPtrField<wire::Header> &message, const HeaderList &headers);
 
-}
+} // namespace snipehill
--- a/tests/fakes/routingrun.h
+++ b/tests/fakes/routingrun.h
@@ -98,9 +98,7 @@
 {
 public:
     RoutingRun(RunSettings settings, std::vector<Arrival> arrivals)
-        : m_settings(std::move(settings))
-        , m_arrivals(std::move(arrivals))
-        , m_random{m_settings.seed}
+        : m_settings(std::move(settings)), m_arrivals(std::move(arrivals)), m_random{m_settings.seed}
     {
         makeTargets();
         makeEntries();
@@ -264,7 +262,8 @@
         view.outstanding = {};
         m_reportTimes[entry][place] = m_now;
         noteCacheEpoch(m_entries[entry].prefixes, view.instance, 0, view.report.cacheEpoch);
-        mergeNews(m_entries[entry].suspects, suspectNews(m_targets[target].suspects, 16, m_settings.crashes, timePoint(m_now)), m_settings.crashes, timePoint(m_now));
+        mergeNews(
+            m_entries[entry].suspects, suspectNews(m_targets[target].suspects, 16, m_settings.crashes, timePoint(m_now)), m_settings.crashes, timePoint(m_now));
     }
 
     void piggyback(std::size_t request, std::size_t target)
@@ -330,7 +329,9 @@
             if (!choice) {
                 return std::nullopt;
             }
-            const auto same = [&](const TargetView &view) { return view.instance == choice->instance; };
+            const auto same = [&](const TargetView &view) {
+                return view.instance == choice->instance;
+            };
             return static_cast<std::size_t>(std::find_if(entry.views.begin(), entry.views.end(), same) - entry.views.begin());
         }
         std::vector<std::size_t> open;
@@ -424,7 +425,8 @@
             }
             const Arrival &arrival = m_arrivals[next->attempt];
             const std::uint64_t done = m_generated[next->attempt];
-            FakeStream stream{next->attempt, arrival.promptTokens + done, arrival.outputTokens - std::min(done, arrival.outputTokens - 1), arrival.prefixHashes};
+            FakeStream stream{
+                next->attempt, arrival.promptTokens + done, arrival.outputTokens - std::min(done, arrival.outputTokens - 1), arrival.prefixHashes};
             stream.priority = m_settings.fairQueue ? enginePriority(target.queue, *next, m_settings.queue) : 0;
             stream.crashes = arrival.crashes;
             startStream(target.engine, std::move(stream));
@@ -445,7 +447,9 @@
 
     QueuedRequest takeOnEngine(FakeTarget &target, std::uint64_t request)
     {
-        const auto found = std::find_if(target.onEngine.begin(), target.onEngine.end(), [request](const QueuedRequest &queued) { return queued.attempt == request; });
+        const auto found = std::find_if(target.onEngine.begin(), target.onEngine.end(), [request](const QueuedRequest &queued) {
+            return queued.attempt == request;
+        });
         QueuedRequest queued = *found;
         target.onEngine.erase(found);
         return queued;
