Add support for proofs: processes, relay, client, cluster

Proofs start the programs as processes, break the connections between them and read journals. Children close inherited descriptors: a copy of a relay's socket would otherwise keep a dropped connection open. Engine cache hashes now follow the prefix hashes of request/estimate.h.

--- a/tests/standins/engine.cpp
+++ b/tests/standins/engine.cpp
@@ -159,8 +159,9 @@
     /** Prompts are prefilled one after another; what the prefix cache covers, and a resumed text, cost nothing. */
     asio::awaitable<void> prefill(const Generation &generation)
     {
-        const std::size_t cached = m_cache.use(generation.prompt, static_cast<std::size_t>(faults.number("", "cacheBlocks", defaultCacheBlocks)));
-        const std::uint64_t tokens = countWords(std::string_view(generation.prompt).substr(cached));
+        const std::int64_t capacity = faults.number("", "cacheBlocks", defaultCacheBlocks);
+        const std::size_t cached = m_cache.use(generation.model, generation.cacheText, static_cast<std::size_t>(capacity));
+        const std::uint64_t tokens = countWords(std::string_view(generation.cacheText).substr(cached));
         const auto cost = std::chrono::microseconds(1000000 * tokens / faults.number("", "prefillRate", defaultPrefillRate));
         m_prefillFree = std::max(m_prefillFree, Clock::now()) + cost;
         const TimePoint done = m_prefillFree;
--- a/tests/standins/generation.cpp
+++ b/tests/standins/generation.cpp
@@ -39,7 +39,9 @@
     generation.requestId = std::move(requestId);
     generation.model = body["model"].asString();
     for (const Json::Value &message : body["messages"]) {
-        generation.prompt += (generation.prompt.empty() ? "" : "\n") + message["content"].asString();
+        const std::string content = message["content"].asString();
+        generation.prompt += (generation.prompt.empty() ? "" : "\n") + content;
+        generation.cacheText += message["role"].asString() + "\n" + content + "\n";
     }
     generation.promptTokens = countWords(generation.prompt);
     generation.maxTokens = body.get("max_tokens", Json::UInt64(generation.maxTokens)).asUInt64();
@@ -108,13 +110,13 @@
     return answer;
 }
 
-std::size_t PrefixCache::use(std::string_view prompt, std::size_t capacityBlocks)
+std::size_t PrefixCache::use(const std::string &model, std::string_view text, std::size_t capacityBlocks)
 {
     std::size_t cached = 0;
     bool prefix = true;
-    for (std::size_t end = blockBytes; end <= prompt.size(); end += blockBytes) {
+    for (std::size_t end = blockBytes; end <= text.size(); end += blockBytes) {
         constexpr int digits = 16;
-        const std::string hash = hex(fnv1a64(prompt.substr(0, end)), digits);
+        const std::string hash = hex(fnv1a64(model + std::string(text.substr(0, end))), digits);
         const auto found = m_blocks.find(hash);
         if (found != m_blocks.end()) {
             cached = prefix ? end : cached;
--- a/tests/standins/generation.h
+++ b/tests/standins/generation.h
@@ -18,6 +18,7 @@
     std::string requestId;
     std::string model;
     std::string prompt; //!< contents of all messages, joined by line ends
+    std::string cacheText; //!< role, line end, content, line end of each message
     std::uint64_t promptTokens = 0; //!< words of the prompt
     std::uint64_t maxTokens = 16; //!< length of the whole answer, what was delivered before included
     std::uint64_t resumeTokens = 0; //!< output tokens delivered before
@@ -44,7 +45,7 @@
 struct CacheEvent
 {
     std::int64_t sequence = 0;
-    std::string hash; //!< 16 hexadecimal digits: FNV-1a of the prompt up to the end of the block
+    std::string hash; //!< 16 hexadecimal digits: FNV-1a of the model's name and the text up to the end of the block
     bool stored = true;
 };
 
@@ -54,8 +55,8 @@
 public:
     static constexpr std::size_t blockBytes = 256;
 
-    /** Bytes of the prompt that were cached; afterwards its whole blocks are. */
-    std::size_t use(std::string_view prompt, std::size_t capacityBlocks);
+    /** Bytes of the text that were cached; afterwards its whole blocks are. */
+    std::size_t use(const std::string &model, std::string_view text, std::size_t capacityBlocks);
     /** Forgets all, as a role or model change does. */
     void clear();
     const std::vector<CacheEvent> &events() const noexcept;
--- /dev/null
+++ b/tests/support/childprocess.cpp
@@ -0,0 +1,174 @@
+#include "childprocess.h"
+
+#include "wait.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <set>
+#include <stdexcept>
+#include <utility>
+
+namespace snipehill::support
+{
+
+ChildProcess::ChildProcess(std::string program, std::vector<std::string> arguments, const std::string &outputFile)
+{
+    std::vector<char *> argv{program.data()};
+    for (std::string &argument : arguments) {
+        argv.push_back(argument.data());
+    }
+    argv.push_back(nullptr);
+    const pid_t parent = getpid();
+    m_id = fork();
+    if (m_id < 0) {
+        throw std::runtime_error("fork failed");
+    }
+    if (m_id > 0) {
+        return;
+    }
+    // Ends with the test program, also when that is killed.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (getppid() != parent) {
+        _exit(1);
+    }
+    const int output = open(outputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    dup2(output, STDOUT_FILENO);
+    dup2(output, STDERR_FILENO);
+    // Sockets of the test, such as those of its relays, must not live on in the child.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
+    execv(program.c_str(), argv.data());
+    _exit(127);
+}
+
+ChildProcess::~ChildProcess()
+{
+    kill();
+}
+
+ChildProcess::ChildProcess(ChildProcess &&other) noexcept : m_id(std::exchange(other.m_id, -1)), m_exitCode(other.m_exitCode) { }
+
+ChildProcess &ChildProcess::operator=(ChildProcess &&other) noexcept
+{
+    if (this != &other) {
+        kill();
+        m_id = std::exchange(other.m_id, -1);
+        m_exitCode = other.m_exitCode;
+    }
+    return *this;
+}
+
+pid_t ChildProcess::id() const noexcept
+{
+    return m_id;
+}
+
+bool ChildProcess::reap(int options)
+{
+    int status = 0;
+    if (m_id < 0 || waitpid(m_id, &status, options) != m_id) {
+        return m_id < 0;
+    }
+    m_id = -1;
+    m_exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    return true;
+}
+
+bool ChildProcess::running()
+{
+    return !reap(WNOHANG);
+}
+
+void ChildProcess::signal(int number)
+{
+    if (running()) {
+        ::kill(m_id, number);
+    }
+}
+
+void ChildProcess::pause()
+{
+    signal(SIGSTOP);
+}
+
+void ChildProcess::resume()
+{
+    signal(SIGCONT);
+}
+
+void ChildProcess::kill()
+{
+    signal(SIGKILL);
+    reap(0);
+}
+
+std::optional<int> ChildProcess::waitForEnd(milliseconds bound)
+{
+    const bool ended = waitUntil(
+        [this] {
+            return !running();
+        },
+        bound);
+    if (!ended) {
+        return std::nullopt;
+    }
+    return m_exitCode;
+}
+
+std::uint16_t freePort()
+{
+    static std::set<std::uint16_t> given;
+    for (;;) {
+        const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(address);
+        auto *const raw = reinterpret_cast<sockaddr *>(&address);
+        const bool bound = bind(descriptor, raw, length) == 0 && getsockname(descriptor, raw, &length) == 0;
+        close(descriptor);
+        if (!bound) {
+            throw std::runtime_error("no free port");
+        }
+        const std::uint16_t port = ntohs(address.sin_port);
+        if (given.insert(port).second) {
+            return port;
+        }
+    }
+}
+
+TemporaryFolder::TemporaryFolder()
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "snipehill-XXXXXX").string();
+    if (mkdtemp(pattern.data()) == nullptr) {
+        throw std::runtime_error("no temporary folder");
+    }
+    m_path = pattern;
+}
+
+TemporaryFolder::~TemporaryFolder()
+{
+    if (!m_kept) {
+        std::error_code ignored;
+        std::filesystem::remove_all(m_path, ignored);
+    }
+}
+
+std::string TemporaryFolder::file(const std::string &name) const
+{
+    return m_path + "/" + name;
+}
+
+void TemporaryFolder::keep() noexcept
+{
+    m_kept = true;
+}
+
+} // namespace snipehill::support
