Parse records, fold the config stream and follow it

The follower reads the log by long poll, asks peers when its contact is old and, in large fleets, is told by a parent. The follower has no test yet; it comes next.

--- a/src/process/include/process/configfollower.h
+++ b/src/process/include/process/configfollower.h
@@ -3,6 +3,8 @@
 #include <connection/endpoint.h>
 #include <connection/rpc.h>
 #include <core/time.h>
+#include <process/configholding.h>
+#include <process/configtree.h>
 #include <process/freshness.h>
 #include <version/configapply.h>
 #include <version/configversion.h>
@@ -26,6 +28,7 @@
     std::string instance;
     std::string region;
     Endpoint link; //!< its link server
+    bool keyed = false; //!< serves keyed routes: an entry
 };
 
 /** What a follower needs to know; filled from the settings. */
@@ -33,20 +36,22 @@
 {
     std::string instance;
     std::string region;
+    bool keyed = false; //!< this process serves keyed routes: an entry
     Endpoint log;
+    TreeLimits tree;
     std::vector<Endpoint> seeds; //!< link servers to ask before the instance list is known
     milliseconds freshness{3000}; //!< age of contact up to which keyed routes are served
     milliseconds longPoll{1000}; //!< wait of one read of the log; well below the freshness
     milliseconds retryDelay{200}; //!< pause after a failed read
     milliseconds peerTimeout{500}; //!< of one call to a peer
+    milliseconds pullInterval{1000}; //!< keyed members of the tree ask their parent this often to prove freshness
+    milliseconds tellInterval{4000}; //!< members of the tree tell their children this often when nothing changes
+    milliseconds retention{600000}; //!< for which the log keeps records
 };
 
 /** Called after each change with the new version, on an I/O thread; must not block. */
 using ConfigObserver = std::function<void(const ConfigPointer &)>;
 
-/** Called with the fate of each record that was read from the log, for logs and metrics. */
-using ApplyObserver = std::function<void(Offset offset, const ApplyResult &result)>;
-
 /**
  * Keeps this process's configuration up to date and knows how fresh it is.
  *
@@ -81,6 +86,11 @@
     Freshness freshness(TimePoint now) const;
     /** True once a configuration was received, so that the process may turn ready. */
     bool ready() const;
+    /**
+     * Appends a snapshot if one is due; to be called every few seconds by the holder of the snapshot lease.
+     * False with a reason if one was due and the log did not answer.
+     */
+    boost::asio::awaitable<bool> appendSnapshotIfDue(Reason &reason);
     /** Offset, digest, freshness and age of contact, for status pages. */
     Json::Value status(TimePoint now) const;
 
--- a/src/process/include/process/configtree.h
+++ b/src/process/include/process/configtree.h
@@ -14,6 +14,7 @@
 {
     std::string instance;
     std::string region;
+    bool keyed = false; //!< serves keyed routes, so it stands near the readers and proves its freshness
     friend bool operator==(const TreeMember &, const TreeMember &) = default;
 };
 
@@ -22,7 +23,7 @@
 {
     std::size_t directFleet = 64; //!< fleets up to this size read the log directly
     std::size_t readersPerRegion = 4; //!< processes that read the log for their region
-    std::size_t fanOut = 8; //!< children that one process tells of a change
+    std::size_t fanOut = 4; //!< children that one process tells of a change
     std::size_t fallbacks = 2; //!< further parents that a silent one is replaced by
 };
 
--- a/src/process/include/process/freshness.h
+++ b/src/process/include/process/freshness.h
@@ -15,13 +15,14 @@
 struct MemberContact
 {
     std::string instance;
-    std::optional<TimePoint> heardAt; //!< when its answer arrived, empty if it was not reached
+    std::optional<TimePoint> heardAt; //!< when the question was sent that it answered last, empty if none was answered
     Offset offset = noOffset; //!< config offset that it holds
 };
 
 /** What a process knows when it decides whether its configuration is provably fresh. */
 struct FreshnessView
 {
+    bool complete = false; //!< own config is the fold of a whole prefix of the stream
     std::optional<TimePoint> contactAt; //!< latest moment at which own config was known to be the log's newest, by own read or a peer's
     Offset offset = noOffset; //!< own config offset
     Offset highestHeard = noOffset; //!< highest config offset that any peer told of
@@ -45,8 +46,8 @@
 }
 
 /**
- * Decides whether keyed routes may be served. A process that knows of a higher offset than its own is
- * stale whatever else holds. A majority is counted over all members last known and this process.
+ * Decides whether keyed routes may be served. A process that knows of a higher offset than its own, or
+ * that has no whole configuration, is stale whatever else holds. A majority is counted over all members last known and this process.
  */
 Freshness judgeFreshness(const FreshnessView &view, Duration freshness, TimePoint now) noexcept;
 
--- a/src/version/include/version/configapply.h
+++ b/src/version/include/version/configapply.h
@@ -17,16 +17,17 @@
     Rejected, //!< has no effect in any process, by the same rule
     KeptAside, //!< of a schema version that this process does not understand; carried on in snapshots
     Old, //!< at or below the offset that was applied before, nothing done
+    Missed, //!< can't be judged because earlier records are missing; only a snapshot helps
 };
 
-/** "effective", "rejected", "kept-aside" or "old". */
+/** "effective", "rejected", "kept-aside", "old" or "missed". */
 const char *toString(ApplyOutcome outcome) noexcept;
 
 /** Answer of applyRecord. */
 struct ApplyResult
 {
     ApplyOutcome outcome = ApplyOutcome::Rejected;
-    Reason reason; //!< set unless effective
+    Reason reason; //!< set unless effective; also set if a snapshot told something else than was remembered
 };
 
 /**
--- a/src/version/include/version/configsnapshot.h
+++ b/src/version/include/version/configsnapshot.h
@@ -20,8 +20,11 @@
  */
 Json::Value writeSnapshot(const ConfigVersion &config);
 
+/** Like writeSnapshot, with all that the process remembers: what one process hands to another. */
+Json::Value writeCopy(const ConfigVersion &config);
+
 /**
- * Reads a snapshot record into the configuration that it describes, at the offset "upTo".
+ * Reads a snapshot record or a copy into the configuration that it describes, at the offset "upTo".
  * Reads for a program that understands schema versions up to the given one.
  */
 std::optional<ConfigVersion> readSnapshot(const Json::Value &record, int understands, Reason &reason);
@@ -29,13 +32,15 @@
 /** Hexadecimal SHA-256 over what is in force; equal in all processes that applied the same prefix. */
 std::string configDigest(const ConfigVersion &config);
 
+/** True for a record of kind "snapshot". */
+bool isSnapshot(const Json::Value &record);
+
 /** What decides whether the holder of the snapshot lease appends one now. */
 struct SnapshotNeed
 {
-    Duration sinceLast{}; //!< since this holder saw the last snapshot, or since it began to read
+    std::optional<Duration> sinceLast; //!< since this process saw the last one being appended, empty if it did not
     Duration retention{}; //!< for which the log keeps a record
-    bool keepsAside = false; //!< a process that understands all records is the better writer
-    bool changed = false; //!< records were applied since the last snapshot, or none exists
+    bool keepsAside = false; //!< a process that understands all records is the better writer and goes first
 };
 
 /** True when a snapshot has to be appended so that retention never passes a record in force. */
--- a/src/version/include/version/configversion.h
+++ b/src/version/include/version/configversion.h
@@ -19,6 +19,7 @@
 {
     Offset offset = noOffset;
     bool withdrawn = false; //!< remembered so that a late duplicate can't bring the object back
+    RecordSpec spec; //!< unless withdrawn
     Json::Value record; //!< as it stands in the log
 };
 
--- a/src/version/include/version/recordparser.h
+++ b/src/version/include/version/recordparser.h
@@ -21,10 +21,9 @@
     Key,
     TargetGroup,
     Route,
-    Snapshot, //!< written by the system, see configsnapshot.h
 };
 
-/** "workspace", "key", "targetGroup", "route" or "snapshot". */
+/** "workspace", "key", "targetGroup" or "route". */
 const char *toString(RecordKind kind) noexcept;
 
 /** Newest schema version of configuration records that this program understands. */
--- /dev/null
+++ b/src/version/src/configview.cpp
@@ -0,0 +1,92 @@
+#include "configview.h"
+
+#include <utility>
+
+namespace snipehill
+{
+
+namespace
+{
+
+template<typename T>
+void showVariant(std::map<std::string, Versioned<T>, std::less<>> &view, const ObjectName &object, const RecordVariant *variant, int version)
+{
+    if (variant) {
+        view[object.name] = {std::get<T>(variant->spec), variant->offset, version};
+    } else {
+        view.erase(object.name);
+    }
+}
+
+/** Where two keys have the same hash, which only different schema versions allow, the older record has it. */
+void indexKeys(ConfigVersion &config)
+{
+    config.keyNameByHash.clear();
+    for (const auto &[name, key] : config.keys) {
+        const auto [entry, added] = config.keyNameByHash.emplace(key.value.sha256, name);
+        if (!added && key.offset < config.keys.find(entry->second)->second.offset) {
+            entry->second = name;
+        }
+    }
+}
+
+void refreshView(ConfigVersion &config, const ObjectName &object)
+{
+    const RecordVariant *newest = nullptr;
+    int version = 0;
+    for (const auto &[candidate, variant] : config.variants[object]) {
+        if (!variant.withdrawn) {
+            newest = &variant;
+            version = candidate;
+        }
+    }
+    switch (object.kind) {
+    case RecordKind::Workspace:
+        showVariant(config.workspaces, object, newest, version);
+        break;
+    case RecordKind::Key:
+        showVariant(config.keys, object, newest, version);
+        indexKeys(config);
+        break;
+    case RecordKind::TargetGroup:
+        showVariant(config.targetGroups, object, newest, version);
+        break;
+    case RecordKind::Route:
+        showVariant(config.routes, object, newest, version);
+        break;
+    }
+}
+
+} // namespace
+
+void setVariant(ConfigVersion &config, const ObjectName &object, int schemaVersion, RecordVariant variant)
+{
+    config.variants[object][schemaVersion] = std::move(variant);
+    refreshView(config, object);
+}
+
+const RecordVariant *findVariant(const ConfigVersion &config, const ObjectName &object, int schemaVersion)
+{
+    const auto versions = config.variants.find(object);
+    if (versions == config.variants.end()) {
+        return nullptr;
+    }
+    const auto variant = versions->second.find(schemaVersion);
+    return variant == versions->second.end() ? nullptr : &variant->second;
+}
+
+bool inForce(const ConfigVersion &config, const ObjectName &object, int schemaVersion)
+{
+    const auto versions = config.variants.find(object);
+    if (versions == config.variants.end()) {
+        return false;
+    }
+    for (const auto &[version, variant] : versions->second) {
+        if (version <= schemaVersion && !variant.withdrawn) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace snipehill
--- /dev/null
+++ b/tests/version/configapplytest.cpp
@@ -0,0 +1,326 @@
+#include <version/configapply.h>
+#include <version/configsnapshot.h>
+#include <version/jsonfields.h>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace snipehill;
+
+namespace
+{
+
+const std::string hashA(64, 'a');
+const std::string hashB(64, 'b');
+
+Json::Value json(const std::string &text)
+{
+    Reason reason;
+    const auto value = parseJson(text, reason);
+    INFO(text << ": " << reason.detail);
+    REQUIRE(value);
+    return *value;
+}
+
+std::string workspace(const std::string &name, const std::string &rest, int version = 1)
+{
+    return R"({"kind":"workspace","schemaVersion":)" + std::to_string(version) + R"(,"name":")" + name + "\"," + rest + "}";
+}
+
+std::string key(const std::string &name, const std::string &owner, const std::string &hash, const std::string &replaces, int version = 1)
+{
+    return R"({"kind":"key","schemaVersion":)" + std::to_string(version) + R"(,"name":")" + name + R"(","replaces":)" + replaces + R"(,"spec":{"workspace":")"
+        + owner + R"(","sha256":")" + hash + R"("}})";
+}
+
+std::string route(const std::string &name, const std::string &prefix, const std::string &group)
+{
+    return R"({"kind":"route","schemaVersion":1,"name":")" + name + R"(","spec":{"prefix":")" + prefix + R"(","targetGroup":")" + group + R"("}})";
+}
+
+std::string withdrawal(const std::string &kind, const std::string &name, const std::string &replaces)
+{
+    return R"({"kind":")" + kind + R"(","schemaVersion":1,"name":")" + name + R"(","replaces":)" + replaces + R"(,"withdrawn":true})";
+}
+
+ConfigVersion applyAll(const std::vector<std::string> &records, int understands = 1)
+{
+    ConfigVersion config;
+    config.understands = understands;
+    for (std::size_t i = 0; i < records.size(); ++i) {
+        applyRecord(config, static_cast<Offset>(i), json(records[i]));
+    }
+    return config;
+}
+
+} // namespace
+
+TEST_CASE("a record is judged by what is in force before it", "[config][config-in-force]")
+{
+    struct Case
+    {
+        const char *what;
+        std::vector<std::string> before;
+        std::string record;
+        ApplyOutcome outcome;
+        std::string reason;
+    };
+    const std::string w = workspace("w", R"("spec":{})");
+    const std::string g = R"({"kind":"targetGroup","schemaVersion":1,"name":"g","spec":{}})";
+    const Case cases[] = {
+        {"new object", {}, w, ApplyOutcome::Effective, ""},
+        {"new object twice", {w}, w, ApplyOutcome::Rejected, "record 0 is the latest"},
+        {"replacement", {w}, workspace("w", R"("replaces":0,"spec":{})"), ApplyOutcome::Effective, ""},
+        {"replacement of nothing", {}, workspace("w", R"("replaces":0,"spec":{})"), ApplyOutcome::Rejected, "no record is the latest"},
+        {"two operators replace the same record",
+         {w, workspace("w", R"("replaces":0,"spec":{})")},
+         workspace("w", R"("replaces":0,"spec":{})"),
+         ApplyOutcome::Rejected,
+         "record 1 is the latest"},
+        {"a rejected record replaces nothing",
+         {w, workspace("w", R"("replaces":9,"spec":{})")},
+         workspace("w", R"("replaces":0,"spec":{})"),
+         ApplyOutcome::Effective,
+         ""},
+        {"malformed", {}, R"({"kind":"workspace"})", ApplyOutcome::Rejected, "name"},
+        {"not an object", {}, "[1]", ApplyOutcome::Rejected, "must be an object"},
+        {"bad field", {}, workspace("w", R"("spec":{"weight":-1})"), ApplyOutcome::Rejected, "spec.weight"},
+        {"newer schema version", {}, workspace("w", R"("spec":{"colour":"red"})", 2), ApplyOutcome::KeptAside, "newer"},
+        {"key of a workspace", {w}, key("k", "w", hashA, "null"), ApplyOutcome::Effective, ""},
+        {"key of no workspace", {}, key("k", "w", hashA, "null"), ApplyOutcome::Rejected, "spec.workspace names \"w\""},
+        {"key of a withdrawn workspace", {w, withdrawal("workspace", "w", "0")}, key("k", "w", hashA, "null"), ApplyOutcome::Rejected, "spec.workspace"},
+        {"two keys with one secret", {w, key("k", "w", hashA, "null")}, key("l", "w", hashA, "null"), ApplyOutcome::Rejected, "that of key \"k\""},
+        {"secret of a withdrawn key",
+         {w, key("k", "w", hashA, "null"), withdrawal("key", "k", "1")},
+         key("l", "w", hashA, "null"),
+         ApplyOutcome::Effective,
+         ""},
+        {"route to a group", {g}, route("r", "/a", "g"), ApplyOutcome::Effective, ""},
+        {"route to no group", {}, route("r", "/a", "g"), ApplyOutcome::Rejected, "spec.targetGroup names \"g\""},
+        {"two routes with one prefix", {g, route("r", "/a", "g")}, route("s", "/a", "g"), ApplyOutcome::Rejected, "that of route \"r\""},
+        {"withdrawal", {w}, withdrawal("workspace", "w", "0"), ApplyOutcome::Effective, ""},
+        {"withdrawal of nothing", {}, withdrawal("workspace", "w", "null"), ApplyOutcome::Rejected, "not in force"},
+        {"withdrawal twice", {w, withdrawal("workspace", "w", "0")}, withdrawal("workspace", "w", "1"), ApplyOutcome::Rejected, "not in force"},
+        {"late duplicate of a withdrawn object", {w, withdrawal("workspace", "w", "0")}, w, ApplyOutcome::Rejected, "record 1 is the latest"},
+        {"withdrawn object comes back by name of its withdrawal",
+         {w, withdrawal("workspace", "w", "0")},
+         workspace("w", R"("replaces":1,"spec":{})"),
+         ApplyOutcome::Effective,
+         ""},
+    };
+    for (const Case &c : cases) {
+        ConfigVersion config = applyAll(c.before);
+        const ApplyResult result = applyRecord(config, static_cast<Offset>(c.before.size()), json(c.record));
+        INFO(c.what << ": " << toString(result.outcome) << " " << result.reason.detail);
+        REQUIRE(result.outcome == c.outcome);
+        REQUIRE(result.reason.detail.find(c.reason) != std::string::npos);
+        REQUIRE(config.offset == static_cast<Offset>(c.before.size()));
+    }
+}
+
+TEST_CASE("an offset is applied once", "[config][config-in-force]")
+{
+    ConfigVersion config = applyAll({workspace("w", R"("spec":{})"), workspace("w", R"("replaces":0,"spec":{"weight":2})")});
+    REQUIRE(applyRecord(config, 1, json(workspace("w", R"("replaces":1,"spec":{"weight":3})"))).outcome == ApplyOutcome::Old);
+    REQUIRE(applyRecord(config, 0, json(workspace("w", R"("spec":{})"))).outcome == ApplyOutcome::Old);
+    REQUIRE(config.workspaces.at("w").value.weight == 2);
+}
+
+TEST_CASE("keys follow rotation and withdrawal", "[config][key-isolation]")
+{
+    const std::string secret = "s3cret";
+    const std::string other = "0ther";
+    std::vector<std::string> records{workspace("w", R"("spec":{})"), key("k", "w", hashSecret(secret), "null")};
+    REQUIRE(findWorkspaceBySecret(applyAll(records), secret));
+    records.push_back(key("k", "w", hashSecret(other), "1"));
+    REQUIRE_FALSE(findWorkspaceBySecret(applyAll(records), secret));
+    REQUIRE(findWorkspaceBySecret(applyAll(records), other));
+    std::vector<std::string> withoutKey = records;
+    withoutKey.push_back(withdrawal("key", "k", "2"));
+    REQUIRE_FALSE(findWorkspaceBySecret(applyAll(withoutKey), other));
+    records.push_back(withdrawal("workspace", "w", "0"));
+    REQUIRE_FALSE(findWorkspaceBySecret(applyAll(records), other));
+}
+
+TEST_CASE("old and new schema versions stand side by side", "[config][config-in-force]")
+{
+    const std::vector<std::string> records{
+        workspace("w", R"("spec":{"weight":1})"),
+        workspace("w", R"("spec":{"weight":2})", 2),
+        workspace("w", R"("replaces":0,"spec":{"weight":3})"),
+        key("k", "w", hashA, "null"),
+        workspace("only-new", R"("spec":{})", 2),
+        key("l", "only-new", hashB, "null"), // refers to what an old program does not know: rejected by both
+        key("m", "only-new", hashB, "null", 2),
+    };
+    const ConfigVersion oldProgram = applyAll(records, 1);
+    const ConfigVersion newProgram = applyAll(records, 2);
+    REQUIRE(oldProgram.workspaces.at("w").value.weight == 3);
+    REQUIRE(newProgram.workspaces.at("w").value.weight == 2);
+    REQUIRE(oldProgram.keys.contains("k"));
+    REQUIRE(newProgram.keys.contains("k"));
+    REQUIRE_FALSE(oldProgram.keys.contains("l"));
+    REQUIRE_FALSE(newProgram.keys.contains("l"));
+    REQUIRE_FALSE(oldProgram.keys.contains("m"));
+    REQUIRE(newProgram.keys.contains("m"));
+    REQUIRE(oldProgram.aside.size() == 3);
+    // Each schema version of an object is replaced by itself.
+    REQUIRE(replaceableOffset(newProgram, {RecordKind::Workspace, "w"}, 1) == Offset{2});
+    REQUIRE(replaceableOffset(newProgram, {RecordKind::Workspace, "w"}, 2) == Offset{1});
+    REQUIRE(replaceableOffset(newProgram, {RecordKind::Workspace, "x"}, 1) == std::nullopt);
+
+    SECTION("and survive the snapshot of an old program")
+    {
+        ConfigVersion reader;
+        reader.understands = 2;
+        Reason reason;
+        const auto read = readSnapshot(writeSnapshot(oldProgram), 2, reason);
+        REQUIRE(read);
+        REQUIRE(configDigest(*read) == configDigest(newProgram));
+    }
+    SECTION("and survive a snapshot of a new program read by an old one")
+    {
+        Reason reason;
+        const auto read = readSnapshot(writeSnapshot(newProgram), 1, reason);
+        REQUIRE(read);
+        REQUIRE(read->workspaces.at("w").value.weight == 3);
+        REQUIRE(read->aside.size() == 3);
+        const auto again = readSnapshot(writeSnapshot(*read), 2, reason);
+        REQUIRE(again);
+        REQUIRE(configDigest(*again) == configDigest(newProgram));
+    }
+}
+
+TEST_CASE("a snapshot stands for what is in force", "[config][config-in-force]")
+{
+    const std::vector<std::string> records{
+        workspace("w", R"("spec":{"weight":2})"),
+        workspace("gone", R"("spec":{})"),
+        key("k", "w", hashA, "null"),
+        withdrawal("workspace", "gone", "1"),
+        "{}",
+    };
+    const ConfigVersion config = applyAll(records);
+    const Json::Value snapshot = writeSnapshot(config);
+
+    SECTION("directly behind the record that it names it changes nothing")
+    {
+        ConfigVersion remembering = config;
+        REQUIRE(applyRecord(remembering, 5, snapshot).outcome == ApplyOutcome::Effective);
+        REQUIRE(remembering.snapshotOffset == 5);
+        remembering.offset = config.offset;
+        REQUIRE(configDigest(remembering) == configDigest(config));
+    }
+    SECTION("behind another record it has no effect")
+    {
+        ConfigVersion remembering = config;
+        applyRecord(remembering, 5, json(withdrawal("key", "k", "2")));
+        const std::string digest = configDigest(remembering);
+        REQUIRE(applyRecord(remembering, 6, snapshot).outcome == ApplyOutcome::Rejected);
+        REQUIRE_FALSE(remembering.keys.contains("k"));
+        remembering.offset = 5;
+        REQUIRE(configDigest(remembering) == digest);
+    }
+    SECTION("a reader that begins at it agrees with one that remembers")
+    {
+        ConfigVersion remembering = config;
+        applyRecord(remembering, 5, snapshot);
+        ConfigFold fresh;
+        beginPage(fresh, 4);
+        REQUIRE(advance(fresh, 4, json(records[4])).outcome == ApplyOutcome::Missed);
+        REQUIRE_FALSE(fresh.complete);
+        REQUIRE(advance(fresh, 5, snapshot).outcome == ApplyOutcome::Effective);
+        REQUIRE(fresh.complete);
+        REQUIRE(configDigest(fresh.config) == configDigest(remembering));
+        // The marker of the withdrawal was carried on, so that a late duplicate is still known as one.
+        REQUIRE(advance(fresh, 6, json(records[1])).outcome == ApplyOutcome::Rejected);
+        REQUIRE(advance(fresh, 3, json(records[3])).outcome == ApplyOutcome::Old);
+    }
+    SECTION("a withdrawal is carried through one snapshot, then forgotten by all")
+    {
+        ConfigVersion remembering = config;
+        applyRecord(remembering, 5, snapshot);
+        REQUIRE(findWorkspaceBySecret(remembering, "x") == nullptr);
+        REQUIRE(replaceableOffset(remembering, {RecordKind::Workspace, "gone"}, 1) == Offset{3});
+        applyRecord(remembering, 6, writeSnapshot(remembering));
+        REQUIRE(replaceableOffset(remembering, {RecordKind::Workspace, "gone"}, 1) == std::nullopt);
+    }
+}
+
+TEST_CASE("snapshots that are not whole are rejected", "[config][parse]")
+{
+    const ConfigVersion config = applyAll({workspace("w", R"("spec":{})"), key("k", "w", hashA, "null")});
+    struct Case
+    {
+        const char *what;
+        void (*spoil)(Json::Value &snapshot);
+    };
+    const Case cases[] = {
+        {"unknown field",
+         [](Json::Value &s) {
+             s["x"] = 1;
+         }},
+        {"no entries",
+         [](Json::Value &s) {
+             s.removeMember("entries");
+         }},
+        {"entries of another type",
+         [](Json::Value &s) {
+             s["entries"] = "x";
+         }},
+        {"other schema version",
+         [](Json::Value &s) {
+             s["schemaVersion"] = 2;
+         }},
+        {"entry past its end",
+         [](Json::Value &s) {
+             s["upTo"] = 0;
+         }},
+        {"entry without a record",
+         [](Json::Value &s) {
+             s["entries"][0].removeMember("record");
+         }},
+        {"entry that does not parse",
+         [](Json::Value &s) {
+             s["entries"][0]["record"]["spec"]["weight"] = "heavy";
+         }},
+        {"entries out of order",
+         [](Json::Value &s) {
+             s["entries"][0]["offset"] = 1;
+             s["entries"][1]["offset"] = 0;
+         }},
+        {"the same offset twice",
+         [](Json::Value &s) {
+             s["entries"][1]["offset"] = 0;
+         }},
+    };
+    for (const Case &c : cases) {
+        Json::Value snapshot = writeSnapshot(config);
+        c.spoil(snapshot);
+        Reason reason;
+        INFO(c.what);
+        REQUIRE_FALSE(readSnapshot(snapshot, 1, reason));
+        ConfigVersion applied = config;
+        REQUIRE(applyRecord(applied, 2, snapshot).outcome == ApplyOutcome::Rejected);
+        REQUIRE(applied.keys.contains("k"));
+    }
+}
+
+TEST_CASE("a snapshot is due well before retention", "[config]")
+{
+    struct Case
+    {
+        SnapshotNeed need;
+        bool due;
+    };
+    const Duration retention = seconds(400);
+    for (const Case &c : {Case{{std::nullopt, retention, false}, true},
+                          {{seconds(99), retention, false}, false},
+                          {{seconds(100), retention, false}, true},
+                          {{seconds(100), retention, true}, false},
+                          {{seconds(200), retention, true}, true}}) {
+        REQUIRE(snapshotDue(c.need) == c.due);
+    }
+}
