Decide at-most-once by the intents stream

Cause: a posting that two sidecars get, or one sidecar twice around its death, must run once. A key belongs to the oldest claim in the log's window that was not given up. Weighed: later claims that have no effect at all (as leases have it). Ruled out, because a reader whose window begins behind the owner's claim would take a dead claim for the owner, and once its claimant gave it up think the key free, although a third claim ran. So later claims stay in line until their claimants give them up. A claim that runs out of time is given up first, whatever the log holds.

--- a/src/process/include/process/intentwriter.h
+++ b/src/process/include/process/intentwriter.h
@@ -4,6 +4,7 @@
 #include <core/ids.h>
 #include <core/reason.h>
 #include <core/time.h>
+#include <process/intentbook.h>
 #include <request/intenttable.h>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -13,39 +14,16 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <variant>
 
 namespace snipehill
 {
 
-/** The claimant may run the request, once, under this claim. */
-struct IntentOwned
-{
-    std::uint64_t claim = 0; //!< to be passed to finished() or notRun()
-};
-
-/** Another claim came first: the request must not run here. */
-struct IntentOwnedByOther
-{
-    Incarnation owner; //!< may be this very process
-    std::optional<FinishedAnswer> finished; //!< answer, if it is known
-    bool sameRequest = true; //!< false: the key was used for another request body
-};
-
-/** The claim's outcome could not be learnt in time; the request does not run here, now or later. */
-struct IntentLogDown
-{
-    Reason reason;
-};
-
-using IntentClaim = std::variant<IntentOwned, IntentOwnedByOther, IntentLogDown>;
-
 /** What a writer needs to know; filled from the settings. */
 struct IntentWriterOptions
 {
     Endpoint log;
     Incarnation self;
-    milliseconds horizon{600000}; //!< age up to which repeats are recognised: retention less a margin
+    std::string stream = "intents"; //!< groups with many requests may have one of their own
     double appendsPerSecond = 20; //!< this process's share of the appends budget
     milliseconds claimTimeout{3000}; //!< after which a claim is given up
 };
@@ -77,7 +55,10 @@
     IntentWriter(IntentWriterOptions options, boost::asio::any_io_executor executor);
     ~IntentWriter();
 
-    /** Claims the key; the answer comes within claimTimeout or the given time, whichever is shorter. */
+    /**
+     * Claims the key; the answer comes within claimTimeout or the given time, whichever is shorter. Repeats are
+     * recognised for as long as the log keeps the records. The request is to be sent at once when it is owned.
+     */
     boost::asio::awaitable<IntentClaim> claim(IntentKey key, std::string bodyHash, milliseconds timeout);
     /** Records the answer of a request that ran under the claim; appended in the background. */
     void finished(const IntentKey &key, std::uint64_t claim, FinishedAnswer answer);
--- a/src/request/include/request/intenttable.h
+++ b/src/request/include/request/intenttable.h
@@ -9,7 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace snipehill
@@ -65,35 +65,45 @@
 /** Empty with a reason if the record is malformed; such a record has no effect in any process. */
 std::optional<IntentRecord> parseIntentRecord(const Json::Value &value, Reason &reason);
 
-/** Who may run a key. */
+/** A claim on a key that was not given up. */
 struct IntentState
 {
     Incarnation owner;
     std::uint64_t claim = 0;
-    Offset offset = noOffset; //!< of the record that gave it the key
-    std::string bodyHash;
+    Offset offset = noOffset; //!< of the newest record that speaks for it
+    std::string bodyHash; //!< empty if only its end is known
     std::optional<FinishedAnswer> finished;
 };
 
 /**
- * The fold of the intents stream over the retained records. Plain value, no thread rules.
- * A key belongs to the first claim; NotRun of the very claim frees it; Finished of the very claim is final.
+ * The fold of the intents stream over the records that the log still has. Plain value, no thread rules.
+ *
+ * A key belongs to the oldest claim that was not given up. Later claims stay in line behind it, so that readers
+ * whose window begins behind the oldest one never think the key free. A claim is known by its id: appended
+ * twice it counts once, and one that was given up has no effect, also if it arrives after that.
  */
 struct IntentTable
 {
     Offset next = 0; //!< first offset that was not applied
-    Offset first = 0; //!< oldest offset applied, older records are not known
-    std::map<IntentKey, IntentState> keys;
-    std::deque<std::pair<Offset, IntentKey>> byAge; //!< for expiry
+    std::map<IntentKey, std::vector<IntentState>> claims; //!< in order, never an empty list
+    std::map<std::uint64_t, Offset> givenUp; //!< claims that have no effect any more
+    std::deque<std::pair<Offset, IntentKey>> byAge; //!< records that may have to be forgotten
+    std::deque<std::pair<Offset, std::uint64_t>> givenUpByAge;
 };
 
 /** Applies one record; offsets below next are ignored, malformed records have no effect. */
 void applyIntentRecord(IntentTable &table, Offset offset, const Json::Value &record);
 
-/** Forgets keys whose deciding record lies below the offset, as the log has. */
+/** Forgets what only records below the offset told of, as the log has. */
 void expireIntents(IntentTable &table, Offset firstRetained);
 
-/** State of a key, null if nobody owns it. */
+/** The claim that the key belongs to, null if it is free. */
 const IntentState *findIntent(const IntentTable &table, const IntentKey &key);
 
+/** The key as it goes into a record: by its hash if it is too long or not plain text. */
+IntentKey recordableKey(IntentKey key);
+
+/** The answer as it goes into a record: without its body if that is too large or not text. */
+FinishedAnswer recordableAnswer(FinishedAnswer answer);
+
 } // namespace snipehill
--- /dev/null
+++ b/src/request/src/intenttable.cpp
@@ -0,0 +1,276 @@
+#include <request/intenttable.h>
+
+#include <version/configversion.h>
+#include <version/jsonfields.h>
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+namespace snipehill
+{
+
+namespace
+{
+
+constexpr std::size_t nameBytes = 256;
+constexpr std::size_t keyBytes = 256;
+constexpr std::size_t plainKeyBytes = 200;
+constexpr unsigned leastStatus = 100;
+constexpr unsigned mostStatus = 599;
+constexpr std::array verbs{"claim", "notRun", "finished"};
+
+Json::Value toJson(const IntentEntry &entry)
+{
+    Json::Value value(Json::objectValue);
+    value["verb"] = verbs[static_cast<std::size_t>(entry.verb)];
+    value["workspace"] = entry.key.workspace;
+    value["route"] = entry.key.route;
+    value["key"] = entry.key.key;
+    value["claim"] = Json::UInt64(entry.claim);
+    if (entry.verb == IntentVerb::Claim) {
+        value["hash"] = entry.bodyHash;
+    }
+    if (entry.verb == IntentVerb::Finished) {
+        value["status"] = entry.answer.status;
+        value["contentType"] = entry.answer.contentType;
+        if (entry.answer.bodyKept) {
+            value["body"] = entry.answer.body;
+        }
+    }
+    return value;
+}
+
+void readNumber(FieldReader &fields, const char *name, std::uint64_t &number)
+{
+    const Json::Value &value = fields.member(name);
+    if (!value.isUInt64()) {
+        fields.fail(name, "must be a whole number");
+    } else {
+        number = value.asUInt64();
+    }
+}
+
+void readVerb(FieldReader &fields, IntentVerb &verb)
+{
+    std::string text;
+    fields.read("verb", text, nameBytes);
+    const auto *const found = std::find(verbs.begin(), verbs.end(), text);
+    if (found == verbs.end()) {
+        fields.fail("verb", "must be \"claim\", \"notRun\" or \"finished\"");
+    } else {
+        verb = static_cast<IntentVerb>(found - verbs.begin());
+    }
+}
+
+std::optional<IntentEntry> parseEntry(const Json::Value &value, Reason &reason)
+{
+    FieldReader fields(value, "entries.", Step::RecordIntent);
+    IntentEntry entry;
+    readVerb(fields, entry.verb);
+    fields.read("workspace", entry.key.workspace, nameBytes);
+    fields.read("route", entry.key.route, nameBytes);
+    fields.read("key", entry.key.key, keyBytes);
+    fields.read("hash", entry.bodyHash, nameBytes);
+    readNumber(fields, "claim", entry.claim);
+    if (entry.verb == IntentVerb::Finished) {
+        fields.read("status", entry.answer.status, leastStatus, mostStatus);
+        fields.read("contentType", entry.answer.contentType, nameBytes);
+        entry.answer.bodyKept = !fields.member("body").isNull();
+        fields.read("body", entry.answer.body, finishedBodyLimit);
+    }
+    if (!fields.finish(reason)) {
+        return std::nullopt;
+    }
+    return entry;
+}
+
+using Claims = std::vector<IntentState>;
+
+Claims::iterator findClaim(Claims &claims, std::uint64_t claim)
+{
+    return std::find_if(claims.begin(), claims.end(), [&](const IntentState &state) {
+        return state.claim == claim;
+    });
+}
+
+void dropIfEmpty(IntentTable &table, const IntentKey &key)
+{
+    const auto found = table.claims.find(key);
+    if (found != table.claims.end() && found->second.empty()) {
+        table.claims.erase(found);
+    }
+}
+
+void applyClaim(IntentTable &table, Offset offset, const Incarnation &owner, const IntentEntry &entry)
+{
+    if (table.givenUp.contains(entry.claim)) {
+        return;
+    }
+    Claims &claims = table.claims[entry.key];
+    if (findClaim(claims, entry.claim) == claims.end()) {
+        claims.push_back({owner, entry.claim, offset, entry.bodyHash, std::nullopt});
+        table.byAge.emplace_back(offset, entry.key);
+    }
+}
+
+void applyNotRun(IntentTable &table, Offset offset, const Incarnation &owner, const IntentEntry &entry)
+{
+    Claims &claims = table.claims[entry.key];
+    const auto found = findClaim(claims, entry.claim);
+    const bool valid = found == claims.end() || (found->owner == owner && !found->finished);
+    if (valid) {
+        table.givenUp[entry.claim] = offset;
+        table.givenUpByAge.emplace_back(offset, entry.claim);
+        if (found != claims.end()) {
+            claims.erase(found);
+        }
+    }
+    dropIfEmpty(table, entry.key);
+}
+
+void applyFinished(IntentTable &table, Offset offset, const Incarnation &owner, const IntentEntry &entry)
+{
+    Claims &claims = table.claims[entry.key];
+    auto found = findClaim(claims, entry.claim);
+    if (found == claims.end()) {
+        // Its claim has aged out or was given up by mistake: that the request ran is what counts.
+        found = claims.insert(claims.end(), {owner, entry.claim, offset, entry.bodyHash, std::nullopt});
+    }
+    if (found->owner == owner && !found->finished) {
+        found->finished = entry.answer;
+        found->offset = offset;
+        table.byAge.emplace_back(offset, entry.key);
+    }
+}
+
+void applyEntry(IntentTable &table, Offset offset, const Incarnation &owner, const IntentEntry &entry)
+{
+    switch (entry.verb) {
+    case IntentVerb::Claim:
+        applyClaim(table, offset, owner, entry);
+        break;
+    case IntentVerb::NotRun:
+        applyNotRun(table, offset, owner, entry);
+        break;
+    case IntentVerb::Finished:
+        applyFinished(table, offset, owner, entry);
+        break;
+    }
+}
+
+} // namespace
+
+Json::Value writeIntentRecord(const IntentRecord &record)
+{
+    Json::Value value(Json::objectValue);
+    value["instance"] = record.owner.instance;
+    value["incarnation"] = Json::UInt64(record.owner.number);
+    value["entries"] = Json::Value(Json::arrayValue);
+    for (const IntentEntry &entry : record.entries) {
+        value["entries"].append(toJson(entry));
+    }
+    return value;
+}
+
+std::optional<IntentRecord> parseIntentRecord(const Json::Value &value, Reason &reason)
+{
+    FieldReader fields(value, "", Step::RecordIntent);
+    IntentRecord record;
+    fields.read("instance", record.owner.instance, nameBytes);
+    readNumber(fields, "incarnation", record.owner.number);
+    const Json::Value &entries = fields.member("entries");
+    if (!entries.isArray()) {
+        fields.fail("entries", "must be a list");
+    }
+    if (!fields.finish(reason)) {
+        return std::nullopt;
+    }
+    for (const Json::Value &item : entries) {
+        auto entry = parseEntry(item, reason);
+        if (!entry) {
+            return std::nullopt;
+        }
+        record.entries.push_back(std::move(*entry));
+    }
+    return record;
+}
+
+void applyIntentRecord(IntentTable &table, Offset offset, const Json::Value &record)
+{
+    if (offset < table.next) {
+        return;
+    }
+    table.next = offset + 1;
+    Reason ignored;
+    const auto parsed = parseIntentRecord(record, ignored);
+    if (!parsed) {
+        return;
+    }
+    for (const IntentEntry &entry : parsed->entries) {
+        applyEntry(table, offset, parsed->owner, entry);
+    }
+}
+
+void expireIntents(IntentTable &table, Offset firstRetained)
+{
+    while (!table.byAge.empty() && table.byAge.front().first < firstRetained) {
+        const IntentKey &key = table.byAge.front().second;
+        const auto found = table.claims.find(key);
+        if (found != table.claims.end()) {
+            std::erase_if(found->second, [&](const IntentState &state) {
+                return state.offset < firstRetained;
+            });
+        }
+        dropIfEmpty(table, key);
+        table.byAge.pop_front();
+    }
+    while (!table.givenUpByAge.empty() && table.givenUpByAge.front().first < firstRetained) {
+        const auto found = table.givenUp.find(table.givenUpByAge.front().second);
+        if (found != table.givenUp.end() && found->second < firstRetained) {
+            table.givenUp.erase(found);
+        }
+        table.givenUpByAge.pop_front();
+    }
+    table.next = std::max(table.next, firstRetained);
+}
+
+const IntentState *findIntent(const IntentTable &table, const IntentKey &key)
+{
+    const auto found = table.claims.find(key);
+    return found == table.claims.end() ? nullptr : &found->second.front();
+}
+
+IntentKey recordableKey(IntentKey key)
+{
+    const bool plain = std::all_of(key.key.begin(), key.key.end(), [](char c) {
+        return c >= ' ' && c <= '~';
+    });
+    if (!plain || key.key.size() > plainKeyBytes) {
+        key.key = "sha256/" + hashSecret(key.key);
+    }
+    return key;
+}
+
+FinishedAnswer recordableAnswer(FinishedAnswer answer)
+{
+    Reason ignored;
+    bool keeps = answer.body.size() <= finishedBodyLimit;
+    if (keeps) {
+        // Bytes that are not UTF-8 would not come back as they went in.
+        Json::Value list(Json::arrayValue);
+        list.append(answer.body);
+        const auto read = parseJson(writeJson(list), ignored);
+        keeps = read && (*read)[0].asString() == answer.body;
+    }
+    answer.bodyKept = keeps;
+    if (!keeps) {
+        answer.body.clear();
+    }
+    if (answer.contentType.size() > nameBytes) {
+        answer.contentType.clear();
+    }
+    return answer;
+}
+
+} // namespace snipehill
