Add grants and the course of an order towards an engine

A sidecar gives its engine to one holder at a time on its own clock; an order that has not ended keeps a rival waiting past the grant. The first red run showed that an order id sent again under another grant runs twice over a restart, so an id belongs to one grant, and the answers of the grant in force are never forgotten.

--- a/src/process/include/process/grant.h
+++ b/src/process/include/process/grant.h
@@ -18,7 +18,8 @@
 struct GrantSettings
 {
     milliseconds duration{2000};
-    std::size_t rememberedOrders = 64; //!< answers kept for repeats
+    milliseconds orderBound{2000}; //!< for one call to the engine; nothing of it arrives later
+    std::size_t rememberedOrders = 64; //!< answers kept for repeats; those of the grant in force are always kept
 };
 
 /** Permission of one holder to give orders to the engine for a short time. */
@@ -67,7 +68,8 @@
     std::string orderId;
     OrderState state = OrderState::Draining;
     std::string detail;
-    Offset fence = noOffset; //!< of the grant it was accepted under
+    std::uint64_t grant = 0; //!< that it was accepted under
+    Offset fence = noOffset; //!< of that grant
 };
 
 /** State of the grants for one engine, at its sidecar. Plain data; the owner locks. */
@@ -86,6 +88,20 @@
 /** State of a sidecar that has just started. */
 GrantState startGrants(TimePoint now, const GrantSettings &settings);
 
+/** Engine's answer to GET /state. */
+struct EngineState
+{
+    EngineRole role = EngineRole::Mixed;
+    bool changing = false;
+    std::string model;
+    std::string modelVersion;
+    Offset lastFence = noOffset;
+    std::string lastOrderId;
+};
+
+/** The engine told its state; counts as asked only if nothing of an earlier run can be under way and it was not changing. */
+void noteEngineState(GrantState &state, const EngineState &engine, TimePoint asked) noexcept;
+
 /** A fencing number was seen, in the log, at a peer, in a request or at the engine. */
 void noteFence(GrantState &state, Offset fence) noexcept;
 
--- a/src/process/include/process/rolechange.h
+++ b/src/process/include/process/rolechange.h
@@ -16,17 +16,6 @@
     Finish, //!< accept work again
 };
 
-/** Engine's answer to GET /state. */
-struct EngineState
-{
-    EngineRole role = EngineRole::Mixed;
-    bool changing = false;
-    std::string model;
-    std::string modelVersion;
-    Offset lastFence = noOffset;
-    std::string lastOrderId;
-};
-
 /**
  * Course of one order towards the engine, as a Boost.MSM machine: draining, sending, confirming, ended.
  * Holds no clock and does no I/O. Not thread-safe.
--- a/src/process/include/process/sidecarauthority.h
+++ b/src/process/include/process/sidecarauthority.h
@@ -33,7 +33,6 @@
     bool engine = true; //!< false: a plain service, no grants are given
     GrantSettings grant;
     milliseconds drainBound{30000}; //!< an order that can't drain within it fails
-    milliseconds orderBound{2000}; //!< for one call to the engine
     milliseconds confirmBound{60000}; //!< for the engine to end its change
     milliseconds pollInterval{100};
 };
--- /dev/null
+++ b/tests/process/granttest.cpp
@@ -0,0 +1,231 @@
+#include "grantsimulation.h"
+
+#include <catch2/catch.hpp>
+
+using namespace snipehill;
+using namespace snipehill::test;
+
+namespace
+{
+
+constexpr std::uint64_t grantRuns = 10000;
+constexpr std::uint64_t mutationRuns = 1000;
+const GrantSettings settings{.duration = milliseconds(2000), .orderBound = milliseconds(500), .rememberedOrders = 2};
+const TimePoint start(seconds(100));
+const Incarnation holderA{"entry-a", 1};
+const Incarnation holderB{"entry-b", 1};
+
+/** A sidecar that may grant from the start on. */
+GrantState readyState()
+{
+    GrantState state = startGrants(start - seconds(10), settings);
+    state.fenceLearnt = true;
+    noteEngineState(state, {}, start);
+    return state;
+}
+
+EngineOrder orderUnder(std::uint64_t grant, const char *id)
+{
+    EngineOrder order;
+    order.orderId = id;
+    order.grant = grant;
+    return order;
+}
+
+} // namespace
+
+TEST_CASE("a restarted sidecar grants only when it knows enough", "[grant]")
+{
+    struct Case
+    {
+        const char *name;
+        milliseconds after;
+        bool fenceLearnt;
+        bool engineAsked;
+        Offset engineFence;
+        bool granted;
+    };
+    for (const Case &c : {Case{"all known", milliseconds(2000), true, true, 5, true},
+                          {"too early", milliseconds(1999), true, true, 5, false},
+                          {"fence not learnt", milliseconds(2000), false, true, 5, false},
+                          {"engine not asked", milliseconds(2000), true, false, 5, false},
+                          {"engine saw a higher number", milliseconds(2000), true, true, 6, false}}) {
+        INFO(c.name);
+        GrantState state = startGrants(start, settings);
+        state.fenceLearnt = c.fenceLearnt;
+        if (c.engineAsked) {
+            noteEngineState(state, {.lastFence = c.engineFence}, start + seconds(2));
+        }
+        Reason reason;
+        REQUIRE(requestGrant(state, holderA, 5, 1, start + c.after, settings, reason).has_value() == c.granted);
+    }
+}
+
+TEST_CASE("an engine asked too early or while changing has not told its state", "[grant]")
+{
+    GrantState state = startGrants(start, settings);
+    noteEngineState(state, {}, start + milliseconds(1999));
+    REQUIRE_FALSE(state.engineAsked);
+    noteEngineState(state, {.changing = true}, start + seconds(3));
+    REQUIRE_FALSE(state.engineAsked);
+    noteEngineState(state, {}, start + seconds(3));
+    REQUIRE(state.engineAsked);
+}
+
+TEST_CASE("a rival waits for the grant in force and then has the engine", "[grant]")
+{
+    GrantState state = readyState();
+    Reason reason;
+    const auto first = requestGrant(state, holderA, 5, 1, start, settings, reason);
+    REQUIRE(first);
+    REQUIRE(renewGrant(state, 1, start + seconds(1), settings, reason));
+    REQUIRE_FALSE(requestGrant(state, holderB, 8, 2, start + seconds(2), settings, reason));
+    // The rival's number was seen: no renewal any more, but the grant runs to its end.
+    REQUIRE_FALSE(renewGrant(state, 1, start + seconds(2), settings, reason));
+    REQUIRE(grantInForce(state, 1, start + milliseconds(2999)));
+    REQUIRE_FALSE(requestGrant(state, holderB, 8, 2, start + milliseconds(2999), settings, reason));
+    REQUIRE(requestGrant(state, holderB, 8, 2, start + seconds(3), settings, reason));
+    REQUIRE_FALSE(requestGrant(state, holderA, 5, 3, start + seconds(60), settings, reason));
+}
+
+TEST_CASE("orders run only under the very grant that they name, one at a time", "[grant][engine-orders]")
+{
+    GrantState state = readyState();
+    Reason reason;
+    REQUIRE(requestGrant(state, holderA, 5, 1, start, settings, reason));
+    REQUIRE_FALSE(acceptOrder(state, orderUnder(9, "other"), start, settings, reason));
+    const auto first = acceptOrder(state, orderUnder(1, "first"), start, settings, reason);
+    REQUIRE(first);
+    REQUIRE(first->run);
+    REQUIRE_FALSE(acceptOrder(state, orderUnder(1, "second"), start, settings, reason));
+    REQUIRE_FALSE(acceptOrder(state, orderUnder(1, "first"), start, settings, reason)->run);
+    noteOrder(state, "first", OrderState::Failed, "refused");
+    const auto repeated = acceptOrder(state, orderUnder(77, "first"), start + seconds(50), settings, reason);
+    REQUIRE(repeated);
+    REQUIRE_FALSE(repeated->run);
+    REQUIRE(repeated->progress.detail == "refused");
+    REQUIRE_FALSE(acceptOrder(state, orderUnder(1, "late"), start + seconds(2), settings, reason));
+}
+
+TEST_CASE("an order that has not ended keeps a rival waiting past the grant", "[grant][engine-orders]")
+{
+    GrantState state = readyState();
+    Reason reason;
+    REQUIRE(requestGrant(state, holderA, 5, 1, start, settings, reason));
+    REQUIRE(acceptOrder(state, orderUnder(1, "first"), start, settings, reason));
+    noteOrder(state, "first", OrderState::Unknown, "");
+    REQUIRE_FALSE(requestGrant(state, holderB, 8, 2, start + seconds(60), settings, reason));
+    clearUnknownOrder(state);
+    REQUIRE(requestGrant(state, holderB, 8, 2, start + seconds(60), settings, reason));
+}
+
+TEST_CASE("a role change takes its course", "[grant][role-change]")
+{
+    using Event = void (*)(RoleChange &);
+    const Event idle = [](RoleChange &change) {
+        change.onIdle();
+    };
+    const Event drainBound = [](RoleChange &change) {
+        change.onDrainBound();
+    };
+    const Event lapsed = [](RoleChange &change) {
+        change.onGrantLapsed();
+    };
+    const Event accepted = [](RoleChange &change) {
+        change.onAccepted();
+    };
+    const Event refused = [](RoleChange &change) {
+        change.onRefused("old");
+    };
+    const Event unanswered = [](RoleChange &change) {
+        change.onUnanswered();
+    };
+    const Event confirmBound = [](RoleChange &change) {
+        change.onConfirmBound();
+    };
+    const Event changing = [](RoleChange &change) {
+        change.onEngineState({.changing = true, .lastOrderId = "x"}, true);
+    };
+    const Event inForce = [](RoleChange &change) {
+        change.onEngineState({.lastOrderId = "x"}, false);
+    };
+    const Event otherUnsettled = [](RoleChange &change) {
+        change.onEngineState({.lastOrderId = "y"}, false);
+    };
+    const Event other = [](RoleChange &change) {
+        change.onEngineState({.lastOrderId = ""}, true);
+    };
+    struct Case
+    {
+        const char *name;
+        std::vector<Event> events;
+        OrderState state;
+        OrderStep step;
+    };
+    for (const Case &c : std::vector<Case>{{"starts to drain", {}, OrderState::Draining, OrderStep::Drain},
+                                           {"drained", {idle}, OrderState::Sending, OrderStep::Send},
+                                           {"can't drain", {drainBound}, OrderState::Failed, OrderStep::Finish},
+                                           {"lapsed while draining", {lapsed, idle}, OrderState::Failed, OrderStep::Finish},
+                                           {"lapsed before the send", {idle, lapsed}, OrderState::Failed, OrderStep::Finish},
+                                           {"not lapsed any more once sent", {idle, accepted, lapsed}, OrderState::Confirming, OrderStep::AskState},
+                                           {"refused", {idle, refused}, OrderState::Failed, OrderStep::Finish},
+                                           {"in change", {idle, accepted, changing}, OrderState::Confirming, OrderStep::AskState},
+                                           {"done", {idle, accepted, changing, inForce}, OrderState::Done, OrderStep::Finish},
+                                           {"crash in mid-change", {idle, accepted, changing, other}, OrderState::Failed, OrderStep::Finish},
+                                           {"answer lost, taken", {idle, unanswered, inForce}, OrderState::Done, OrderStep::Finish},
+                                           {"answer lost, maybe under way", {idle, unanswered, otherUnsettled}, OrderState::Confirming, OrderStep::AskState},
+                                           {"answer lost, not taken", {idle, unanswered, other}, OrderState::Failed, OrderStep::Finish},
+                                           {"engine silent", {idle, unanswered, confirmBound}, OrderState::Unknown, OrderStep::Finish},
+                                           {"ended for good", {idle, refused, accepted, inForce}, OrderState::Failed, OrderStep::Finish}}) {
+        INFO(c.name);
+        RoleChange change("x");
+        for (const Event &event : c.events) {
+            event(change);
+        }
+        REQUIRE(change.state() == c.state);
+        REQUIRE(change.step() == c.step);
+    }
+}
+
+TEST_CASE("an engine sees no conflicting order and none without authority, in any interleaving", "[grant][engine-orders][lost-authority]")
+{
+    std::size_t arrivals = 0;
+    std::size_t refused = 0;
+    std::size_t faults = 0;
+    for (const std::uint64_t seed : seedsToRun(grantRuns)) {
+        const GrantJournal journal = simulateGrants(seed, GrantMutation::None);
+        const auto violations = checkGrants(journal);
+        if (!violations.empty()) {
+            FAIL("SNIPEHILL_SEED=" << seed << ": " << violations.front());
+        }
+        arrivals += journal.arrivals.size();
+        refused += journal.refused;
+        faults += journal.faults;
+    }
+    CHECK(arrivals > 0);
+    CHECK(refused > 0);
+    WARN("grants: orders " << arrivals << ", refused " << refused << ", faults " << faults);
+}
+
+TEST_CASE("the grant checker sees each rule that is left out", "[grant]")
+{
+    struct Case
+    {
+        const char *name;
+        GrantMutation mutation;
+    };
+    for (const Case &c : {Case{"any grant", GrantMutation::AnyGrant},
+                          {"no wait after restart", GrantMutation::NoWaitAfterRestart},
+                          {"no fence learning", GrantMutation::NoFenceLearning},
+                          {"rival takes over", GrantMutation::RivalTakesOver},
+                          {"several orders", GrantMutation::SeveralOrders},
+                          {"no second check", GrantMutation::NoSecondCheck}}) {
+        INFO(c.name);
+        std::size_t flagged = 0;
+        for (std::uint64_t seed = 1; seed <= mutationRuns; ++seed) {
+            flagged += checkGrants(simulateGrants(seed, c.mutation)).empty() ? 0 : 1;
+        }
+        CHECK(flagged > 0);
+        WARN(c.name << ": flagged in " << flagged << " of " << mutationRuns << " runs");
+    }
+}
