--- a/src/process/include/process/usage.h
+++ b/src/process/include/process/usage.h
@@ -117,8 +117,14 @@
     std::set<Incarnation> gone; //!< runs of sidecars that have ended for good
 };
 
-/** The record to append: bookings up to the window that no closed record includes; copies only of runs that are gone. */
-ClosedWindow closeWindow(const UsageLedger &ledger, WindowNumber window, const CollectedUsage &collected);
+/**
+ * The records to append, one for each window up to a given one that has bookings and is not closed yet.
+ * Bookings of windows that are closed already go into the first. Copies count only for runs that are gone.
+ */
+std::vector<ClosedWindow> closeWindows(const UsageLedger &ledger, WindowNumber through, const CollectedUsage &collected);
+
+/** Newest window that ended at least the grace time ago. */
+WindowNumber newestEndedWindow(std::chrono::system_clock::time_point now, milliseconds grace, milliseconds windowLength) noexcept;
 
 /** Counts of a sidecar under a lock, with the clock read. Thread-safe. */
 class SidecarUsage
--- /dev/null
+++ b/src/process/src/usage.cpp
@@ -0,0 +1,217 @@
+#include <process/usage.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace snipehill
+{
+
+WindowNumber windowOf(std::chrono::system_clock::time_point time, milliseconds windowLength) noexcept
+{
+    return std::chrono::floor<milliseconds>(time.time_since_epoch()) / windowLength;
+}
+
+std::chrono::system_clock::time_point endOfWindow(WindowNumber window, milliseconds windowLength) noexcept
+{
+    return std::chrono::system_clock::time_point((window + 1) * windowLength);
+}
+
+UsageFigures &operator+=(UsageFigures &sum, const UsageFigures &figures) noexcept
+{
+    sum.requests += figures.requests;
+    sum.promptTokens += figures.promptTokens;
+    sum.outputTokens += figures.outputTokens;
+    return sum;
+}
+
+WindowNumber countUsage(UsageCounts &counts, WindowNumber current, const std::string &workspace, const UsageFigures &figures)
+{
+    const WindowNumber window = std::max(current, counts.frozenThrough + 1);
+    counts.windows[window][workspace] += figures;
+    return window;
+}
+
+std::map<WindowNumber, UsageByWorkspace> readUsage(UsageCounts &counts, WindowNumber through)
+{
+    counts.frozenThrough = std::max(counts.frozenThrough, through);
+    return {counts.windows.begin(), counts.windows.upper_bound(through)};
+}
+
+namespace
+{
+
+void forgetBeforeHorizon(UsageLedger &ledger)
+{
+    const WindowNumber oldest = *ledger.lastClosed - usageHorizonWindows;
+    std::erase_if(ledger.included, [oldest](const UsageSource &source) {
+        return source.window < oldest;
+    });
+}
+
+bool applyClosed(UsageLedger &ledger, const ClosedWindow &closed)
+{
+    if (ledger.lastClosed && closed.window <= *ledger.lastClosed) {
+        return false;
+    }
+    const bool counted = std::any_of(closed.sources.begin(), closed.sources.end(), [&ledger](const UsageSource &source) {
+        return ledger.included.contains(source);
+    });
+    if (counted) {
+        return false;
+    }
+    ledger.lastClosed = closed.window;
+    ledger.included.insert(closed.sources.begin(), closed.sources.end());
+    if (!closed.figures.empty()) {
+        ledger.unreported[closed.window] = closed.figures;
+    }
+    forgetBeforeHorizon(ledger);
+    return true;
+}
+
+void applyReported(UsageLedger &ledger, const ReportedWindow &reported)
+{
+    const auto window = ledger.unreported.find(reported.window);
+    if (window == ledger.unreported.end()) {
+        return;
+    }
+    for (const std::string &workspace : reported.workspaces) {
+        window->second.erase(workspace);
+    }
+    if (window->second.empty()) {
+        ledger.unreported.erase(window);
+    }
+}
+
+} // namespace
+
+bool applyUsageRecord(UsageLedger &ledger, const UsageRecord &record)
+{
+    if (record.reported) {
+        applyReported(ledger, *record.reported);
+    }
+    return record.closed && applyClosed(ledger, *record.closed);
+}
+
+namespace
+{
+
+/** Bookings that may go into a closed record, each once. */
+UsageRows bookingsToClose(const UsageLedger &ledger, WindowNumber through, const CollectedUsage &collected)
+{
+    UsageRows rows = collected.sidecars;
+    for (const auto &[source, figures] : collected.copies) {
+        if (collected.gone.contains(source.sidecar)) {
+            rows.try_emplace(source, figures);
+        }
+    }
+    const WindowNumber oldest = through - usageHorizonWindows;
+    std::erase_if(rows, [&ledger, through, oldest](const auto &row) {
+        const WindowNumber window = row.first.window;
+        return window > through || window <= oldest || ledger.included.contains(row.first);
+    });
+    return rows;
+}
+
+} // namespace
+
+std::vector<ClosedWindow> closeWindows(const UsageLedger &ledger, WindowNumber through, const CollectedUsage &collected)
+{
+    const WindowNumber firstOpen = ledger.lastClosed ? *ledger.lastClosed + 1 : 0;
+    if (through < firstOpen) {
+        return {};
+    }
+    std::map<WindowNumber, ClosedWindow> closed;
+    for (const auto &[source, figures] : bookingsToClose(ledger, through, collected)) {
+        const WindowNumber window = std::max(source.window, firstOpen);
+        ClosedWindow &record = closed[window];
+        record.window = window;
+        record.sources.push_back(source);
+        for (const auto &[workspace, used] : figures) {
+            record.figures[workspace] += used;
+        }
+    }
+    std::vector<ClosedWindow> records;
+    for (auto &[window, record] : closed) {
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
+WindowNumber newestEndedWindow(std::chrono::system_clock::time_point now, milliseconds grace, milliseconds windowLength) noexcept
+{
+    return windowOf(now - grace, windowLength) - 1;
+}
+
+SidecarUsage::SidecarUsage(Incarnation self, milliseconds windowLength) : m_self(std::move(self)), m_windowLength(windowLength) { }
+
+WindowNumber SidecarUsage::count(const std::string &workspace, const UsageFigures &figures)
+{
+    const std::lock_guard lock(m_mutex);
+    return countUsage(m_counts, windowOf(std::chrono::system_clock::now(), m_windowLength), workspace, figures);
+}
+
+Json::Value SidecarUsage::read(const Json::Value &params)
+{
+    const WindowNumber through = params.isObject() && params["through"].isInt64() ? params["through"].asInt64() : 0;
+    UsageRows rows;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (auto &[window, figures] : readUsage(m_counts, through)) {
+            rows[{m_self, window}] = figures;
+        }
+    }
+    Json::Value answer;
+    answer["instance"] = m_self.instance;
+    answer["incarnation"] = Json::UInt64(m_self.number);
+    answer["rows"] = toJson(rows);
+    return answer;
+}
+
+void SidecarUsage::settle(const std::vector<UsageSource> &sources)
+{
+    const std::lock_guard lock(m_mutex);
+    for (const UsageSource &source : sources) {
+        if (source.sidecar == m_self && source.window <= m_counts.frozenThrough) {
+            m_counts.windows.erase(source.window);
+        }
+    }
+}
+
+std::size_t SidecarUsage::windows() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_counts.windows.size();
+}
+
+void EntryUsage::count(const UsageSource &source, const std::string &workspace, const UsageFigures &figures)
+{
+    const std::lock_guard lock(m_mutex);
+    m_rows[source][workspace] += figures;
+}
+
+Json::Value EntryUsage::read(const Json::Value &params) const
+{
+    const WindowNumber through = params.isObject() && params["through"].isInt64() ? params["through"].asInt64() : 0;
+    UsageRows rows;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto &[source, figures] : m_rows) {
+            if (source.window <= through) {
+                rows[source] = figures;
+            }
+        }
+    }
+    Json::Value answer;
+    answer["copies"] = toJson(rows);
+    return answer;
+}
+
+void EntryUsage::settle(const std::vector<UsageSource> &sources)
+{
+    const std::lock_guard lock(m_mutex);
+    for (const UsageSource &source : sources) {
+        m_rows.erase(source);
+    }
+}
+
+} // namespace snipehill
--- /dev/null
+++ b/tests/process/usagesimulation.cpp
@@ -0,0 +1,294 @@
+#include "usagesimulation.h"
+
+#include <algorithm>
+#include <memory>
+
+namespace snipehill::test
+{
+
+namespace
+{
+
+constexpr int closerCount = 2;
+constexpr int sidecarCount = 3;
+constexpr milliseconds windowLength{1000};
+constexpr milliseconds servingTime{8000};
+constexpr milliseconds runTime{24000};
+constexpr milliseconds grace{200};
+
+struct Sidecar
+{
+    Incarnation self;
+    std::int64_t clockOffsetMs = 0;
+    UsageCounts counts;
+    Duration unreachableUntil{};
+};
+
+struct Closer
+{
+    UsageLedger ledger;
+    std::size_t next = 0;
+    UsageRows copies; //!< as an entry
+    Duration pausedUntil{};
+    bool holder = true;
+    std::map<WindowNumber, UsageByWorkspace> ownFigures; //!< of the mutation ReportOwnFigures
+};
+
+class UsageSimulation
+{
+public:
+    UsageSimulation(std::uint64_t seed, UsageMutation mutation) : m_choices(seed), m_mutation(mutation)
+    {
+        m_faults.lossPercent = static_cast<int>(m_choices.between(0, 20));
+        m_faults.duplicatePercent = static_cast<int>(m_choices.between(0, 15));
+        m_faults.slowPercent = static_cast<int>(m_choices.between(0, 20));
+        m_faults.usualDelay = m_choices.time(2, 300);
+        m_restarts = m_choices.percent(50);
+    }
+
+    UsageJournal run()
+    {
+        for (int index = 0; index < sidecarCount; ++index) {
+            startSidecar(index);
+        }
+        serve();
+        for (int index = 0; index < closerCount; ++index) {
+            tick(m_closers[index]);
+        }
+        m_time.after(m_choices.time(500, 3000), [this] {
+            injectFault();
+        });
+        m_time.run(runTime);
+        return std::move(m_journal);
+    }
+
+private:
+    std::chrono::system_clock::time_point wallTime(std::int64_t offsetMs) const
+    {
+        return std::chrono::system_clock::time_point(std::chrono::duration_cast<std::chrono::system_clock::duration>(m_time.now()))
+            + milliseconds(100000 + offsetMs);
+    }
+
+    void startSidecar(int index)
+    {
+        Sidecar &sidecar = m_sidecars[index];
+        sidecar = Sidecar{};
+        sidecar.self = {"sc-" + std::to_string(index), m_choices.number()};
+        sidecar.clockOffsetMs = m_choices.between(-700, 700);
+    }
+
+    void serve()
+    {
+        Sidecar &sidecar = m_sidecars[m_choices.between(0, sidecarCount - 1)];
+        const std::string workspace = m_choices.percent(50) ? "bureau" : "kaspiy";
+        const UsageFigures figures{1, static_cast<std::uint64_t>(m_choices.between(1, 50)), static_cast<std::uint64_t>(m_choices.between(1, 50))};
+        if (m_mutation == UsageMutation::NoFreeze) {
+            sidecar.counts.frozenThrough = 0;
+        }
+        const WindowNumber window = countUsage(sidecar.counts, windowOf(wallTime(sidecar.clockOffsetMs), windowLength), workspace, figures);
+        m_journal.served[workspace] += figures;
+        Closer &entry = m_closers[m_choices.between(0, closerCount - 1)];
+        const UsageSource source{sidecar.self, window};
+        m_time.after(m_choices.time(1, 100), [&entry, source, workspace, figures] {
+            entry.copies[source][workspace] += figures;
+        });
+        if (m_time.now() < servingTime) {
+            m_time.after(m_choices.time(5, 120), [this] {
+                serve();
+            });
+        }
+    }
+
+    void injectFault()
+    {
+        if (m_time.now() > servingTime) {
+            for (Closer &closer : m_closers) {
+                closer.pausedUntil = {};
+            }
+            return;
+        }
+        ++m_journal.faults;
+        switch (m_choices.between(0, 4)) {
+        case 0:
+            if (m_restarts) {
+                m_journal.sidecarsLost = true;
+                startSidecar(static_cast<int>(m_choices.between(0, sidecarCount - 1)));
+            }
+            break;
+        case 1:
+            m_sidecars[m_choices.between(0, sidecarCount - 1)].unreachableUntil = m_time.now() + m_choices.time(200, 4000);
+            break;
+        case 2:
+            m_logDownUntil = m_time.now() + m_choices.time(200, 4000);
+            break;
+        default:
+            m_closers[m_choices.between(0, closerCount - 1)].pausedUntil = m_time.now() + m_choices.time(200, 4000);
+            break;
+        }
+        m_time.after(m_choices.time(200, 2500), [this] {
+            injectFault();
+        });
+    }
+
+    void tick(Closer &closer)
+    {
+        if (m_time.now() >= closer.pausedUntil) {
+            if (m_choices.percent(60)) {
+                readLog(closer);
+            }
+            if (m_choices.percent(50)) {
+                report(closer);
+            }
+            if (m_choices.percent(40)) {
+                close(closer);
+            }
+        }
+        m_time.after(m_choices.time(50, 500), [this, &closer] {
+            tick(closer);
+        });
+    }
+
+    void readLog(Closer &closer)
+    {
+        if (m_time.now() < m_logDownUntil) {
+            return;
+        }
+        for (; closer.next < m_log.size(); ++closer.next) {
+            applyRecord(closer, m_log[closer.next]);
+        }
+    }
+
+    void applyRecord(Closer &closer, const UsageRecord &record)
+    {
+        if (record.closed && m_mutation == UsageMutation::SourcesIgnored) {
+            closer.ledger.included.clear();
+        }
+        if (record.closed && m_mutation == UsageMutation::LaterClosedWins) {
+            closer.ledger.lastClosed.reset();
+            closer.ledger.included.clear();
+        }
+        applyUsageRecord(closer.ledger, record);
+    }
+
+    void report(Closer &closer)
+    {
+        const auto &unreported = m_mutation == UsageMutation::ReportOwnFigures ? closer.ownFigures : closer.ledger.unreported;
+        for (const auto &[window, figures] : unreported) {
+            ReportedWindow reported{.window = window, .workspaces = {}};
+            for (const auto &[workspace, used] : figures) {
+                const UsageReport sent{window, workspace, used};
+                sendMessage(m_time, m_choices, m_faults, [this, sent] {
+                    m_journal.reports.push_back(sent);
+                });
+                // Without an answer the report is repeated, here also after it arrived.
+                if (m_choices.percent(50)) {
+                    m_journal.reports.push_back(sent);
+                    reported.workspaces.push_back(workspace);
+                }
+            }
+            append({.closed = {}, .reported = reported});
+        }
+        closer.ownFigures.clear();
+    }
+
+    void close(Closer &closer)
+    {
+        const WindowNumber window = newestEndedWindow(wallTime(0), grace, windowLength);
+        CollectedUsage collected;
+        for (Sidecar &sidecar : m_sidecars) {
+            if (m_time.now() < sidecar.unreachableUntil) {
+                continue;
+            }
+            for (const auto &[booked, figures] : readUsage(sidecar.counts, window)) {
+                collected.sidecars[{sidecar.self, booked}] = figures;
+                if (closer.ledger.included.contains({sidecar.self, booked})) {
+                    sidecar.counts.windows.erase(booked);
+                }
+            }
+        }
+        for (Closer &entry : m_closers) {
+            settle(closer, entry.copies);
+            for (const auto &[source, figures] : entry.copies) {
+                for (const auto &[workspace, used] : figures) {
+                    collected.copies[source][workspace] += used;
+                }
+                if (isGone(source.sidecar) || m_mutation == UsageMutation::CopiesOfLiveRuns) {
+                    collected.gone.insert(source.sidecar);
+                }
+            }
+        }
+        for (const ClosedWindow &record : closeWindows(closer.ledger, window, collected)) {
+            closer.ownFigures[record.window] = record.figures;
+            append({.closed = record, .reported = {}});
+        }
+    }
+
+    static void settle(const Closer &closer, UsageRows &copies)
+    {
+        std::erase_if(copies, [&closer](const auto &row) {
+            return closer.ledger.included.contains(row.first);
+        });
+    }
+
+    bool isGone(const Incarnation &run) const
+    {
+        return std::none_of(std::begin(m_sidecars), std::end(m_sidecars), [&run](const Sidecar &sidecar) {
+            return sidecar.self == run;
+        });
+    }
+
+    void append(const UsageRecord &record)
+    {
+        sendMessage(m_time, m_choices, m_faults, [this, shared = std::make_shared<const UsageRecord>(record)] {
+            if (m_time.now() >= m_logDownUntil) {
+                m_log.push_back(*shared);
+            }
+        });
+    }
+
+    VirtualTime m_time;
+    Choices m_choices;
+    UsageMutation m_mutation;
+    NetworkFaults m_faults;
+    bool m_restarts = false;
+    Sidecar m_sidecars[sidecarCount];
+    Closer m_closers[closerCount];
+    std::vector<UsageRecord> m_log;
+    Duration m_logDownUntil{};
+    UsageJournal m_journal;
+};
+
+} // namespace
+
+UsageJournal simulateUsage(std::uint64_t seed, UsageMutation mutation)
+{
+    return UsageSimulation(seed, mutation).run();
+}
+
+std::vector<std::string> checkUsage(const UsageJournal &journal)
+{
+    std::vector<std::string> violations;
+    std::map<std::pair<WindowNumber, std::string>, UsageFigures> fixed;
+    for (const UsageReport &report : journal.reports) {
+        const auto [known, first] = fixed.try_emplace({report.window, report.workspace}, report.figures);
+        if (!first && known->second != report.figures) {
+            violations.push_back("window " + std::to_string(report.window) + " of " + report.workspace + " reported with two figures");
+        }
+    }
+    UsageByWorkspace sums;
+    for (const auto &[key, figures] : fixed) {
+        sums[key.second] += figures;
+    }
+    for (const auto &[workspace, truth] : journal.served) {
+        const UsageFigures &sum = sums[workspace];
+        if (sum.requests > truth.requests || sum.promptTokens > truth.promptTokens || sum.outputTokens > truth.outputTokens) {
+            violations.push_back("more reported than served for " + workspace);
+        }
+        if (!journal.sidecarsLost && sum != truth) {
+            violations.push_back("less reported than served for " + workspace);
+        }
+    }
+    return violations;
+}
+
+} // namespace snipehill::test
