--- a/bench/report.h
+++ b/bench/report.h
@@ -23,8 +23,7 @@
 class Report
 {
 public:
-    Report(std::string name, int argc, char **argv)
-        : m_name(std::move(name))
+    Report(std::string name, int argc, char **argv) : m_name(std::move(name))
     {
         for (int i = 1; i + 1 < argc; ++i) {
             if (std::string(argv[i]) == "--json") {
--- a/src/request/include/request/admission.h
+++ b/src/request/include/request/admission.h
@@ -2,6 +2,7 @@
 
 #include <core/refusal.h>
 #include <core/time.h>
+#include <request/targetchoice.h>
 #include <version/records.h>
 
 #include <cstdint>
@@ -42,6 +43,7 @@
 {
     seconds burst{2}; //!< a bucket holds the limit of this long
     double minShare = 0; //!< least part of a limit that an entry enforces without a keeper
+    milliseconds maxWait{1250}; //!< predicted wait for other requests' work beyond which a request is refused at once
     seconds maxRetryAfter{30};
 };
 
@@ -51,7 +53,7 @@
     std::uint64_t promptTokens = 0;
     std::uint64_t outputTokens = 0;
     Duration remaining{}; //!< until the caller's deadline
-    std::optional<Duration> predictedDelay; //!< until the first token on the best target, empty if there is no target
+    std::optional<PlacementCost> forecast; //!< on the target that chooseTarget() names; empty if there is none
 };
 
 /**
--- a/src/request/include/request/targetchoice.h
+++ b/src/request/include/request/targetchoice.h
@@ -57,8 +57,9 @@
     milliseconds serviceTime{50}; //!< expected run time on a target without token rates
     double staleness = 0.25; //!< predicted wait added per unit of report age
     milliseconds maxStaleness{2000}; //!< the most that age adds
-    double interference = 0.5; //!< weight of decode work that a prefill delays, and the reverse
+    double interference = 1; //!< weight of decode work that a prefill delays, and the reverse
     milliseconds decodePressure{500}; //!< cost of joining a target whose slots are all in use, before the weight
+    milliseconds tokenGap{80}; //!< wanted between tokens; a full target that needs longer counts more
     milliseconds roleMismatch{1000}; //!< added when the engine's role is for the other kind of work
     milliseconds suspectPenalty{3000}; //!< added to a target that died a short while ago
 };
@@ -77,7 +78,7 @@
     }
 };
 
-/** Outcome of a choice. */
+/** Outcome of a choice; its cost is the forecast that admission checks. */
 struct TargetChoice
 {
     std::string instance;
@@ -110,9 +111,6 @@
                                          const ChoiceSettings &settings,
                                          Reason &reason);
 
-/** Least predicted delay until the first token over all eligible targets, for admission; empty if there is none. */
-std::optional<Duration> bestPredictedDelay(std::span<const TargetView> targets, const PlacementRequest &request, const ChoiceSettings &settings) noexcept;
-
 /** A target as the instance list names it. */
 struct TargetMember
 {
--- a/src/request/src/admission.cpp
+++ b/src/request/src/admission.cpp
@@ -56,15 +56,19 @@
     return std::max(settings.minShare, 1.0 / std::max(1U, entries));
 }
 
-std::optional<Refusal> checkDeadline(const AdmissionRequest &request, const AdmissionSettings &settings)
+std::optional<Refusal> checkForecast(const AdmissionRequest &request, const AdmissionSettings &settings)
 {
-    if (!request.predictedDelay) {
+    if (!request.forecast) {
         return refuse(serviceUnavailable, "no target accepts requests", 1, settings);
     }
-    if (*request.predictedDelay <= request.remaining) {
-        return std::nullopt;
+    const Duration delay = request.forecast->wait + request.forecast->prefill;
+    if (delay > request.remaining) {
+        return refuse(serviceUnavailable, "no target can answer before the deadline", inSeconds(delay - request.remaining), settings);
+    }
+    if (request.forecast->wait > settings.maxWait) {
+        return refuse(serviceUnavailable, "all targets are overloaded", inSeconds(request.forecast->wait - settings.maxWait), settings);
     }
-    return refuse(serviceUnavailable, "no target can answer before the deadline", inSeconds(*request.predictedDelay - request.remaining), settings);
+    return std::nullopt;
 }
 
 std::optional<Refusal> checkLimits(WorkspaceUse &use, const Workspace &workspace, double share, double tokens, const AdmissionSettings &settings, TimePoint now)
@@ -100,7 +104,7 @@
     WorkspaceUse &use = admission.workspaces[workspace.name];
     const double tokens = static_cast<double>(request.promptTokens + request.outputTokens);
     use.demand += tokens;
-    if (auto refusal = checkDeadline(request, settings)) {
+    if (auto refusal = checkForecast(request, settings)) {
         return refusal;
     }
     if (auto refusal = checkLimits(use, workspace, shareFor(use, entries, settings, now), tokens, settings, now)) {
--- a/src/request/src/targetchoice.cpp
+++ b/src/request/src/targetchoice.cpp
@@ -85,7 +85,9 @@
     const double occupied = std::min(1.0, static_cast<double>(requestsOn(target)) / std::max(1U, target.report.slots));
     cost.wait = fromSeconds(aheadTokens / rate) + slotWait(target, settings);
     cost.prefill = fromSeconds(ownPrefill);
-    cost.interference = fromSeconds(settings.interference * occupied * (ownPrefill + settings.decodePressure.count() / 1000.0));
+    const double gap = std::max(1U, target.report.slots) / decodeRate(target, settings);
+    const double pressure = std::chrono::duration<double>(settings.decodePressure).count() * gap / std::chrono::duration<double>(settings.tokenGap).count();
+    cost.interference = fromSeconds(settings.interference * occupied * (ownPrefill + pressure));
     if (!roleFits(target, request, settings)) {
         cost.penalty += settings.roleMismatch;
     }
@@ -190,20 +192,6 @@
     return choice;
 }
 
-std::optional<Duration> bestPredictedDelay(std::span<const TargetView> targets, const PlacementRequest &request, const ChoiceSettings &settings) noexcept
-{
-    std::optional<Duration> best;
-    for (const TargetView &target : targets) {
-        if (!isEligible(target)) {
-            continue;
-        }
-        const PlacementCost cost = predictCost(target, request, settings);
-        const Duration delay = cost.wait + cost.prefill;
-        best = best ? std::min(*best, delay) : delay;
-    }
-    return best;
-}
-
 std::vector<std::size_t> targetSubset(std::string_view entry, std::span<const TargetMember> members, std::size_t size)
 {
     using Ranked = std::pair<std::uint64_t, std::size_t>;
--- a/tests/fakes/fakeengine.h
+++ b/tests/fakes/fakeengine.h
@@ -53,6 +53,7 @@
     std::vector<FakeStream> streams;
     std::list<std::uint64_t> cached; //!< most recent first
     std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> cachePositions;
+    double prefillRate = 0; //!< measured while other streams decode, moving average in tokens a second
     std::uint64_t prefilledTokens = 0; //!< over the run
     std::uint64_t cachedTokens = 0; //!< prompt tokens that the cache saved
 };
@@ -137,6 +138,8 @@
         prefilling->prefillLeft -= chunk;
         engine.prefilledTokens += chunk;
         result.seconds += static_cast<double>(chunk) / engine.settings.prefillTokensPerSecond;
+        const double rate = static_cast<double>(chunk) / result.seconds;
+        engine.prefillRate += (engine.prefillRate > 0 ? 0.05 : 1.0) * (rate - engine.prefillRate);
         if (prefilling->prefillLeft == 0) {
             prefilling->generated = 1;
             result.crashed = prefilling->crashes;
--- a/tests/fakes/routingrun.h
+++ b/tests/fakes/routingrun.h
@@ -98,9 +98,7 @@
 {
 public:
     RoutingRun(RunSettings settings, std::vector<Arrival> arrivals)
-        : m_settings(std::move(settings))
-        , m_arrivals(std::move(arrivals))
-        , m_random{m_settings.seed}
+        : m_settings(std::move(settings)), m_arrivals(std::move(arrivals)), m_random{m_settings.seed}
     {
         makeTargets();
         makeEntries();
@@ -243,7 +241,7 @@
                 report.queuedDecodeTokens += m_arrivals[waiting.attempt].outputTokens;
             }
         }
-        report.prefillTokensPerSecond = target.engine.settings.prefillTokensPerSecond;
+        report.prefillTokensPerSecond = target.engine.prefillRate;
         report.decodeTokensPerSecond = fullDecodeRate(target.engine.settings);
         report.cacheEpoch = target.cacheEpoch;
         return report;
@@ -264,7 +262,8 @@
         view.outstanding = {};
         m_reportTimes[entry][place] = m_now;
         noteCacheEpoch(m_entries[entry].prefixes, view.instance, 0, view.report.cacheEpoch);
-        mergeNews(m_entries[entry].suspects, suspectNews(m_targets[target].suspects, 16, m_settings.crashes, timePoint(m_now)), m_settings.crashes, timePoint(m_now));
+        mergeNews(
+            m_entries[entry].suspects, suspectNews(m_targets[target].suspects, 16, m_settings.crashes, timePoint(m_now)), m_settings.crashes, timePoint(m_now));
     }
 
     void piggyback(std::size_t request, std::size_t target)
@@ -297,18 +296,23 @@
         FakeEntry &entry = m_entries[arrival.entry];
         noteFirstAttempt(entry.retries, m_settings.retries);
         refreshViews(request);
-        AdmissionRequest admission{arrival.promptTokens, arrival.outputTokens, std::chrono::seconds(1000000), Duration{}};
+        const Judgement judgement = judge(entry.suspects, arrival.fingerprint, m_settings.crashes, timePoint(m_now));
+        AdmissionRequest admission{arrival.promptTokens, arrival.outputTokens, std::chrono::seconds(1000000), PlacementCost{}};
+        const std::optional<std::size_t> place = pick(request, judgement == Judgement::RunAlone);
         if (m_settings.deadlineAdmission) {
             admission.remaining = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_settings.deadline));
-            admission.predictedDelay = bestPredictedDelay(entry.views, placementOf(request, false), m_settings.choice);
+            admission.forecast.reset();
+            if (place) {
+                admission.forecast = predictCost(entry.views[*place], placementOf(request, false), m_settings.choice);
+            }
         }
         Workspace workspace = m_settings.limits;
         workspace.name = arrival.workspace;
-        if (admit(entry.admission, workspace, admission, m_settings.entries, m_settings.admission, timePoint(m_now))) {
+        if (judgement == Judgement::Blocked || admit(entry.admission, workspace, admission, m_settings.entries, m_settings.admission, timePoint(m_now))) {
             m_result.records[request].refused = true;
             return;
         }
-        dispatch(request);
+        dispatch(request, place);
     }
 
     void endRequest(std::size_t request, bool refused)
@@ -330,7 +334,9 @@
             if (!choice) {
                 return std::nullopt;
             }
-            const auto same = [&](const TargetView &view) { return view.instance == choice->instance; };
+            const auto same = [&](const TargetView &view) {
+                return view.instance == choice->instance;
+            };
             return static_cast<std::size_t>(std::find_if(entry.views.begin(), entry.views.end(), same) - entry.views.begin());
         }
         std::vector<std::size_t> open;
@@ -354,13 +360,16 @@
         return best;
     }
 
-    void dispatch(std::size_t request)
+    void dispatch(std::size_t request, std::optional<std::size_t> first = {})
     {
         const Arrival &arrival = m_arrivals[request];
         FakeEntry &entry = m_entries[arrival.entry];
         while (true) {
             const Judgement judgement = judge(entry.suspects, arrival.fingerprint, m_settings.crashes, timePoint(m_now));
-            const std::optional<std::size_t> place = judgement == Judgement::Blocked ? std::nullopt : pick(request, judgement == Judgement::RunAlone);
+            const std::optional<std::size_t> place = judgement == Judgement::Blocked ? std::nullopt
+                : first                                                              ? first
+                                                                                     : pick(request, judgement == Judgement::RunAlone);
+            first.reset();
             if (!place) {
                 endRequest(request, true);
                 return;
@@ -424,7 +433,8 @@
             }
             const Arrival &arrival = m_arrivals[next->attempt];
             const std::uint64_t done = m_generated[next->attempt];
-            FakeStream stream{next->attempt, arrival.promptTokens + done, arrival.outputTokens - std::min(done, arrival.outputTokens - 1), arrival.prefixHashes};
+            FakeStream stream{
+                next->attempt, arrival.promptTokens + done, arrival.outputTokens - std::min(done, arrival.outputTokens - 1), arrival.prefixHashes};
             stream.priority = m_settings.fairQueue ? enginePriority(target.queue, *next, m_settings.queue) : 0;
             stream.crashes = arrival.crashes;
             startStream(target.engine, std::move(stream));
@@ -445,7 +455,9 @@
 
     QueuedRequest takeOnEngine(FakeTarget &target, std::uint64_t request)
     {
-        const auto found = std::find_if(target.onEngine.begin(), target.onEngine.end(), [request](const QueuedRequest &queued) { return queued.attempt == request; });
+        const auto found = std::find_if(target.onEngine.begin(), target.onEngine.end(), [request](const QueuedRequest &queued) {
+            return queued.attempt == request;
+        });
         QueuedRequest queued = *found;
         target.onEngine.erase(found);
         return queued;
