--- a/src/request/src/fairqueue.cpp
+++ b/src/request/src/fairqueue.cpp
@@ -188,9 +188,9 @@
     }
     const std::string name = owner->second;
     queue.owners.erase(owner);
-    WorkspaceQueue &workspace = queue.workspaces.at(name);
     std::optional<QueuedRequest> request = takeFrom(queue.aloneLine, attempt);
     if (!request) {
+        WorkspaceQueue &workspace = queue.workspaces.at(name);
         deactivate(queue, name, workspace);
         request = takeFrom(workspace.waiting, attempt);
         if (!workspace.waiting.empty()) {
--- /dev/null
+++ b/tests/request/admissiontest.cpp
@@ -0,0 +1,159 @@
+#include <request/admission.h>
+#include <request/retrybudget.h>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace snipehill;
+
+namespace
+{
+
+const TimePoint start = TimePoint{} + std::chrono::hours(1);
+
+AdmissionRequest requestOf(std::uint64_t tokens)
+{
+    return {tokens, 0, seconds(30), PlacementCost{}};
+}
+
+/** Requests admitted in ten seconds out of one offered each ten milliseconds to entries in turn. */
+int admittedInTenSeconds(const Workspace &workspace, std::size_t entries)
+{
+    std::vector<Admission> states(entries);
+    int admitted = 0;
+    for (int i = 0; i < 1000; ++i) {
+        Admission &state = states[static_cast<std::size_t>(i) % entries];
+        const bool refused = admit(state, workspace, requestOf(100), static_cast<std::uint32_t>(entries), {}, start + milliseconds(10 * i)).has_value();
+        admitted += refused ? 0 : 1;
+    }
+    return admitted;
+}
+
+} // namespace
+
+TEST_CASE("What can't be served in time is refused at once", "[request]")
+{
+    struct Case
+    {
+        const char *name;
+        std::optional<PlacementCost> forecast;
+        Duration remaining;
+        bool admitted;
+    };
+    PlacementCost longPrefill;
+    longPrefill.prefill = seconds(8);
+    PlacementCost longWait;
+    longWait.wait = seconds(4);
+    for (const Case &c : std::vector<Case>{
+             {"idle target", PlacementCost{}, seconds(1), true},
+             {"no target", std::nullopt, seconds(30), false},
+             {"own long prompt", longPrefill, seconds(30), true},
+             {"own long prompt, no time", longPrefill, seconds(7), false},
+             {"long wait", longWait, seconds(30), false},
+             {"deadline passed", PlacementCost{}, seconds(-1), false},
+         }) {
+        INFO(c.name);
+        Admission admission;
+        const auto refusal = admit(admission, Workspace{"w"}, {100, 10, c.remaining, c.forecast}, 1, {}, start);
+        CHECK(refusal.has_value() != c.admitted);
+        if (refusal) {
+            CHECK(refusal->outcome == Outcome::NotRun);
+            CHECK(refusal->status == 503);
+            CHECK(refusal->reason.step == Step::Admit);
+            CHECK(refusal->retryAfter.value_or(seconds(0)) >= seconds(1));
+            CHECK(admission.workspaces["w"].running == 0);
+        }
+    }
+}
+
+TEST_CASE("Workspace limits hold across entries", "[request]")
+{
+    Workspace workspace{"w"};
+    workspace.requestsPerSecond = 20;
+    // Ten seconds at the limit, two seconds of burst, and one request that each entry may round up.
+    for (const std::size_t entries : {1U, 2U, 5U, 10U}) {
+        const int admitted = admittedInTenSeconds(workspace, entries);
+        CHECK(admitted >= 200);
+        CHECK(admitted <= 240 + static_cast<int>(entries));
+    }
+    workspace.requestsPerSecond = 0;
+    workspace.tokensPerSecond = 2000;
+    for (const std::size_t entries : {1U, 5U}) {
+        const int admitted = admittedInTenSeconds(workspace, entries);
+        CHECK(admitted >= 200);
+        CHECK(admitted <= 240 + static_cast<int>(entries));
+    }
+}
+
+TEST_CASE("A refusal over the limit says when to come back", "[request]")
+{
+    Workspace workspace{"w"};
+    workspace.tokensPerSecond = 100;
+    Admission admission;
+    CHECK_FALSE(admit(admission, workspace, requestOf(1000), 1, {}, start)); // larger than the bucket, which is empty
+    const auto refusal = admit(admission, workspace, requestOf(100), 1, {}, start);
+    REQUIRE(refusal);
+    CHECK(refusal->status == 429);
+    CHECK(refusal->retryAfter == seconds(9));
+    CHECK_FALSE(admit(admission, workspace, requestOf(100), 1, {}, start + seconds(9)));
+}
+
+TEST_CASE("Concurrent requests are counted until their release", "[request]")
+{
+    Workspace workspace{"w"};
+    workspace.concurrentRequests = 2;
+    Admission admission;
+    CHECK_FALSE(admit(admission, workspace, requestOf(1), 1, {}, start));
+    CHECK_FALSE(admit(admission, workspace, requestOf(1), 1, {}, start));
+    CHECK(admit(admission, workspace, requestOf(1), 1, {}, start));
+    release(admission, "w", 0);
+    CHECK_FALSE(admit(admission, workspace, requestOf(1), 1, {}, start));
+    release(admission, "unknown", 0);
+}
+
+TEST_CASE("A keeper splits a limit by demand", "[request]")
+{
+    LimitKeeper keeper;
+    shareOf(keeper, "w", "e1", 90, seconds(3), start);
+    const double idle = shareOf(keeper, "w", "e2", 0, seconds(3), start);
+    const double second = shareOf(keeper, "w", "e3", 10, seconds(3), start);
+    const double first = shareOf(keeper, "w", "e1", 90, seconds(3), start);
+    CHECK(first + second + idle <= Approx(1).margin(0.06));
+    CHECK(first > 0.8);
+    CHECK(second > 0.1);
+    // An entry that has not been heard of is left out.
+    CHECK(shareOf(keeper, "w", "e1", 90, seconds(3), start + seconds(4)) == Approx(1));
+
+    Admission admission;
+    Workspace workspace{"w"};
+    workspace.requestsPerSecond = 10;
+    CHECK_FALSE(admit(admission, workspace, requestOf(5), 10, {}, start));
+    CHECK(takeDemand(admission, "w") == 5);
+    CHECK(takeDemand(admission, "w") == 0);
+    CHECK(admit(admission, workspace, requestOf(5), 10, {}, start + milliseconds(1)).has_value() == false); // a tenth of two seconds' burst
+    CHECK(admit(admission, workspace, requestOf(5), 10, {}, start + milliseconds(2)));
+    takeShare(admission, "w", 1, start + seconds(3));
+    CHECK_FALSE(admit(admission, workspace, requestOf(5), 10, {}, start + milliseconds(3)));
+    // The grant ends: back to the even share.
+    CHECK_FALSE(admit(admission, workspace, requestOf(5), 10, {}, start + seconds(4)));
+}
+
+TEST_CASE("Retries can't multiply an overload", "[request]")
+{
+    RetryBudget budget;
+    int retries = 0;
+    for (int i = 0; i < 1000; ++i) {
+        noteFirstAttempt(budget);
+        for (int attempt = 0; attempt < 3; ++attempt) {
+            retries += takeRetry(budget) ? 1 : 0;
+        }
+    }
+    CHECK(retries >= 100);
+    CHECK(retries <= 104); // a tenth of the requests and the first credit
+    for (int i = 0; i < 1000; ++i) {
+        noteFirstAttempt(budget);
+    }
+    CHECK(budget.credit == Approx(10));
+}
--- a/tests/request/attemptphasetest.cpp
+++ b/tests/request/attemptphasetest.cpp
@@ -8,7 +8,8 @@
 
 TEST_CASE("an attempt moves only along its transitions", "[attempt]")
 {
-    struct Case {
+    struct Case
+    {
         std::vector<AttemptEvent> before;
         AttemptEvent event;
         bool moves;
--- /dev/null
+++ b/tests/request/estimatetest.cpp
@@ -0,0 +1,97 @@
+#include <request/estimate.h>
+#include <request/prefixindex.h>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace snipehill;
+
+TEST_CASE("Tokens of a chat-completions body are estimated", "[request]")
+{
+    struct Case
+    {
+        const char *name;
+        std::string body;
+        bool parsed;
+        std::uint64_t promptTokens;
+        std::uint64_t outputTokens;
+        bool stream;
+    };
+    const std::string deep(2000, '[');
+    for (const Case &c : std::vector<Case>{
+             {"plain", R"({"model":"m","messages":[{"role":"user","content":"0123456789"}],"max_tokens":7,"stream":true})", true, 5, 7, true},
+             {"parts", R"({"messages":[{"role":"user","content":[{"type":"text","text":"0123456789"}]}]})", true, 5, 256, false},
+             {"newer field wins", R"({"messages":[],"max_tokens":7,"max_completion_tokens":9})", true, 1, 9, false},
+             {"wish is bounded", R"({"messages":[],"max_tokens":999999999})", true, 1, 4096, false},
+             {"negative wish", R"({"messages":[],"max_tokens":-4})", true, 1, 256, false},
+             {"not JSON", "twelve bytes", false, 4, 256, false},
+             {"no messages", R"({"model":"m"})", false, 4, 256, false},
+             {"odd types", R"({"messages":[1,{"role":2,"content":{}}],"stream":"yes"})", true, 1, 256, false},
+             {"nested too deep", deep, false, 501, 256, false},
+             {"empty", "", false, 1, 256, false},
+         }) {
+        INFO(c.name);
+        const CostEstimate estimate = estimateChat(c.body);
+        CHECK(estimate.parsed == c.parsed);
+        CHECK(estimate.promptTokens == c.promptTokens);
+        CHECK(estimate.outputTokens == c.outputTokens);
+        CHECK(estimate.stream == c.stream);
+    }
+}
+
+TEST_CASE("Prefix hashes agree exactly as far as the prompts do", "[request]")
+{
+    const std::string common(3 * prefixBlockBytes, 'a');
+    const auto one = prefixHashes("m", common + std::string(prefixBlockBytes, 'b'), 64);
+    const auto two = prefixHashes("m", common + std::string(prefixBlockBytes, 'c'), 64);
+    const auto other = prefixHashes("n", common, 64);
+    REQUIRE(one.size() == 4);
+    CHECK(std::vector(one.begin(), one.begin() + 3) == std::vector(two.begin(), two.begin() + 3));
+    CHECK(one[3] != two[3]);
+    CHECK(other[0] != one[0]);
+    CHECK(prefixHashes("m", std::string(prefixBlockBytes - 1, 'a'), 64).empty());
+    CHECK(prefixHashes("m", common, 2).size() == 2);
+}
+
+TEST_CASE("Prefix index knows what was routed until it is told otherwise", "[request]")
+{
+    PrefixIndex index;
+    const std::vector<std::uint64_t> hashes{1, 2, 3, 4};
+    noteCacheEpoch(index, "t", 5, 1);
+    noteRouted(index, "t", hashes);
+    CHECK(coveredBlocks(index, "t", hashes) == 4);
+    CHECK(coveredBlocks(index, "u", hashes) == 0);
+
+    SECTION("a removed block ends the cover")
+    {
+        noteCacheEvent(index, "t", 3, false);
+        CHECK(coveredBlocks(index, "t", hashes) == 2);
+        noteCacheEvent(index, "t", 3, true);
+        CHECK(coveredBlocks(index, "t", hashes) == 4);
+    }
+    SECTION("the same epoch changes nothing")
+    {
+        noteCacheEpoch(index, "t", 5, 1);
+        CHECK(coveredBlocks(index, "t", hashes) == 4);
+    }
+    SECTION("a gap in events voids what is known")
+    {
+        noteCacheEpoch(index, "t", 5, 2);
+        CHECK(coveredBlocks(index, "t", hashes) == 0);
+    }
+    SECTION("so does a restart")
+    {
+        noteCacheEpoch(index, "t", 6, 1);
+        CHECK(coveredBlocks(index, "t", hashes) == 0);
+    }
+    SECTION("the number of hashes is bounded and leading blocks stay longest")
+    {
+        index.hashesPerTarget = 3;
+        forgetTarget(index, "t");
+        noteRouted(index, "t", hashes);
+        CHECK(index.targets.at("t").recent.size() == 3);
+        CHECK(coveredBlocks(index, "t", hashes) == 3);
+    }
+}
