--- a/tests/fakes/routingrun.h
+++ b/tests/fakes/routingrun.h
@@ -241,7 +241,7 @@
                 report.queuedDecodeTokens += m_arrivals[waiting.attempt].outputTokens;
             }
         }
-        report.prefillTokensPerSecond = target.engine.settings.prefillTokensPerSecond;
+        report.prefillTokensPerSecond = target.engine.prefillRate;
         report.decodeTokensPerSecond = fullDecodeRate(target.engine.settings);
         report.cacheEpoch = target.cacheEpoch;
         return report;
@@ -296,18 +296,23 @@
         FakeEntry &entry = m_entries[arrival.entry];
         noteFirstAttempt(entry.retries, m_settings.retries);
         refreshViews(request);
-        AdmissionRequest admission{arrival.promptTokens, arrival.outputTokens, std::chrono::seconds(1000000), Duration{}};
+        const Judgement judgement = judge(entry.suspects, arrival.fingerprint, m_settings.crashes, timePoint(m_now));
+        AdmissionRequest admission{arrival.promptTokens, arrival.outputTokens, std::chrono::seconds(1000000), PlacementCost{}};
+        const std::optional<std::size_t> place = pick(request, judgement == Judgement::RunAlone);
         if (m_settings.deadlineAdmission) {
             admission.remaining = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_settings.deadline));
-            admission.predictedDelay = bestPredictedDelay(entry.views, placementOf(request, false), m_settings.choice);
+            admission.forecast.reset();
+            if (place) {
+                admission.forecast = predictCost(entry.views[*place], placementOf(request, false), m_settings.choice);
+            }
         }
         Workspace workspace = m_settings.limits;
         workspace.name = arrival.workspace;
-        if (admit(entry.admission, workspace, admission, m_settings.entries, m_settings.admission, timePoint(m_now))) {
+        if (judgement == Judgement::Blocked || admit(entry.admission, workspace, admission, m_settings.entries, m_settings.admission, timePoint(m_now))) {
             m_result.records[request].refused = true;
             return;
         }
-        dispatch(request);
+        dispatch(request, place);
     }
 
     void endRequest(std::size_t request, bool refused)
@@ -355,13 +360,16 @@
         return best;
     }
 
-    void dispatch(std::size_t request)
+    void dispatch(std::size_t request, std::optional<std::size_t> first = {})
     {
         const Arrival &arrival = m_arrivals[request];
         FakeEntry &entry = m_entries[arrival.entry];
         while (true) {
             const Judgement judgement = judge(entry.suspects, arrival.fingerprint, m_settings.crashes, timePoint(m_now));
-            const std::optional<std::size_t> place = judgement == Judgement::Blocked ? std::nullopt : pick(request, judgement == Judgement::RunAlone);
+            const std::optional<std::size_t> place = judgement == Judgement::Blocked ? std::nullopt
+                : first                                                              ? first
+                                                                                     : pick(request, judgement == Judgement::RunAlone);
+            first.reset();
             if (!place) {
                 endRequest(request, true);
                 return;
