--- /dev/null
+++ b/src/process/src/metrics.cpp
@@ -0,0 +1,292 @@
+#include <process/metrics.h>
+
+#include <boost/histogram.hpp>
+
+#include <cstdio>
+#include <map>
+#include <span>
+#include <unordered_map>
+
+namespace snipehill
+{
+
+namespace
+{
+
+constexpr std::size_t shardCount = 16;
+constexpr char separator = '\x1f';
+constexpr std::size_t labelValueBytes = 120;
+
+enum class FamilyType {
+    CounterType,
+    GaugeType,
+    HistogramType,
+};
+
+/** Name and labels of a metric as they stand in the output. */
+struct Family
+{
+    FamilyType type;
+    const char *name;
+    const char *help;
+    std::vector<const char *> labels;
+};
+
+constexpr std::size_t counterCount = static_cast<std::size_t>(Counter::Count);
+constexpr std::size_t gaugeCount = static_cast<std::size_t>(Gauge::Count);
+constexpr std::size_t timingCount = static_cast<std::size_t>(Timing::Count);
+
+constexpr std::size_t familyCount = counterCount + gaugeCount + timingCount;
+using Families = std::array<Family, familyCount>;
+
+/** In the order of the enumerators: counters, gauges, timings. */
+const Families &families()
+{
+    using enum FamilyType;
+    static const Families table{{
+        {CounterType, "snipehill_requests_total", "Requests answered.", {"workspace", "route", "outcome"}},
+        {CounterType, "snipehill_refusals_total", "Requests refused by the system.", {"outcome", "step"}},
+        {CounterType, "snipehill_attempts_total", "Attempts sent to sidecars, by how they ended.", {"result"}},
+        {CounterType, "snipehill_resolves_total", "Attempts resolved over a new connection, by what was found.", {"state"}},
+        {CounterType, "snipehill_retries_total", "Requests sent to another target, by the step that failed.", {"step"}},
+        {CounterType, "snipehill_frames_dropped_total", "Frames that did not belong to the attempt in progress.", {"reason"}},
+        {CounterType, "snipehill_log_appends_total", "Append calls to the log.", {"stream", "result"}},
+        {CounterType, "snipehill_config_records_rejected_total", "Configuration records that had no effect.", {}},
+        {CounterType, "snipehill_lease_changes_total", "Leases claimed, renewed, lost and released.", {"scope", "change"}},
+        {CounterType, "snipehill_grant_changes_total", "Grants given, renewed, refused and lapsed.", {"change"}},
+        {CounterType, "snipehill_orders_total", "Orders to engines.", {"kind", "result"}},
+        {CounterType, "snipehill_role_changes_total", "Role changes of engines.", {"from", "to", "result"}},
+        {CounterType, "snipehill_usage_reports_total", "Usage reports sent.", {"result"}},
+        {CounterType, "snipehill_link_connections_total", "Links between processes opened, closed and abandoned.", {"change"}},
+        {CounterType, "snipehill_control_bytes_total", "Bytes of control messages.", {"direction"}},
+        {GaugeType, "snipehill_config_version", "Offset of the configuration in force.", {}},
+        {GaugeType, "snipehill_config_age_seconds", "Time since the configuration was last known to be current.", {}},
+        {GaugeType, "snipehill_lease_state", "0 free, 1 held by another process, 2 held by this one.", {"scope"}},
+        {GaugeType, "snipehill_lease_epoch", "Epoch of the latest lease.", {"scope"}},
+        {GaugeType, "snipehill_grant_state", "0 no grant, 1 a grant is in force at this sidecar.", {}},
+        {GaugeType, "snipehill_grant_fence", "Highest fencing number seen by this sidecar.", {}},
+        {GaugeType, "snipehill_usage_windows", "Usage windows that this process keeps.", {"state"}},
+        {GaugeType, "snipehill_targets", "Targets known to this process.", {"group", "state"}},
+        {GaugeType, "snipehill_queued_requests", "Requests that wait in this sidecar.", {"workspace"}},
+        {GaugeType, "snipehill_running_requests", "Requests in progress.", {}},
+        {GaugeType, "snipehill_draining", "1 while the process drains.", {}},
+        {HistogramType, "snipehill_request_seconds", "Whole time of a request.", {"route"}},
+        {HistogramType, "snipehill_first_token_seconds", "From a request's arrival to its first output token.", {"workspace"}},
+        {HistogramType, "snipehill_between_tokens_seconds", "Between two output tokens.", {"workspace"}},
+        {HistogramType, "snipehill_queue_wait_seconds", "Wait in the sidecar's queue.", {"workspace"}},
+        {HistogramType, "snipehill_log_append_seconds", "Time of an append call.", {"stream"}},
+        {HistogramType, "snipehill_config_spread_seconds", "Delay of a configuration record behind the first process that had it.", {}},
+    }};
+    return table;
+}
+
+std::size_t familyOf(Counter counter)
+{
+    return static_cast<std::size_t>(counter);
+}
+
+std::size_t familyOf(Gauge gauge)
+{
+    return counterCount + static_cast<std::size_t>(gauge);
+}
+
+std::size_t familyOf(Timing timing)
+{
+    return counterCount + gaugeCount + static_cast<std::size_t>(timing);
+}
+
+using Histogram = boost::histogram::histogram<std::tuple<boost::histogram::axis::variable<double>>, boost::histogram::default_storage>;
+
+Histogram makeHistogram()
+{
+    static const std::vector<double> edges{0,   0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.04, 0.05, 0.06, 0.08, 0.1, 0.15,
+                                           0.2, 0.3,   0.5,   0.75,  1,    1.5,  2,    3,    5,    10,   30,   60};
+    return Histogram(std::make_tuple(boost::histogram::axis::variable<double>(edges)));
+}
+
+/** Durations of one series. */
+struct Distribution
+{
+    Histogram histogram = makeHistogram();
+    double sum = 0;
+};
+
+std::string numberText(double value)
+{
+    std::array<char, 40> text{};
+    const int size = std::snprintf(text.data(), text.size(), "%.15g", value);
+    return {text.data(), static_cast<std::size_t>(size)};
+}
+
+std::string escaped(std::string_view value)
+{
+    std::string text;
+    for (const char c : value.substr(0, labelValueBytes)) {
+        if (c == '\\' || c == '"') {
+            text += '\\';
+        }
+        text += static_cast<unsigned char>(c) < ' ' ? '_' : c;
+    }
+    return text;
+}
+
+/** Labels as they stand between braces, without these. */
+std::string labelText(const Family &family, std::string_view key)
+{
+    std::string text;
+    for (const char *label : family.labels) {
+        const auto end = key.find(separator);
+        text += (text.empty() ? "" : ",") + std::string(label) + "=\"" + escaped(key.substr(0, end)) + "\"";
+        key = end == std::string_view::npos ? std::string_view() : key.substr(end + 1);
+    }
+    return text;
+}
+
+std::string braced(const std::string &labels)
+{
+    return labels.empty() ? "" : "{" + labels + "}";
+}
+
+void writeDistribution(std::string &text, const char *name, const std::string &labels, const Distribution &distribution)
+{
+    const auto &axis = distribution.histogram.axis();
+    const std::string before = labels.empty() ? "" : labels + ",";
+    // Durations are not negative, so the underflow bin stays empty.
+    double total = 0;
+    for (int bin = 0; bin < axis.size(); ++bin) {
+        total += distribution.histogram.at(bin);
+        text += std::string(name) + "_bucket{" + before + "le=\"" + numberText(axis.bin(bin).upper()) + "\"} " + numberText(total) + "\n";
+    }
+    total += distribution.histogram.at(axis.size());
+    text += std::string(name) + "_bucket{" + before + "le=\"+Inf\"} " + numberText(total) + "\n";
+    text += std::string(name) + "_sum" + braced(labels) + " " + numberText(distribution.sum) + "\n";
+    text += std::string(name) + "_count" + braced(labels) + " " + numberText(total) + "\n";
+}
+
+/** Series of a key: the family's index, then its label values. */
+std::size_t familyIn(const std::string &key)
+{
+    return static_cast<unsigned char>(key[0]);
+}
+
+} // namespace
+
+struct Metrics::Shard
+{
+    std::mutex lock;
+    std::unordered_map<std::string, double> numbers;
+    std::unordered_map<std::string, Distribution> distributions;
+};
+
+Metrics::Metrics() : m_seriesCounts(families().size())
+{
+    for (std::size_t shard = 0; shard < shardCount; ++shard) {
+        m_shards.push_back(std::make_unique<Shard>());
+    }
+}
+
+Metrics::~Metrics() = default;
+
+Metrics::Shard &Metrics::shardOf(const std::string &series)
+{
+    return *m_shards[std::hash<std::string>()(series) % shardCount];
+}
+
+std::string Metrics::seriesKey(std::size_t family, LabelValues labels)
+{
+    std::string key(1, static_cast<char>(family));
+    for (std::size_t label = 0; label < families()[family].labels.size(); ++label) {
+        key += label == 0 ? "" : std::string(1, separator);
+        key += label < labels.size() ? std::string(labels.begin()[label].substr(0, labelValueBytes)) : "";
+    }
+    Shard &shard = shardOf(key);
+    {
+        const std::lock_guard guard(shard.lock);
+        if (shard.numbers.contains(key) || shard.distributions.contains(key)) {
+            return key;
+        }
+    }
+    if (m_seriesCounts[family].fetch_add(1) < seriesPerFamily) {
+        return key;
+    }
+    m_seriesCounts[family].fetch_sub(1);
+    std::string other(1, static_cast<char>(family));
+    for (std::size_t label = 0; label < families()[family].labels.size(); ++label) {
+        other += (label == 0 ? "" : std::string(1, separator)) + "other";
+    }
+    return other;
+}
+
+void Metrics::count(Counter counter, LabelValues labels, double amount)
+{
+    const std::string key = seriesKey(familyOf(counter), labels);
+    Shard &shard = shardOf(key);
+    const std::lock_guard guard(shard.lock);
+    shard.numbers[key] += amount;
+}
+
+void Metrics::set(Gauge gauge, LabelValues labels, double value)
+{
+    const std::string key = seriesKey(familyOf(gauge), labels);
+    Shard &shard = shardOf(key);
+    const std::lock_guard guard(shard.lock);
+    shard.numbers[key] = value;
+}
+
+void Metrics::observe(Timing timing, LabelValues labels, Duration duration)
+{
+    const double value = std::max(0.0, std::chrono::duration<double>(duration).count());
+    const std::string key = seriesKey(familyOf(timing), labels);
+    Shard &shard = shardOf(key);
+    const std::lock_guard guard(shard.lock);
+    Distribution &distribution = shard.distributions[key];
+    distribution.histogram(value);
+    distribution.sum += value;
+}
+
+void Metrics::onScrape(std::function<void(Metrics &)> update)
+{
+    const std::lock_guard guard(m_updatesLock);
+    m_updates.push_back(std::move(update));
+}
+
+std::string Metrics::text()
+{
+    {
+        const std::lock_guard guard(m_updatesLock);
+        for (const auto &update : m_updates) {
+            update(*this);
+        }
+    }
+    std::map<std::string, double> numbers;
+    std::map<std::string, Distribution> distributions;
+    for (const auto &shard : m_shards) {
+        const std::lock_guard guard(shard->lock);
+        numbers.insert(shard->numbers.begin(), shard->numbers.end());
+        distributions.insert(shard->distributions.begin(), shard->distributions.end());
+    }
+    static constexpr std::array typeNames{"counter", "gauge", "histogram"};
+    std::string text;
+    for (std::size_t index = 0; index < families().size(); ++index) {
+        const Family &family = families()[index];
+        const std::string name = family.name;
+        text.append("# HELP ").append(name).append(" ").append(family.help).append("\n# TYPE ").append(name).append(" ");
+        text.append(typeNames[static_cast<std::size_t>(family.type)]).append("\n");
+        const std::string first(1, static_cast<char>(index));
+        for (auto at = numbers.lower_bound(first); at != numbers.end() && familyIn(at->first) == index; ++at) {
+            text += name + braced(labelText(family, at->first.substr(1))) + " " + numberText(at->second) + "\n";
+        }
+        for (auto at = distributions.lower_bound(first); at != distributions.end() && familyIn(at->first) == index; ++at) {
+            writeDistribution(text, family.name, labelText(family, at->first.substr(1)), at->second);
+        }
+    }
+    return text;
+}
+
+Metrics &processMetrics()
+{
+    static Metrics metrics;
+    return metrics;
+}
+
+} // namespace snipehill
--- a/src/process/src/settings.cpp
+++ b/src/process/src/settings.cpp
@@ -116,9 +116,12 @@
         if (!root[name].isObject()) {
             fail(name, "must be an object");
         }
+        const std::string prefix = name + ".";
         for (const std::string &member : root[name].getMemberNames()) {
-            if (!known.contains(name + "." + member)) {
-                fail(name + "." + member, "unknown field; known here are " + joinNames(known, name + "."));
+            std::string path = prefix;
+            path += member;
+            if (!known.contains(path)) {
+                fail(path, "unknown field; known here are " + joinNames(known, prefix));
             }
         }
     }
