Run leases, grants, orders, usage reports and role control

ControlPlane starts an entry's control work, SidecarAuthority a sidecar's. A call to the platform is allowed by the lease twice, when it is made and right before its bytes go out, for which the HTTP client asks its caller. Target orders are recorded and read back before they are sent.

--- a/src/connection/include/connection/httpclient.h
+++ b/src/connection/include/connection/httpclient.h
@@ -12,6 +12,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,6 +33,7 @@
     milliseconds timeout{2000}; //!< for the whole call; the connection is aborted at its end
     std::size_t bodyLimit = 16U << 20U; //!< bytes of answer accepted
     Step step = Step::RunOnTarget; //!< stands in the reason of a failure
+    std::function<bool()> maySend; //!< asked right before the bytes go out; false: nothing is sent and the call fails
 };
 
 /**
--- a/src/connection/src/httpclient.cpp
+++ b/src/connection/src/httpclient.cpp
@@ -69,6 +69,10 @@
     request.body() = std::move(call.body);
     request.keep_alive(false);
     request.prepare_payload();
+    if (call.maySend && !call.maySend()) {
+        reason = {call.step, toString(call.peer), "the authority for the call has ended"};
+        co_return std::nullopt;
+    }
     auto [writeError, written] = co_await http::async_write(stream, request, useTuple);
     if (writeError) {
         reason = failure(call.step, call.peer, "send", writeError);
--- a/src/process/include/process/controlplane.h
+++ b/src/process/include/process/controlplane.h
@@ -4,6 +4,7 @@
 #include <connection/rpc.h>
 #include <process/grant.h>
 #include <process/leasekeeper.h>
+#include <process/members.h>
 #include <process/usage.h>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -18,17 +19,6 @@
 namespace snipehill
 {
 
-/** A process as the control work sees it; made from the instance list. */
-struct ControlMember
-{
-    std::string instance;
-    bool sidecar = false;
-    Endpoint link;
-    std::string failureDomain;
-    std::string targetGroup;
-    bool leaving = false;
-};
-
 /** Which engine to change to which role. */
 struct PlannedOrder
 {
@@ -51,7 +41,7 @@
 /** Decisions and views that the control plane asks for; called on I/O threads, must not block. */
 struct ControlHooks
 {
-    std::function<std::vector<ControlMember>()> members;
+    std::function<MemberList()> members;
     std::function<std::vector<std::string>()> roleGroups; //!< target groups whose roles are planned
     /** Next order for a group, or none; busy names the failure domains with an engine in change. */
     std::function<std::optional<PlannedOrder>(const std::string &group, const std::set<std::string> &busy, TimePoint now)> planRoles;
@@ -82,7 +72,7 @@
  *
  * Wiring: construct, add methods() to the link's RpcMethods, start(); the data path calls
  * usageCopies().count() for each answer that ended. stop() releases the leases.
- * Offers usage.read and usage.settled. Thread-safe.
+ * Offers usage.read, usage.settled and lease.epoch. Thread-safe. The hooks must outlive the executor's run.
  */
 class ControlPlane
 {
--- a/src/process/include/process/leasekeeper.h
+++ b/src/process/include/process/leasekeeper.h
@@ -60,6 +60,8 @@
     bool mayCall(const std::string &scope, milliseconds callBound) const;
     /** Fencing number of the lease last held, also past the end of belief while no successor was read. */
     std::optional<Offset> epoch(const std::string &scope) const;
+    /** Highest fencing number of a scope as the log tells; empty until the stream was read once to its end. */
+    std::optional<Offset> highestKnownEpoch(const std::string &scope) const;
     const Incarnation &self() const noexcept;
     std::vector<LeaseStatus> status() const;
 
--- a/src/process/include/process/sidecarauthority.h
+++ b/src/process/include/process/sidecarauthority.h
@@ -20,7 +20,8 @@
 {
     std::function<void()> stopAccepting; //!< new work is answered "not run"
     std::function<std::size_t()> running; //!< requests on the target and in the queue
-    std::function<void(EngineRole role, bool accepting)> resume; //!< end of the order, with the role that the engine has
+    std::function<void()> resumeAccepting; //!< end of the order
+    std::function<void(EngineRole role)> noteRole; //!< the engine told its role
 };
 
 /** Settings of a sidecar's authority over its target. */
@@ -34,7 +35,9 @@
     GrantSettings grant;
     milliseconds drainBound{30000}; //!< an order that can't drain within it fails
     milliseconds confirmBound{60000}; //!< for the engine to end its change
-    milliseconds pollInterval{100};
+    milliseconds pollInterval{100}; //!< between two looks at the drain or the engine's state
+    milliseconds watchInterval{1000}; //!< between two looks at the engine's state without an order
+    milliseconds usageWindow{60000};
 };
 
 /**
@@ -42,8 +45,8 @@
  *
  * Wiring: construct, add methods() to the link's RpcMethods, start(). The data path calls
  * usage().count() when an answer has ended and puts the window into the end frame.
- * Offers grant.request, grant.renew, order.run, order.state, usage.read, usage.settled.
- * Thread-safe.
+ * Offers grant.request, grant.renew, order.run, order.state, lease.epoch, usage.read and usage.settled.
+ * Thread-safe. The hooks must outlive the executor's run.
  */
 class SidecarAuthority
 {
--- a/src/process/include/process/usage.h
+++ b/src/process/include/process/usage.h
@@ -100,8 +100,8 @@
     std::map<WindowNumber, UsageByWorkspace> unreported; //!< closed figures that the platform has not acknowledged
 };
 
-/** Windows for which included bookings are remembered; older ones are not reported any more. */
-constexpr WindowNumber usageHorizonWindows = 10000;
+/** Windows for which included bookings are remembered; older ones are not reported any more. The log must keep records for longer. */
+constexpr WindowNumber usageHorizonWindows = 240;
 
 /**
  * Applies a record. A closed record has effect only if its window is later than all closed ones and no
--- /dev/null
+++ b/src/process/src/grantjson.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <process/rolechange.h>
+
+#include <json/value.h>
+
+#include <optional>
+
+namespace snipehill
+{
+
+/** Parameters of the method grant.request. */
+struct GrantRequest
+{
+    Incarnation holder;
+    Offset fence = noOffset;
+};
+
+std::optional<GrantRequest> parseGrantRequest(const Json::Value &params, Reason &reason);
+
+/** Parameters of the method order.run. */
+std::optional<EngineOrder> parseEngineOrder(const Json::Value &params, Reason &reason);
+
+/** Answer of the engine to GET /state. */
+std::optional<EngineState> parseEngineState(const std::string &text, Reason &reason);
+
+/** {"grant", "validMs"} */
+Json::Value toJson(const Grant &grant, TimePoint now);
+
+/** {"orderId", "state", "final", "detail"} */
+Json::Value toJson(const OrderProgress &progress);
+
+/** Body of POST /orders. */
+std::string engineOrderBody(const EngineOrder &order, Offset fence);
+
+} // namespace snipehill
--- a/src/process/src/leasekeeper.cpp
+++ b/src/process/src/leasekeeper.cpp
@@ -271,6 +271,16 @@
     return holder->second.epoch();
 }
 
+std::optional<Offset> LeaseKeeper::highestKnownEpoch(const std::string &scope) const
+{
+    const std::lock_guard lock(m_state->mutex);
+    if (!m_state->caughtUp) {
+        return std::nullopt;
+    }
+    const auto lease = m_state->table.scopes.find(scope);
+    return lease == m_state->table.scopes.end() ? noOffset : lease->second.epoch;
+}
+
 const Incarnation &LeaseKeeper::self() const noexcept
 {
     return m_state->self;
--- /dev/null
+++ b/src/process/src/platformcall.cpp
@@ -0,0 +1,87 @@
+#include "platformcall.h"
+
+#include <connection/httpclient.h>
+#include <process/logclient.h>
+
+#include <json/reader.h>
+#include <json/writer.h>
+
+#include <memory>
+
+namespace snipehill
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+std::string write(const Json::Value &value)
+{
+    Json::StreamWriterBuilder writer;
+    writer["indentation"] = "";
+    return Json::writeString(writer, value);
+}
+
+std::optional<Json::Value> parse(const std::string &text)
+{
+    const Json::CharReaderBuilder builder;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    Json::Value value;
+    if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr) || !value.isObject()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+} // namespace
+
+asio::awaitable<std::optional<Json::Value>> callPlatform(LeaseKeeper &leases, PlatformCall call, Reason &reason)
+{
+    const std::optional<Offset> epoch = leases.epoch(call.scope);
+    if (!epoch || !leases.mayCall(call.scope, call.bound)) {
+        reason = {Step::Lease, "", "the lease is not held for as long as the call may take"};
+        co_return std::nullopt;
+    }
+    call.body["holder"] = leases.self().instance;
+    call.body["epoch"] = Json::Int64(*epoch);
+    HttpCall http{.peer = call.service, .method = boost::beast::http::verb::post, .timeout = call.bound, .step = call.step};
+    http.target = call.path;
+    http.body = write(call.body);
+    http.maySend = [&leases, scope = call.scope, bound = call.bound, epoch] {
+        return leases.epoch(scope) == epoch && leases.mayCall(scope, bound);
+    };
+    const auto response = co_await httpCall(std::move(http), reason);
+    if (!response) {
+        co_return std::nullopt;
+    }
+    if (response->result_int() != 200) {
+        reason = {call.step, toString(call.service), "platform answered " + std::to_string(response->result_int())};
+        co_return std::nullopt;
+    }
+    co_return parse(response->body());
+}
+
+asio::awaitable<bool> readLogToEnd(LogReader &reader, Reason &reason)
+{
+    while (true) {
+        const auto page = co_await readLog(reader.log, reader.stream, reader.next, milliseconds(0), reason);
+        if (!page) {
+            co_return false;
+        }
+        if (reader.started && reader.next < page->firstRetained) {
+            reader.onGap();
+        }
+        reader.started = true;
+        for (const LogRecord &record : page->records) {
+            reader.onRecord(record.offset, record.value);
+        }
+        if (page->records.empty()) {
+            reader.next = page->next;
+            co_return true;
+        }
+        reader.next = page->records.back().offset + 1;
+    }
+}
+
+} // namespace snipehill
--- /dev/null
+++ b/src/process/src/targetcontrol.cpp
@@ -0,0 +1,108 @@
+#include "targetcontrol.h"
+
+#include <process/log.h>
+#include <process/logclient.h>
+
+#include <utility>
+
+namespace snipehill
+{
+
+namespace asio = boost::asio;
+
+TargetControl::TargetControl(const ControlSettings &settings, const ControlHooks &hooks, LeaseKeeper &leases, std::string failureDomain)
+    : m_settings(settings), m_hooks(hooks), m_leases(leases), m_scope(scopes::targets(failureDomain))
+{
+    m_ledger.failureDomain = std::move(failureDomain);
+    m_reader.log = settings.log;
+    m_reader.stream = streams::orders;
+    m_reader.onGap = [this] {
+        m_ledger = OrderLedger{.failureDomain = m_ledger.failureDomain};
+    };
+    m_reader.onRecord = [this](Offset, const Json::Value &value) {
+        Reason reason;
+        if (const auto record = parseOrderRecord(value, reason)) {
+            applyOrderRecord(m_ledger, *record);
+        }
+    };
+}
+
+void TargetControl::logFailure(const char *message, const Reason &reason) const
+{
+    logEvent(Part::Orders, Level::Warning, message, reason, {{"failureDomain", m_ledger.failureDomain}});
+}
+
+asio::awaitable<void> TargetControl::step()
+{
+    if (!m_leases.mayCall(m_scope, m_settings.callBound)) {
+        co_return;
+    }
+    Reason reason;
+    const bool read = co_await readLogToEnd(m_reader, reason);
+    if (!read) {
+        logFailure("could not read orders", reason);
+        co_return;
+    }
+    if (m_ledger.pending.empty()) {
+        co_await recordNext();
+    }
+    co_await sendPending();
+}
+
+asio::awaitable<void> TargetControl::recordNext()
+{
+    const auto planned = m_hooks.planTargets ? m_hooks.planTargets(m_ledger.failureDomain, Clock::now()) : std::nullopt;
+    const auto epoch = m_leases.epoch(m_scope);
+    if (!planned || !epoch) {
+        co_return;
+    }
+    TargetOrder order;
+    order.orderId = randomRequestId();
+    order.start = planned->start;
+    order.targetGroup = planned->targetGroup;
+    order.failureDomain = m_ledger.failureDomain;
+    order.instance = planned->instance;
+    order.epoch = *epoch;
+    Reason reason;
+    std::vector<Json::Value> records;
+    records.push_back(toJson(order));
+    // Whether it was recorded is learnt by reading back, here or in the next round.
+    co_await appendLog(m_settings.log, streams::orders, std::move(records), reason);
+    const bool read = co_await readLogToEnd(m_reader, reason);
+    if (!read) {
+        logFailure("could not read back an order", reason);
+    }
+}
+
+asio::awaitable<void> TargetControl::sendPending()
+{
+    const std::map<std::string, TargetOrder> pending = m_ledger.pending;
+    for (const auto &[id, order] : pending) {
+        PlatformCall call{
+            .service = m_settings.targets, .path = order.start ? "/targets/start" : "/targets/stop", .scope = m_scope, .bound = m_settings.callBound};
+        call.body["orderId"] = order.orderId;
+        if (order.start) {
+            call.body["targetGroup"] = order.targetGroup;
+            call.body["failureDomain"] = order.failureDomain;
+        } else {
+            call.body["instance"] = order.instance;
+        }
+        Reason reason;
+        const auto answer = co_await callPlatform(m_leases, std::move(call), reason);
+        if (!answer) {
+            logFailure("target order has no answer yet", reason);
+            co_return;
+        }
+        TargetOrderDone done{order.orderId, order.failureDomain, order.instance};
+        if (order.start && (*answer)["instance"].isString()) {
+            done.instance = (*answer)["instance"].asString();
+        }
+        logEvent(Part::Orders, Level::Info, order.start ? "target started" : "target stopped", {{"instance", done.instance}, {"order", done.orderId}});
+        // Without this record the order is sent once more under its id, which the platform answers alike.
+        std::vector<Json::Value> records;
+        records.push_back(toJson(done));
+        co_await appendLog(m_settings.log, streams::orders, std::move(records), reason);
+    }
+}
+
+} // namespace snipehill
