--- a/src/process/src/members.cpp
+++ b/src/process/src/members.cpp
@@ -71,11 +71,10 @@
     return members;
 }
 
-struct Members::State {
+struct Members::State
+{
     State(Endpoint listEndpoint, milliseconds pollInterval, asio::any_io_executor executor)
-        : list(std::move(listEndpoint))
-        , poll(pollInterval)
-        , strand(asio::make_strand(std::move(executor)))
+        : list(std::move(listEndpoint)), poll(pollInterval), strand(asio::make_strand(std::move(executor)))
     {
     }
     Endpoint list;
--- a/src/serving/src/callerrequest.cpp
+++ b/src/serving/src/callerrequest.cpp
@@ -101,10 +101,10 @@
     return std::nullopt;
 }
 
-bool isChatBody(const ConfigVersion &config, const Route &route)
+TargetKind kindOf(const ConfigVersion &config, const Route &route)
 {
     const auto group = config.targetGroups.find(route.targetGroup);
-    return group != config.targetGroups.end() && group->second.value.kind == TargetKind::Engine;
+    return group == config.targetGroups.end() ? TargetKind::Service : group->second.value.kind;
 }
 
 } // namespace
@@ -148,7 +148,8 @@
     if (auto refusal = readIdempotencyKey(request, requestId, result)) {
         return std::move(*refusal);
     }
-    const bool chat = isChatBody(*checks.config, *route);
+    result.kind = kindOf(*checks.config, *route);
+    const bool chat = result.kind == TargetKind::Engine;
     if (chat && !nestingWithin(request.body(), checks.jsonDepth)) {
         return rejected(400, Step::Parse, "the body is nested too deeply");
     }
--- a/src/serving/src/callerrequest.h
+++ b/src/serving/src/callerrequest.h
@@ -31,6 +31,7 @@
     TimePoint received{};
     TimePoint deadline{};
     CostEstimate cost;
+    TargetKind kind = TargetKind::Service; //!< of the route's target group
     std::uint64_t fingerprint = 0;
 };
 
--- a/src/serving/src/entry.cpp
+++ b/src/serving/src/entry.cpp
@@ -6,7 +6,9 @@
 #include "wireconvert.h"
 
 #include <connection/httpserver.h>
+#include <process/adminserver.h>
 #include <process/log.h>
+#include <process/metrics.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -47,9 +49,12 @@
         , links(executor, identity, linkHandlers())
         , config(followerOptions(settings), executor, links.peerCall())
         , context{.settings = settings, .config = config, .members = members, .links = links, .targets = targets, .router = router}
-        , callers(executor, callerLimits(settings.callers), [this](HttpExchange &exchange) {
-            return serveCaller(context, exchange);
-        })
+        , callers(executor,
+                  callerLimits(settings.callers),
+                  [this](HttpExchange &exchange) {
+                      return serveCaller(context, exchange);
+                  })
+        , admin(executor, settings, processMetrics())
     {
     }
 
@@ -95,6 +100,23 @@
         }
     }
 
+    bool startAdmin(Reason &reason)
+    {
+        admin.addReadiness([this] {
+            return draining ? std::optional<std::string>("draining") : std::nullopt;
+        });
+        admin.addReadiness([this] {
+            return config.ready() ? std::nullopt : std::optional<std::string>("no configuration yet");
+        });
+        admin.addStatus("config", [this] {
+            return config.status(Clock::now());
+        });
+        admin.addStatus("targets", [this] {
+            return targetsStatus(targets.allViews(Clock::now()));
+        });
+        return admin.start(reason);
+    }
+
     asio::any_io_executor executor;
     LinkIdentity identity;
     AttemptRouter router;
@@ -104,6 +126,7 @@
     ConfigFollower config;
     EntryContext context;
     HttpServer callers;
+    AdminServer admin;
     std::unique_ptr<LinkServer> linkServer;
     std::atomic<std::uint64_t> droppedFrames{0}; //!< of attempts that have ended or were replaced
     std::atomic<bool> draining{false};
@@ -127,7 +150,7 @@
         parts.links.keepOpen(parts.targets.subsetLinks());
         parts.config.setPeers(configPeers(*members, self));
     });
-    if (!parts.linkServer->start(settings.link.listen, reason)) {
+    if (!parts.linkServer->start(settings.link.listen, reason) || !parts.startAdmin(reason)) {
         return false;
     }
     parts.links.start();
--- a/src/serving/src/entryrequest.cpp
+++ b/src/serving/src/entryrequest.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace snipehill
 {
@@ -47,7 +48,11 @@
 private:
     PlacementRequest placement() const
     {
-        return {.promptTokens = m_request.cost.promptTokens, .outputTokens = m_request.cost.outputTokens, .alone = m_alone};
+        return {.promptTokens = m_request.cost.promptTokens,
+                .outputTokens = m_request.cost.outputTokens,
+                .alone = m_alone,
+                .fingerprint = m_request.fingerprint,
+                .kind = m_request.kind};
     }
 
     std::vector<TargetView> views() const
@@ -62,7 +67,9 @@
         request.promptTokens = m_request.cost.promptTokens;
         request.outputTokens = m_request.cost.outputTokens;
         request.remaining = m_request.deadline - now;
-        request.predictedDelay = bestPredictedDelay(views(), placement(), ChoiceSettings());
+        Reason reason;
+        m_first = chooseTarget(views(), placement(), m_tried, randomId(), ChoiceSettings(), reason);
+        request.forecast = m_first ? std::optional(m_first->cost) : std::nullopt;
         auto &shard = m_context.admission.of(m_request.workspace.name);
         const std::lock_guard lock(shard.lock);
         return admit(shard.admission, m_request.workspace, request, m_context.targets.liveEntries(), AdmissionSettings(), now);
@@ -131,7 +138,9 @@
         const std::vector<TargetView> targets = views();
         std::string instance;
         if (m_request.route.idempotent) {
-            const auto choice = chooseTarget(targets, placement(), m_tried, randomId(), ChoiceSettings(), reason);
+            // The first attempt goes where admission expected it to.
+            const auto choice = m_first ? std::exchange(m_first, std::nullopt)
+                                        : chooseTarget(targets, placement(), m_tried, randomId(), ChoiceSettings(), reason);
             instance = choice ? choice->instance : std::string();
         } else {
             instance = keyedTarget(targets, reason);
@@ -260,6 +269,7 @@
     std::vector<std::string> m_tried; //!< instances that refused or failed
     std::optional<Incarnation> m_owner; //!< of the idempotency key, which alone can answer
     std::optional<Refusal> m_last;
+    std::optional<TargetChoice> m_first; //!< choice that admission was based on, until it is used
     bool m_mayHaveRun = false;
     bool m_alone = false;
 };
--- a/src/serving/src/sidecar.cpp
+++ b/src/serving/src/sidecar.cpp
@@ -4,7 +4,9 @@
 #include "sidecarcontext.h"
 #include "wireconvert.h"
 
+#include <process/adminserver.h>
 #include <process/log.h>
+#include <process/metrics.h>
 #include <serving/linktable.h>
 
 #include <boost/asio/as_tuple.hpp>
@@ -49,6 +51,7 @@
                               targetChanged();
                           }},
                   .intents{intentOptions(settings, self), executor}}
+        , admin(executor, settings, processMetrics())
     {
     }
 
@@ -189,6 +192,40 @@
         finished();
     }
 
+    bool startAdmin(Reason &reason)
+    {
+        admin.addReadiness([this] {
+            return context.leaving ? std::optional<std::string>("draining") : std::nullopt;
+        });
+        admin.addReadiness([this] {
+            return config.ready() ? std::nullopt : std::optional<std::string>("no configuration yet");
+        });
+        admin.addReadiness([this] {
+            return context.health.up() ? std::nullopt : std::optional<std::string>("the target is down");
+        });
+        admin.addStatus("config", [this] {
+            return config.status(Clock::now());
+        });
+        admin.addStatus("target", [this] {
+            return targetStatus();
+        });
+        return admin.start(reason);
+    }
+
+    Json::Value targetStatus() const
+    {
+        LoadReport report;
+        context.queue.describe(report);
+        Json::Value status;
+        status["group"] = context.settings.target.group;
+        status["up"] = context.health.up();
+        status["accepting"] = context.accepting();
+        status["role"] = toString(context.role.load());
+        status["running"] = report.running;
+        status["queued"] = report.queued;
+        return status;
+    }
+
     asio::any_io_executor executor;
     Incarnation self;
     LinkIdentity identity;
@@ -196,6 +233,7 @@
     LinkTable peers;
     ConfigFollower config;
     SidecarContext context;
+    AdminServer admin;
     std::unique_ptr<LinkServer> server;
     std::atomic<bool> stopped{false};
 };
@@ -213,7 +251,7 @@
     LinkHandlers handlers = parts.serverHandlers();
     handlers.rpc = std::make_shared<RpcDispatcher>(std::move(methods));
     parts.server = std::make_unique<LinkServer>(parts.executor, parts.identity, std::move(handlers));
-    if (!parts.server->start(settings.link.listen, reason)) {
+    if (!parts.server->start(settings.link.listen, reason) || !parts.startAdmin(reason)) {
         return false;
     }
     parts.members.onChange([&parts](const MemberList &members) {
