--- /dev/null
+++ b/tests/proofs/supporttest.cpp
@@ -0,0 +1,111 @@
+#include "support/checkers.h"
+#include "support/cluster.h"
+#include "support/wait.h"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace snipehill;
+using namespace snipehill::support;
+
+namespace
+{
+
+ClusterOptions twoTargets()
+{
+    ClusterOptions options;
+    options.entries = 0;
+    options.targets = {{.kind = "engine"}, {.kind = "service", .group = "licences"}};
+    return options;
+}
+
+Call chatCall(const std::string &content, int tokens)
+{
+    Call call;
+    call.method = "POST";
+    call.target = "/v1/chat/completions";
+    call.headers["X-Request-Id"] = "r-" + content;
+    call.body = R"({"messages":[{"role":"user","content":")" + content + R"("}],"stream":true,"max_tokens":)" + std::to_string(tokens) + "}";
+    return call;
+}
+
+} // namespace
+
+TEST_CASE("Stand-ins keep journals that outlive them", "[support]")
+{
+    Cluster cluster(twoTargets());
+    cluster.startStandIn(cluster.targets[0]);
+    cluster.startStandIn(cluster.targets[1]);
+
+    const Call call = chatCall("hello there", 5);
+    CallerRecord caller{.call = call, .answer = callOnce(cluster.targets[0].endpoint, call)};
+    CHECK(wholeAnswer({caller}) == Violations{});
+
+    Call deadly{.method = "POST", .target = "/fees", .headers = {{"Idempotency-Key", "k"}}, .body = "DIE-AFTER"};
+    CHECK_FALSE(callOnce(cluster.targets[1].endpoint, deadly).whole);
+    CHECK(cluster.targets[1].process->waitForEnd(generousBound) == 70);
+    CHECK(eventsOf(cluster.journalOf(cluster.targets[1]), "run").size() == 1);
+
+    Call crash = chatCall("CRASH-ME", 5);
+    CHECK_FALSE(callOnce(cluster.targets[0].endpoint, crash).whole);
+    CHECK(cluster.targets[0].process->waitForEnd(generousBound) == 70);
+    CHECK(eventsOf(cluster.targetJournal(), "received").size() == 3);
+}
+
+TEST_CASE("The relay drops, silences and refuses connections", "[support]")
+{
+    Cluster cluster(twoTargets());
+    StandIn &engine = cluster.targets[0];
+    cluster.startStandIn(engine);
+    Relay relay(engine.endpoint);
+    Client client(relay.endpoint());
+    CHECK(client.call({.target = "/load"}).status == 200);
+    CHECK(client.call({.target = "/load"}).status == 200);
+    CHECK(client.connections() == 1);
+
+    Call call = chatCall("long", 400);
+    call.timeout = milliseconds(1500);
+    int pieces = 0;
+    const auto onPiece = [&pieces](int wanted, const std::function<void()> &act) {
+        return [&pieces, wanted, act](std::string_view) {
+            if (++pieces == wanted) {
+                act();
+            }
+        };
+    };
+    call.onData = onPiece(5, [&relay] {
+        relay.dropConnections();
+    });
+    const Answer dropped = client.call(call);
+    CHECK_FALSE(dropped.whole);
+    CHECK(dropped.error.find("timeout") == std::string::npos);
+
+    pieces = 0;
+    call.onData = onPiece(5, [&relay] {
+        relay.silenceConnections();
+    });
+    const Answer silent = client.call(call);
+    CHECK_FALSE(silent.whole);
+    CHECK(silent.ended - silent.sent >= call.timeout);
+    CHECK(callOnce(relay.endpoint(), {.target = "/load"}).status == 200);
+
+    relay.refuse(true);
+    CHECK_FALSE(callOnce(relay.endpoint(), {.target = "/load"}).whole);
+}
+
+TEST_CASE("The log stand-in loses answers and drops old records", "[support]")
+{
+    Cluster cluster(twoTargets());
+    cluster.startStandIn(cluster.log);
+    CHECK(cluster.publish({workspaceRecord("a")}) == 0);
+    CHECK(cluster.publish({workspaceRecord("a")}) == 1);
+    CHECK(cluster.records("config")[1]["replaces"] == 0);
+    cluster.setFaults(cluster.log, R"({"config.answerLost": 1})");
+    CHECK_THROWS(cluster.publish({workspaceRecord("b")}));
+    CHECK(cluster.records("config").size() == 3);
+    callOnce(cluster.log.control, postJson("/retain", parseJson(R"({"stream":"config","from":2})").value()));
+    CHECK(cluster.records("config").size() == 1);
+    cluster.setFaults(cluster.log, R"({"outage": true})");
+    CHECK_THROWS(cluster.publish({workspaceRecord("b")}));
+}
--- a/tests/support/client.cpp
+++ b/tests/support/client.cpp
@@ -138,7 +138,6 @@
     }
     Parser parser;
     parser.body_limit(bodyLimit);
-    parser.eager(true);
     if (!error) {
         m_state->stream.expires_at(end);
         const auto request = toRequest(call, m_state->server);
