Add snipehillctl

Operators drive the system by records, so the tool plans the records that lead from what is in force to what is declared, in an order in which each finds what it refers to, and tries them on a copy of the configuration before anything is appended. Each names the record that it replaces, so an operator who was overtaken is told which records had no effect. An append without an answer is resolved by reading back; repeating is safe, because a second copy names a record that is no longer the latest. Keys are made as files beside the other records: weighed against appending them directly, which would leave version control behind what is in force.

Unit tests pass (tables of wrong records, references, order, races; 2000 mutated records).

--- /dev/null
+++ b/src/ctl/blocking.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <exception>
+#include <optional>
+#include <utility>
+
+namespace snipehill
+{
+
+/** Runs a coroutine to its end on the calling thread. */
+template<typename Result> Result runBlocking(boost::asio::awaitable<Result> work)
+{
+    boost::asio::io_context context;
+    std::optional<Result> result;
+    boost::asio::co_spawn(context, std::move(work), [&result](const std::exception_ptr &error, Result value) {
+        if (error) {
+            std::rethrow_exception(error);
+        }
+        result = std::move(value);
+    });
+    context.run();
+    return std::move(*result);
+}
+
+} // namespace snipehill
--- a/src/process/src/settings.cpp
+++ b/src/process/src/settings.cpp
@@ -2,12 +2,12 @@
 
 #include "settingstable.h"
 
+#include <version/jsonfields.h>
+
 #include <boost/asio/ip/address.hpp>
-#include <json/reader.h>
 #include <json/value.h>
 
 #include <fstream>
-#include <memory>
 #include <set>
 #include <sstream>
 
@@ -17,8 +17,6 @@
 namespace
 {
 
-constexpr int nestingLimit = 16;
-
 /** Thrown inside this file only: unwinds to parseSettings(). */
 struct Invalid
 {
@@ -30,37 +28,17 @@
     throw Invalid{path + ": " + problem};
 }
 
-std::string firstLine(std::string text)
+Json::Value parseObject(std::string_view text)
 {
-    for (char &c : text) {
-        c = c == '\n' ? ' ' : c;
-    }
-    while (text.ends_with(' ')) {
-        text.pop_back();
-    }
-    return text;
-}
-
-Json::Value parseJson(std::string_view text)
-{
-    Json::CharReaderBuilder builder;
-    builder["rejectDupKeys"] = true;
-    builder["failIfExtra"] = true;
-    builder["stackLimit"] = nestingLimit;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value root;
-    std::string errors;
-    try {
-        if (!reader->parse(text.data(), text.data() + text.size(), &root, &errors)) {
-            throw Invalid{firstLine(errors)};
-        }
-    } catch (const Json::Exception &) {
-        throw Invalid{"values nest too deeply"};
+    Reason reason;
+    auto root = parseJson(text, reason);
+    if (!root) {
+        throw Invalid{reason.detail};
     }
-    if (!root.isObject()) {
+    if (!root->isObject()) {
         throw Invalid{"the file must hold one JSON object"};
     }
-    return root;
+    return std::move(*root);
 }
 
 const Json::Value *find(const Json::Value &root, const std::string &path)
@@ -197,7 +175,7 @@
 std::optional<Settings> parseSettings(std::string_view text, Reason &reason)
 {
     try {
-        const Json::Value root = parseJson(text);
+        const Json::Value root = parseObject(text);
         rejectUnknown(root);
         Settings settings;
         for (const TableField &field : settingsTable()) {
--- /dev/null
+++ b/tests/ctl/declarationstest.cpp
@@ -0,0 +1,212 @@
+#include <ctl/changes.h>
+#include <ctl/declarations.h>
+
+#include <version/configapply.h>
+
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <random>
+
+using namespace snipehill;
+
+namespace
+{
+
+/** A directory of record files that goes with the test. */
+class RecordDirectory
+{
+public:
+    RecordDirectory() : m_path(std::filesystem::temp_directory_path() / ("snipehill-records-" + std::to_string(randomId())))
+    {
+        std::filesystem::create_directories(m_path / "below");
+    }
+    ~RecordDirectory()
+    {
+        std::filesystem::remove_all(m_path);
+    }
+    RecordDirectory(const RecordDirectory &) = delete;
+    RecordDirectory &operator=(const RecordDirectory &) = delete;
+
+    void write(const std::string &name, const std::string &text) const
+    {
+        std::ofstream(m_path / name) << text;
+    }
+    std::string path() const
+    {
+        return m_path.string();
+    }
+
+private:
+    std::filesystem::path m_path;
+};
+
+const std::string workspaceText = R"({ // a tenant
+    "kind": "workspace", "schemaVersion": 1, "name": "bureau", "spec": {"weight": 2}})";
+const std::string groupText = R"({"kind": "targetGroup", "schemaVersion": 1, "name": "licences", "spec": {"kind": "service", "maxTargets": 4}})";
+const std::string routeText
+    = R"({"kind": "route", "schemaVersion": 1, "name": "fees", "spec": {"prefix": "/fees", "targetGroup": "licences", "idempotent": false}})";
+const std::string keyText = R"({"kind": "key", "schemaVersion": 1, "name": "bureau-1", "spec": {"workspace": "bureau",
+    "sha256": "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"}})";
+
+std::vector<Declaration> declared(const std::vector<std::string> &texts)
+{
+    std::vector<Declaration> records;
+    for (const std::string &text : texts) {
+        Reason reason;
+        const auto file = parseRecordFile(text, reason);
+        INFO(text << ": " << reason.detail);
+        REQUIRE(file);
+        records.push_back({toText(file->envelope.object), *file});
+    }
+    return records;
+}
+
+ConfigVersion applied(const std::vector<std::string> &texts)
+{
+    ConfigVersion config;
+    for (const Change &change : planChanges(declared(texts), config, false)) {
+        REQUIRE(applyRecord(config, config.offset + 1, change.record).outcome == ApplyOutcome::Effective);
+    }
+    return config;
+}
+
+std::string with(std::string text, const std::string &what, const std::string &by)
+{
+    const auto at = text.find(what);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, what.size(), by);
+}
+
+} // namespace
+
+TEST_CASE("a directory of records is read with its subdirectories", "[ctl]")
+{
+    const RecordDirectory directory;
+    directory.write("workspace.json", workspaceText);
+    directory.write("below/group.json", groupText);
+    directory.write("below/route.json", routeText);
+    directory.write("notes.txt", "not a record");
+    const Declarations declarations = loadDeclarations(directory.path());
+    REQUIRE(toText(declarations.problems).empty());
+    REQUIRE(declarations.records.size() == 3);
+    REQUIRE(toText(checkTogether(declarations.records)).empty());
+}
+
+TEST_CASE("each wrong record is named by its file with the reason", "[ctl]")
+{
+    struct Case
+    {
+        std::string text;
+        const char *says;
+    };
+    for (const Case &c : {
+             Case{with(workspaceText, "\"weight\"", "\"wait\""), "spec.wait"},
+             {with(workspaceText, "2}", "-1}"), "spec.weight"},
+             {with(workspaceText, "2}", "\"2\"}"), "spec.weight"},
+             {with(workspaceText, "\"workspace\"", "\"workshop\""), "kind"},
+             {with(workspaceText, "\"schemaVersion\": 1", "\"schemaVersion\": 99"), "schemaVersion"},
+             {with(workspaceText, "}}", "}"), "ine 2"},
+             {with(keyText, "0123", "012"), "spec.sha256"},
+             {with(routeText, "\"/fees\"", "\"fees\""), "spec.prefix"},
+             {with(groupText, "4}", "0}"), "spec.maxTargets"},
+             {"", "ine 1"},
+             {"[]", "object"},
+             {std::string(50000, '['), ""},
+             {std::string("{\"kind\":\"\0\"}", 12), ""},
+         }) {
+        const RecordDirectory directory;
+        directory.write("wrong.json", c.text);
+        const Declarations declarations = loadDeclarations(directory.path());
+        INFO(c.text.substr(0, 200) << "\n" << toText(declarations.problems));
+        REQUIRE(declarations.problems.size() == 1);
+        REQUIRE(declarations.problems[0].path.ends_with("wrong.json"));
+        REQUIRE_FALSE(declarations.problems[0].detail.empty());
+        REQUIRE(declarations.problems[0].detail.find(c.says) != std::string::npos);
+    }
+}
+
+TEST_CASE("mutated records never pass without a reason", "[ctl][fuzz]")
+{
+    constexpr unsigned seed = 77001;
+    INFO("seed " << seed);
+    std::mt19937 random(seed);
+    const std::vector<std::string> texts{workspaceText, groupText, routeText, keyText};
+    for (int round = 0; round < 2000; ++round) {
+        std::string text = texts[random() % texts.size()];
+        for (unsigned edit = 0; edit < 1 + random() % 3; ++edit) {
+            text[random() % text.size()] = char(random() % 256);
+        }
+        Reason reason;
+        const auto file = parseRecordFile(text, reason);
+        REQUIRE((file || !reason.detail.empty()));
+    }
+}
+
+TEST_CASE("a directory that is not there is a problem", "[ctl]")
+{
+    REQUIRE(loadDeclarations("/nonexistent/records").problems.size() == 1);
+}
+
+TEST_CASE("references and doubles between files are found offline", "[ctl]")
+{
+    struct Case
+    {
+        std::vector<std::string> texts;
+        const char *says;
+    };
+    for (const Case &c : {
+             Case{{workspaceText, workspaceText}, "declared in"},
+             {{routeText}, "targetGroup"},
+             {{keyText}, "workspace"},
+             {{groupText, routeText, with(routeText, "\"name\": \"fees\"", "\"name\": \"other\"")}, "prefix"},
+         }) {
+        const auto problems = checkTogether(declared(c.texts));
+        REQUIRE(problems.size() == 1);
+        INFO(toText(problems));
+        REQUIRE(problems[0].detail.find(c.says) != std::string::npos);
+    }
+}
+
+TEST_CASE("changes lead from what is in force to what is declared", "[ctl]")
+{
+    const ConfigVersion config = applied({workspaceText, groupText, routeText, keyText});
+    REQUIRE(planChanges(declared({routeText, keyText, groupText, workspaceText}), config, true).empty());
+
+    const auto updates = planChanges(declared({with(workspaceText, "2}", "3}")}), config, false);
+    REQUIRE(updates.size() == 1);
+    REQUIRE(updates[0].kind == ChangeKind::Update);
+    REQUIRE(updates[0].fields == std::vector<std::string>{"weight: 2 -> 3"});
+    REQUIRE(updates[0].record["replaces"].asInt64() == 0);
+
+    const std::string withdrawn = R"({"kind": "key", "schemaVersion": 1, "name": "bureau-1", "withdrawn": true})";
+    const auto withdrawals = planChanges(declared({withdrawn}), config, false);
+    REQUIRE(withdrawals.size() == 1);
+    REQUIRE(withdrawals[0].kind == ChangeKind::Withdraw);
+    REQUIRE(rejectedChanges(config, withdrawals).empty());
+    REQUIRE(planChanges(declared({withdrawn}), ConfigVersion{}, false).empty());
+}
+
+TEST_CASE("pruning withdraws what no file declares, users first", "[ctl]")
+{
+    const ConfigVersion config = applied({workspaceText, groupText, routeText, keyText});
+    const auto keep = declared({workspaceText});
+    REQUIRE(planChanges(keep, config, false).empty());
+    REQUIRE(undeclaredObjects(keep, config).size() == 3);
+    const auto changes = planChanges(keep, config, true);
+    REQUIRE(changes.size() == 3);
+    REQUIRE(changes.back().object.kind == RecordKind::TargetGroup);
+    REQUIRE(rejectedChanges(config, changes).empty());
+}
+
+TEST_CASE("a record planned from an old version loses the race", "[ctl]")
+{
+    ConfigVersion config = applied({workspaceText});
+    const auto mine = planChanges(declared({with(workspaceText, "2}", "3}")}), config, false);
+    const auto theirs = planChanges(declared({with(workspaceText, "2}", "4}")}), config, false);
+    REQUIRE(applyRecord(config, config.offset + 1, theirs[0].record).outcome == ApplyOutcome::Effective);
+    const auto lost = rejectedChanges(config, mine);
+    REQUIRE(lost.size() == 1);
+    REQUIRE(lost[0].detail.find("replaces") != std::string::npos);
+}
