--- a/src/serving/src/entryrequest.cpp
+++ b/src/serving/src/entryrequest.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace snipehill
 {
@@ -29,12 +30,7 @@
 class Request
 {
 public:
-    Request(EntryContext &context, CallerRequest request, CallerAnswer &answer)
-        : m_context(context)
-        , m_request(std::move(request))
-        , m_answer(answer)
-    {
-    }
+    Request(EntryContext &context, CallerRequest request, CallerAnswer &answer) : m_context(context), m_request(std::move(request)), m_answer(answer) { }
 
     asio::awaitable<void> run()
     {
@@ -52,7 +48,11 @@
 private:
     PlacementRequest placement() const
     {
-        return {.promptTokens = m_request.cost.promptTokens, .outputTokens = m_request.cost.outputTokens, .alone = m_alone};
+        return {.promptTokens = m_request.cost.promptTokens,
+                .outputTokens = m_request.cost.outputTokens,
+                .alone = m_alone,
+                .fingerprint = m_request.fingerprint,
+                .kind = m_request.kind};
     }
 
     std::vector<TargetView> views() const
@@ -67,7 +67,9 @@
         request.promptTokens = m_request.cost.promptTokens;
         request.outputTokens = m_request.cost.outputTokens;
         request.remaining = m_request.deadline - now;
-        request.predictedDelay = bestPredictedDelay(views(), placement(), ChoiceSettings());
+        Reason reason;
+        m_first = chooseTarget(views(), placement(), m_tried, randomId(), ChoiceSettings(), reason);
+        request.forecast = m_first ? std::optional(m_first->cost) : std::nullopt;
         auto &shard = m_context.admission.of(m_request.workspace.name);
         const std::lock_guard lock(shard.lock);
         return admit(shard.admission, m_request.workspace, request, m_context.targets.liveEntries(), AdmissionSettings(), now);
@@ -136,7 +138,9 @@
         const std::vector<TargetView> targets = views();
         std::string instance;
         if (m_request.route.idempotent) {
-            const auto choice = chooseTarget(targets, placement(), m_tried, randomId(), ChoiceSettings(), reason);
+            // The first attempt goes where admission expected it to.
+            const auto choice = m_first ? std::exchange(m_first, std::nullopt)
+                                        : chooseTarget(targets, placement(), m_tried, randomId(), ChoiceSettings(), reason);
             instance = choice ? choice->instance : std::string();
         } else {
             instance = keyedTarget(targets, reason);
@@ -154,7 +158,7 @@
         std::vector<TargetMember> members;
         for (const TargetView &target : targets) {
             const bool tried = std::find(m_tried.begin(), m_tried.end(), target.instance) != m_tried.end();
-            if (!tried && isEligible(target, placement())) {
+            if (!tried && isEligible(target)) {
                 members.push_back({target.instance, target.failureDomain});
             }
         }
@@ -199,11 +203,7 @@
     /** The refusal that ends the request, or empty when another attempt may be made. */
     std::optional<Refusal> judgeResult(const AttemptResult &result, const AttemptTarget &target)
     {
-        logEvent(Part::Entry,
-                 Level::Info,
-                 "attempt failed",
-                 result.refusal.reason,
-                 {{"request", m_request.id}, {"outcome", toString(result.refusal.outcome)}});
+        logEvent(Part::Entry, Level::Info, "attempt failed", result.refusal.reason, {{"request", m_request.id}, {"outcome", toString(result.refusal.outcome)}});
         m_answer.discardHeld();
         m_tried.push_back(target.instance);
         noteCrashOf(result, target);
@@ -269,11 +269,12 @@
     std::vector<std::string> m_tried; //!< instances that refused or failed
     std::optional<Incarnation> m_owner; //!< of the idempotency key, which alone can answer
     std::optional<Refusal> m_last;
+    std::optional<TargetChoice> m_first; //!< choice that admission was based on, until it is used
     bool m_mayHaveRun = false;
     bool m_alone = false;
 };
 
-}
+} // namespace
 
 asio::awaitable<void> serveCaller(EntryContext &context, HttpExchange &exchange)
 {
@@ -290,4 +291,4 @@
     co_await run.run();
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/sidecar.cpp
+++ b/src/serving/src/sidecar.cpp
@@ -4,7 +4,9 @@
 #include "sidecarcontext.h"
 #include "wireconvert.h"
 
+#include <process/adminserver.h>
 #include <process/log.h>
+#include <process/metrics.h>
 #include <serving/linktable.h>
 
 #include <boost/asio/as_tuple.hpp>
@@ -26,9 +28,10 @@
 constexpr int sweepsPerCleaning = 20; //!< attempts nobody asks for are looked for once a second
 constexpr milliseconds drainPoll{50};
 
-}
+} // namespace
 
-struct Sidecar::Parts {
+struct Sidecar::Parts
+{
     Parts(asio::io_context &io, const Settings &settings)
         : executor(io.get_executor())
         , self{settings.instance, randomId()}
@@ -42,8 +45,13 @@
                   .attempts = {},
                   .queue{executor, settings.target.slots},
                   .keyed = {},
-                  .health{executor, settings.target.address, [this] { targetChanged(); }},
+                  .health{executor,
+                          settings.target.address,
+                          [this] {
+                              targetChanged();
+                          }},
                   .intents{intentOptions(settings, self), executor}}
+        , admin(executor, settings, processMetrics())
     {
     }
 
@@ -58,7 +66,9 @@
     LinkHandlers serverHandlers()
     {
         LinkHandlers handlers;
-        handlers.message = [this](const LinkPointer &link, const wire::LinkMessage &message) { receive(link, message); };
+        handlers.message = [this](const LinkPointer &link, const wire::LinkMessage &message) {
+            receive(link, message);
+        };
         handlers.opened = [this](const LinkPointer &link) {
             wire::LinkMessage message;
             *message.mutable_load() = context.load();
@@ -182,6 +192,40 @@
         finished();
     }
 
+    bool startAdmin(Reason &reason)
+    {
+        admin.addReadiness([this] {
+            return context.leaving ? std::optional<std::string>("draining") : std::nullopt;
+        });
+        admin.addReadiness([this] {
+            return config.ready() ? std::nullopt : std::optional<std::string>("no configuration yet");
+        });
+        admin.addReadiness([this] {
+            return context.health.up() ? std::nullopt : std::optional<std::string>("the target is down");
+        });
+        admin.addStatus("config", [this] {
+            return config.status(Clock::now());
+        });
+        admin.addStatus("target", [this] {
+            return targetStatus();
+        });
+        return admin.start(reason);
+    }
+
+    Json::Value targetStatus() const
+    {
+        LoadReport report;
+        context.queue.describe(report);
+        Json::Value status;
+        status["group"] = context.settings.target.group;
+        status["up"] = context.health.up();
+        status["accepting"] = context.accepting();
+        status["role"] = toString(context.role.load());
+        status["running"] = report.running;
+        status["queued"] = report.queued;
+        return status;
+    }
+
     asio::any_io_executor executor;
     Incarnation self;
     LinkIdentity identity;
@@ -189,14 +233,12 @@
     LinkTable peers;
     ConfigFollower config;
     SidecarContext context;
+    AdminServer admin;
     std::unique_ptr<LinkServer> server;
     std::atomic<bool> stopped{false};
 };
 
-Sidecar::Sidecar(asio::io_context &context, const Settings &settings)
-    : m_parts(std::make_unique<Parts>(context, settings))
-{
-}
+Sidecar::Sidecar(asio::io_context &context, const Settings &settings) : m_parts(std::make_unique<Parts>(context, settings)) { }
 
 Sidecar::~Sidecar() = default;
 
@@ -209,10 +251,12 @@
     LinkHandlers handlers = parts.serverHandlers();
     handlers.rpc = std::make_shared<RpcDispatcher>(std::move(methods));
     parts.server = std::make_unique<LinkServer>(parts.executor, parts.identity, std::move(handlers));
-    if (!parts.server->start(settings.link.listen, reason)) {
+    if (!parts.server->start(settings.link.listen, reason) || !parts.startAdmin(reason)) {
         return false;
     }
-    parts.members.onChange([&parts](const MemberList &members) { parts.config.setPeers(configPeers(*members, parts.self.instance)); });
+    parts.members.onChange([&parts](const MemberList &members) {
+        parts.config.setPeers(configPeers(*members, parts.self.instance));
+    });
     parts.peers.start();
     parts.members.start();
     parts.config.start();
@@ -232,4 +276,4 @@
     asio::co_spawn(asio::make_strand(m_parts->executor), Parts::drainLoop(m_parts.get(), std::move(done)), asio::detached);
 }
 
-}
+} // namespace snipehill
