--- a/bench/targetchoice.cpp
+++ b/bench/targetchoice.cpp
@@ -97,7 +97,7 @@
     for (const int wait : {500, 1000, 1250, 1500, 1000000}) {
         for (const double rate : {18.0, 24.0, 30.0, 36.0}) {
             RunSettings settings;
-            settings.admission.maxWait = milliseconds(wait);
+            settings.admission.maxPressure = milliseconds(wait);
             rows.push_back(measure("at most " + std::to_string(wait) + " ms, " + std::to_string(static_cast<int>(rate)) + " requests/s", settings, rate));
         }
     }
--- a/src/request/include/request/admission.h
+++ b/src/request/include/request/admission.h
@@ -27,6 +27,9 @@
     RateBucket requests;
     RateBucket tokens;
     std::uint32_t running = 0;
+    double weight = 1; //!< of the workspace
+    double recentCost = 0; //!< admitted work in the unit of queueCost(), decaying
+    TimePoint recentUpdated{};
     double demand = 0; //!< tokens asked for since the last report to the keeper of the workspace, admitted or not
     std::optional<double> share; //!< part of the limits granted by the keeper, 0..1
     TimePoint shareUntil{}; //!< end of the grant
@@ -43,7 +46,13 @@
 {
     seconds burst{2}; //!< a bucket holds the limit of this long
     double minShare = 0; //!< least part of a limit that an entry enforces without a keeper
-    milliseconds maxWait{1250}; //!< predicted wait for other requests' work beyond which a request is refused at once
+    milliseconds maxPressure{1250}; //!< predicted wait and interference beyond which a request is refused at once
+    seconds recentTime{30}; //!< time constant of the recent work that workspaces are compared by
+    double aboveShare = 2; //!< times its share that a workspace may use before its patience shrinks
+    double belowShare = 0.75; //!< times its share below which its patience grows
+    double fairness = 3; //!< how fast maxPressure shrinks for a workspace above its share; 0: the same for all
+    double minPatience = 0.3; //!< least part of maxPressure
+    double maxPatience = 3; //!< most times maxPressure, for a workspace below its share
     seconds maxRetryAfter{30};
 };
 
@@ -69,6 +78,12 @@
                              const AdmissionSettings &settings,
                              TimePoint now);
 
+/**
+ * Part of maxPressure that holds for a workspace: below 1 when its recent work exceeds its share by weight among
+ * the active workspaces of this entry, above 1 when it is less.
+ */
+double patienceFor(Admission &admission, const Workspace &workspace, const AdmissionSettings &settings, TimePoint now);
+
 /** Ends one admitted request; corrects its token estimate by what was really used. */
 void release(Admission &admission, std::string_view workspace, std::int64_t tokensOverEstimate);
 
--- a/src/request/include/request/attemptphase.h
+++ b/src/request/include/request/attemptphase.h
@@ -46,4 +46,4 @@
     std::unique_ptr<Implementation> m_implementation;
 };
 
-}
+} // namespace snipehill
--- a/src/request/src/admission.cpp
+++ b/src/request/src/admission.cpp
@@ -1,5 +1,7 @@
 #include <request/admission.h>
 
+#include <request/fairqueue.h>
+
 #include <algorithm>
 #include <cmath>
 #include <string>
@@ -56,7 +58,7 @@
     return std::max(settings.minShare, 1.0 / std::max(1U, entries));
 }
 
-std::optional<Refusal> checkForecast(const AdmissionRequest &request, const AdmissionSettings &settings)
+std::optional<Refusal> checkForecast(const AdmissionRequest &request, double patience, const AdmissionSettings &settings)
 {
     if (!request.forecast) {
         return refuse(serviceUnavailable, "no target accepts requests", 1, settings);
@@ -65,8 +67,10 @@
     if (delay > request.remaining) {
         return refuse(serviceUnavailable, "no target can answer before the deadline", inSeconds(delay - request.remaining), settings);
     }
-    if (request.forecast->wait > settings.maxWait) {
-        return refuse(serviceUnavailable, "all targets are overloaded", inSeconds(request.forecast->wait - settings.maxWait), settings);
+    const Duration pressure = request.forecast->wait + request.forecast->interference;
+    const double excess = inSeconds(pressure) - patience * inSeconds(settings.maxPressure);
+    if (excess > 0) {
+        return refuse(serviceUnavailable, "all targets are overloaded", excess, settings);
     }
     return std::nullopt;
 }
@@ -92,8 +96,36 @@
     return refuse(tooManyRequests, "the workspace has used up its limit", wait, settings);
 }
 
+void decayRecent(WorkspaceUse &use, const AdmissionSettings &settings, TimePoint now)
+{
+    use.recentCost *= std::exp(-inSeconds(now - use.recentUpdated) / static_cast<double>(settings.recentTime.count()));
+    use.recentUpdated = now;
+}
+
 } // namespace
 
+double patienceFor(Admission &admission, const Workspace &workspace, const AdmissionSettings &settings, TimePoint now)
+{
+    double totalCost = 0;
+    double totalWeight = 0;
+    double ownCost = 0;
+    for (auto &[name, use] : admission.workspaces) {
+        decayRecent(use, settings, now);
+        if (use.recentCost < 1) {
+            continue;
+        }
+        totalCost += use.recentCost;
+        totalWeight += use.weight;
+        ownCost = name == workspace.name ? use.recentCost : ownCost;
+    }
+    if (ownCost <= 0 || totalCost <= 0) {
+        return settings.maxPatience;
+    }
+    const double overuse = ownCost / std::max(workspace.weight, 1e-6) * totalWeight / totalCost;
+    const double excess = overuse / std::clamp(overuse, settings.belowShare, settings.aboveShare);
+    return std::clamp(std::pow(excess, -settings.fairness), settings.minPatience, settings.maxPatience);
+}
+
 std::optional<Refusal> admit(Admission &admission,
                              const Workspace &workspace,
                              const AdmissionRequest &request,
@@ -104,7 +136,9 @@
     WorkspaceUse &use = admission.workspaces[workspace.name];
     const double tokens = static_cast<double>(request.promptTokens + request.outputTokens);
     use.demand += tokens;
-    if (auto refusal = checkForecast(request, settings)) {
+    use.weight = workspace.weight;
+    const double patience = patienceFor(admission, workspace, settings, now);
+    if (auto refusal = checkForecast(request, patience, settings)) {
         return refusal;
     }
     if (auto refusal = checkLimits(use, workspace, shareFor(use, entries, settings, now), tokens, settings, now)) {
@@ -112,6 +146,7 @@
     }
     use.requests.level += 1;
     use.tokens.level += tokens;
+    use.recentCost += static_cast<double>(queueCost(request.promptTokens, request.outputTokens));
     ++use.running;
     return std::nullopt;
 }
--- a/src/request/src/attemptphase.cpp
+++ b/src/request/src/attemptphase.cpp
@@ -17,26 +17,36 @@
 using msm::front::none;
 using msm::front::Row;
 
-struct ClaimEvent {
+struct ClaimEvent
+{
 };
-struct StartEvent {
+struct StartEvent
+{
 };
-struct FinishEvent {
+struct FinishEvent
+{
 };
-struct CancelEvent {
+struct CancelEvent
+{
 };
 
-struct Front : msm::front::state_machine_def<Front> {
+struct Front : msm::front::state_machine_def<Front>
+{
     // In the order of AttemptPhase, because state ids are given in order of first use below.
-    struct Waiting : msm::front::state<> {
+    struct Waiting : msm::front::state<>
+    {
     };
-    struct Claiming : msm::front::state<> {
+    struct Claiming : msm::front::state<>
+    {
     };
-    struct Running : msm::front::state<> {
+    struct Running : msm::front::state<>
+    {
     };
-    struct Finished : msm::front::state<> {
+    struct Finished : msm::front::state<>
+    {
     };
-    struct Cancelled : msm::front::state<> {
+    struct Cancelled : msm::front::state<>
+    {
     };
     using initial_state = Waiting; // NOLINT(readability-identifier-naming) demanded by Boost.MSM
 
@@ -52,22 +62,19 @@
     > {};
     // clang-format on
 
-    template<typename Machine, typename Event>
-    void no_transition(const Event &, Machine &, int)
-    {
-    }
+    template<typename Machine, typename Event> void no_transition(const Event &, Machine &, int) { }
 };
 
 using Machine = msm::back::state_machine<Front>;
 
-}
+} // namespace
 
-struct AttemptPhaseMachine::Implementation {
+struct AttemptPhaseMachine::Implementation
+{
     Machine machine;
 };
 
-AttemptPhaseMachine::AttemptPhaseMachine()
-    : m_implementation(std::make_unique<Implementation>())
+AttemptPhaseMachine::AttemptPhaseMachine() : m_implementation(std::make_unique<Implementation>())
 {
     m_implementation->machine.start();
 }
@@ -101,4 +108,4 @@
     return names[static_cast<std::size_t>(phase)];
 }
 
-}
+} // namespace snipehill
