Run leases, grants, role and scale plans and usage reports in the daemon

Cause: the control work stood in libraries without a process that runs it. An entry now holds or waits for leases, feeds the role plan and the scale plan from load reports, and copies usage; a sidecar gives grants and books usage. Sidecars send their load every 5 s also without answers: a pool whose engines of one role are idle would otherwise look unreported, and the plan stands still on missing reports.

--- a/src/core/include/core/loadreport.h
+++ b/src/core/include/core/loadreport.h
@@ -33,6 +33,8 @@
     std::uint64_t queuedDecodeTokens = 0; //!< output tokens still to generate, estimated
     double prefillTokensPerSecond = 0; //!< measured over recent requests, 0 where unknown
     double decodeTokensPerSecond = 0; //!< of the whole target
+    std::uint64_t admittedPrefillTokens = 0; //!< taken since the sidecar started, for demand
+    std::uint64_t admittedDecodeTokens = 0; //!< estimated, likewise
     std::uint64_t cacheEpoch = 0; //!< rises when cache events had a gap; older knowledge is void
 };
 
--- a/src/process/include/process/rolechange.h
+++ b/src/process/include/process/rolechange.h
@@ -20,13 +20,13 @@
  * Course of one order towards the engine, as a Boost.MSM machine: draining, sending, confirming, ended.
  * Holds no clock and does no I/O. Not thread-safe.
  */
-class RoleChange
+class RoleChangeMachine
 {
 public:
-    explicit RoleChange(std::string orderId);
-    ~RoleChange();
-    RoleChange(const RoleChange &) = delete;
-    RoleChange &operator=(const RoleChange &) = delete;
+    explicit RoleChangeMachine(std::string orderId);
+    ~RoleChangeMachine();
+    RoleChangeMachine(const RoleChangeMachine &) = delete;
+    RoleChangeMachine &operator=(const RoleChangeMachine &) = delete;
 
     void onIdle(); //!< no stream runs any more
     void onDrainBound(); //!< streams still run at the bound: nothing was sent, nothing is cut
--- a/src/process/src/rolechange.cpp
+++ b/src/process/src/rolechange.cpp
@@ -96,7 +96,7 @@
 
 } // namespace
 
-struct RoleChange::Machine
+struct RoleChangeMachine::Machine
 {
     msm::back::state_machine<RoleMachineDefinition> fsm;
     std::string orderId;
@@ -112,45 +112,45 @@
     }
 };
 
-RoleChange::RoleChange(std::string orderId) : m_machine(std::make_unique<Machine>())
+RoleChangeMachine::RoleChangeMachine(std::string orderId) : m_machine(std::make_unique<Machine>())
 {
     m_machine->orderId = std::move(orderId);
     m_machine->fsm.start();
 }
 
-RoleChange::~RoleChange() = default;
+RoleChangeMachine::~RoleChangeMachine() = default;
 
-void RoleChange::onIdle()
+void RoleChangeMachine::onIdle()
 {
     m_machine->process(Idle{}, "");
 }
 
-void RoleChange::onDrainBound()
+void RoleChangeMachine::onDrainBound()
 {
     m_machine->process(DrainBound{}, "streams still ran at the bound of the drain");
 }
 
-void RoleChange::onGrantLapsed()
+void RoleChangeMachine::onGrantLapsed()
 {
     m_machine->process(GrantLapsed{}, "the grant lapsed before the order was sent");
 }
 
-void RoleChange::onAccepted()
+void RoleChangeMachine::onAccepted()
 {
     m_machine->process(Accepted{}, "");
 }
 
-void RoleChange::onRefused(std::string detail)
+void RoleChangeMachine::onRefused(std::string detail)
 {
     m_machine->process(Refused{}, std::move(detail));
 }
 
-void RoleChange::onUnanswered()
+void RoleChangeMachine::onUnanswered()
 {
     m_machine->process(Unanswered{}, "");
 }
 
-void RoleChange::onEngineState(const EngineState &state, bool settled)
+void RoleChangeMachine::onEngineState(const EngineState &state, bool settled)
 {
     if (state.changing) {
         return;
@@ -162,12 +162,12 @@
     }
 }
 
-void RoleChange::onConfirmBound()
+void RoleChangeMachine::onConfirmBound()
 {
     m_machine->process(ConfirmBound{}, "the engine can't be asked");
 }
 
-OrderStep RoleChange::step() const noexcept
+OrderStep RoleChangeMachine::step() const noexcept
 {
     switch (state()) {
     case OrderState::Draining:
@@ -184,12 +184,12 @@
     return OrderStep::Finish;
 }
 
-OrderState RoleChange::state() const noexcept
+OrderState RoleChangeMachine::state() const noexcept
 {
     return orderStates[m_machine->fsm.current_state()[0]];
 }
 
-const std::string &RoleChange::detail() const noexcept
+const std::string &RoleChangeMachine::detail() const noexcept
 {
     return m_machine->detail;
 }
--- a/src/process/src/sidecarauthority.cpp
+++ b/src/process/src/sidecarauthority.cpp
@@ -174,7 +174,7 @@
 }
 
 /** Waits until no request runs; nothing that runs is cut. */
-asio::awaitable<void> drain(StatePointer state, EngineOrder order, RoleChange &change)
+asio::awaitable<void> drain(StatePointer state, EngineOrder order, RoleChangeMachine &change)
 {
     const TimePoint end = Clock::now() + state->settings.drainBound;
     state->hooks.stopAccepting();
@@ -191,7 +191,7 @@
     }
 }
 
-asio::awaitable<void> send(StatePointer state, EngineOrder order, Offset fence, RoleChange &change)
+asio::awaitable<void> send(StatePointer state, EngineOrder order, Offset fence, RoleChangeMachine &change)
 {
     auto withheld = std::make_shared<bool>(false);
     HttpCall call{.peer = state->settings.target, .method = boost::beast::http::verb::post, .timeout = state->settings.grant.orderBound, .step = Step::Order};
@@ -214,7 +214,7 @@
     }
 }
 
-asio::awaitable<void> confirm(StatePointer state, RoleChange &change)
+asio::awaitable<void> confirm(StatePointer state, RoleChangeMachine &change)
 {
     // The call has ended and its connection was reset, but a copy on the way may arrive within its bound.
     const TimePoint settled = Clock::now() + state->settings.grant.orderBound;
@@ -236,7 +236,7 @@
     }
 }
 
-void noteProgress(const StatePointer &state, const EngineOrder &order, const RoleChange &change)
+void noteProgress(const StatePointer &state, const EngineOrder &order, const RoleChangeMachine &change)
 {
     const std::lock_guard lock(state->mutex);
     noteOrder(state->grants, order.orderId, change.state(), change.detail());
@@ -244,7 +244,7 @@
 
 asio::awaitable<void> runOrder(StatePointer state, EngineOrder order, Offset fence)
 {
-    RoleChange change(order.orderId);
+    RoleChangeMachine change(order.orderId);
     co_await drain(state, order, change);
     noteProgress(state, order, change);
     if (change.step() == OrderStep::Send) {
--- a/src/serving/src/calleranswer.cpp
+++ b/src/serving/src/calleranswer.cpp
@@ -67,7 +67,6 @@
         co_return m_held.size() <= maxHeldBytes;
     }
     m_events += frame.data();
-    ++m_eventCount;
     const bool sent = co_await m_exchange.write(frame.data());
     co_return sent;
 }
@@ -95,14 +94,9 @@
     m_held.clear();
 }
 
-std::string CallerAnswer::deliveredText() const
+DeliveredOutput CallerAnswer::delivered() const
 {
-    return textOfEvents(m_events);
-}
-
-std::uint32_t CallerAnswer::deliveredEvents() const noexcept
-{
-    return m_eventCount;
+    return readOutput(m_events);
 }
 
 unsigned CallerAnswer::status() const noexcept
@@ -120,9 +114,9 @@
     return m_firstData;
 }
 
-std::string textOfEvents(std::string_view events)
+DeliveredOutput readOutput(std::string_view events)
 {
-    std::string text;
+    DeliveredOutput output;
     const Json::CharReaderBuilder builder;
     const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
     while (!events.empty()) {
@@ -136,10 +130,12 @@
         Json::Value chunk;
         if (reader->parse(event.data(), event.data() + event.size(), &chunk, nullptr) && chunk.isObject() && chunk["choices"].isArray()
             && !chunk["choices"].empty()) {
-            text += chunk["choices"][0]["delta"]["content"].asString();
+            const std::string content = chunk["choices"][0]["delta"]["content"].asString();
+            output.text += content;
+            output.tokens += content.empty() ? 0 : 1;
         }
     }
-    return text;
+    return output;
 }
 
 } // namespace snipehill
--- a/src/serving/src/calleranswer.h
+++ b/src/serving/src/calleranswer.h
@@ -14,6 +14,16 @@
 namespace snipehill
 {
 
+/** Output tokens in a run of server-sent events, one for each chunk with content. */
+struct DeliveredOutput
+{
+    std::string text;
+    std::uint32_t tokens = 0;
+};
+
+/** Reads the chat-completions chunks in a run of whole server-sent events. */
+DeliveredOutput readOutput(std::string_view events);
+
 /**
  * The answer to one caller, put together from the frames of one or more attempts. On the strand of the
  * caller's connection. A streamed answer is passed on as it comes; any other is held until it is whole, so
@@ -32,9 +42,8 @@
     bool streaming() const noexcept;
     /** Drops what an attempt left of an answer that was held back. */
     void discardHeld();
-    /** Text of all output tokens that the caller has, read from the events passed on. */
-    std::string deliveredText() const;
-    std::uint32_t deliveredEvents() const noexcept;
+    /** Output that the caller has, read from the events passed on. */
+    DeliveredOutput delivered() const;
     unsigned status() const noexcept;
     const wire::Usage &usage() const noexcept;
     std::optional<TimePoint> firstData() const noexcept;
@@ -50,12 +59,8 @@
     bool m_streaming = false; //!< the head has gone out
     std::string m_held; //!< body of an answer that is not streamed
     std::string m_events; //!< events passed on, to resume from
-    std::uint32_t m_eventCount = 0;
     wire::Usage m_usage;
     std::optional<TimePoint> m_firstData;
 };
 
-/** Output text of the chat-completions chunks in a run of server-sent events. */
-std::string textOfEvents(std::string_view events);
-
 } // namespace snipehill
--- a/src/serving/src/entry.cpp
+++ b/src/serving/src/entry.cpp
@@ -2,11 +2,13 @@
 
 #include "entrycontext.h"
 #include "entryrequest.h"
+#include "fleetplanner.h"
 #include "processparts.h"
 #include "wireconvert.h"
 
 #include <connection/httpserver.h>
 #include <process/adminserver.h>
+#include <process/controlplane.h>
 #include <process/log.h>
 #include <process/metrics.h>
 
@@ -48,6 +50,8 @@
         , members(settings.platform.instances, settings.timings.instancesPoll, executor)
         , links(executor, identity, linkHandlers())
         , config(followerOptions(settings), executor, links.peerCall())
+        , planner(targets, config)
+        , control(executor, controlSettings(settings, identity.self), controlHooks(), links.peerCall())
         , context{.settings = settings, .config = config, .members = members, .links = links, .targets = targets, .router = router}
         , callers(executor,
                   callerLimits(settings.callers),
@@ -58,6 +62,35 @@
     {
     }
 
+    ControlHooks controlHooks()
+    {
+        ControlHooks hooks;
+        hooks.members = [this] {
+            return members.snapshot();
+        };
+        hooks.roleGroups = [this] {
+            return planner.roleGroups();
+        };
+        hooks.planRoles = [this](const std::string &group, const std::set<std::string> &busy, TimePoint now) {
+            return planner.planRoles(group, busy, now);
+        };
+        hooks.noteRoleOrder = [this](const std::string &group, const PlannedOrder &order, TimePoint now) {
+            planner.noteRoleOrder(group, order, now);
+        };
+        hooks.planTargets = [this](const std::string &failureDomain, TimePoint now) {
+            return planner.planTargets(failureDomain, now);
+        };
+        return hooks;
+    }
+
+    /** Second copy of what the sidecar booked; answers that were booked before carry no window. */
+    void countUsage(const std::string &workspace, const Incarnation &sidecar, const wire::Usage &usage)
+    {
+        if (usage.window() != 0) {
+            control.usageCopies().count({sidecar, usage.window()}, workspace, {1, usage.prompt_tokens(), usage.output_tokens()});
+        }
+    }
+
     LinkHandlers linkHandlers()
     {
         LinkHandlers handlers;
@@ -111,6 +144,9 @@
         admin.addStatus("config", [this] {
             return config.status(Clock::now());
         });
+        admin.addStatus("leases", [this] {
+            return leasesStatus(control.leases().status());
+        });
         admin.addStatus("targets", [this] {
             return targetsStatus(targets.allViews(Clock::now()));
         });
@@ -124,6 +160,8 @@
     Members members;
     LinkTable links;
     ConfigFollower config;
+    FleetPlanner planner;
+    ControlPlane control;
     EntryContext context;
     HttpServer callers;
     AdminServer admin;
@@ -142,6 +180,10 @@
     const Settings &settings = parts.context.settings;
     RpcMethods methods;
     parts.config.offerMethods(methods);
+    methods.merge(parts.control.methods());
+    parts.context.countUsage = [&parts](const std::string &workspace, const Incarnation &sidecar, const wire::Usage &usage) {
+        parts.countUsage(workspace, sidecar, usage);
+    };
     LinkHandlers serverHandlers = parts.linkHandlers();
     serverHandlers.rpc = std::make_shared<RpcDispatcher>(std::move(methods));
     parts.linkServer = std::make_unique<LinkServer>(parts.executor, parts.identity, std::move(serverHandlers));
@@ -156,6 +198,7 @@
     parts.links.start();
     parts.members.start();
     parts.config.start();
+    parts.control.start();
     return parts.callers.start(settings.callers.listen, reason);
 }
 
@@ -179,6 +222,7 @@
             timer.expires_after(drainPoll);
             co_await timer.async_wait(asio::use_awaitable);
         }
+        co_await parts->control.stop();
         finished();
     };
     asio::co_spawn(asio::make_strand(m_parts->executor), run(m_parts.get(), std::move(done)), asio::detached);
--- a/src/serving/src/entryattempt.cpp
+++ b/src/serving/src/entryattempt.cpp
@@ -57,8 +57,9 @@
         fillSuspects(*run.mutable_suspects(), suspectNews(context.suspects.suspects, maxSuspectNews, context.suspects.settings, Clock::now()));
     }
     if (answer.streaming()) {
-        run.set_resume_text(answer.deliveredText());
-        run.set_resume_tokens(answer.deliveredEvents());
+        DeliveredOutput delivered = answer.delivered();
+        run.set_resume_text(std::move(delivered.text));
+        run.set_resume_tokens(delivered.tokens);
     }
     return message;
 }
--- /dev/null
+++ b/src/serving/src/fleetplanner.cpp
@@ -0,0 +1,148 @@
+#include "fleetplanner.h"
+
+#include <algorithm>
+
+namespace snipehill
+{
+
+namespace
+{
+
+constexpr milliseconds demandInterval{1000}; //!< least time between two measurements of demand
+constexpr seconds startTime{120}; //!< after which a started target that was never listed is given up
+constexpr seconds freshReport{10};
+
+/** Busy slots in units of one target; empty while reports are missing. */
+std::optional<double> loadOf(const std::vector<TargetView> &views)
+{
+    double load = 0;
+    for (const TargetView &view : views) {
+        if (!view.reported || view.reportAge > freshReport) {
+            return std::nullopt;
+        }
+        load += static_cast<double>(view.report.running + view.report.queued) / std::max(1U, view.report.slots);
+    }
+    return load;
+}
+
+} // namespace
+
+FleetPlanner::FleetPlanner(const TargetTable &targets, const ConfigFollower &config) : m_targets(targets), m_config(config) { }
+
+std::vector<std::string> FleetPlanner::roleGroups() const
+{
+    std::vector<std::string> groups;
+    const ConfigPointer config = m_config.current();
+    for (const auto &[name, group] : config->targetGroups) {
+        if (group.value.kind == TargetKind::Engine && group.value.planRoles) {
+            groups.push_back(name);
+        }
+    }
+    return groups;
+}
+
+void FleetPlanner::measureDemand(Group &group, const std::vector<TargetView> &views, TimePoint now) const
+{
+    if (group.lookedAt && now - *group.lookedAt < demandInterval) {
+        return;
+    }
+    TokenDemand added;
+    for (const TargetView &view : views) {
+        if (!view.reported) {
+            continue;
+        }
+        Admitted &last = group.admitted[view.instance];
+        const bool same = last.incarnation == view.report.incarnation;
+        if (same) {
+            added.prefill += static_cast<double>(view.report.admittedPrefillTokens - last.prefill);
+            added.decode += static_cast<double>(view.report.admittedDecodeTokens - last.decode);
+        }
+        last = {view.report.incarnation, view.report.admittedPrefillTokens, view.report.admittedDecodeTokens};
+    }
+    if (group.lookedAt) {
+        const double elapsed = std::chrono::duration<double>(now - *group.lookedAt).count();
+        addDemand(group.pool.demand, {added.prefill / elapsed, added.decode / elapsed}, m_roleSettings, now);
+    }
+    group.lookedAt = now;
+}
+
+std::optional<PlannedOrder> FleetPlanner::planRoles(const std::string &name, const std::set<std::string> &busy, TimePoint now)
+{
+    const std::vector<TargetView> views = m_targets.views(name, {}, now);
+    const std::lock_guard lock(m_lock);
+    Group &group = m_groups[name];
+    measureDemand(group, views, now);
+    std::vector<EngineView> engines;
+    for (const TargetView &view : views) {
+        const Engine &known = group.engines[view.instance];
+        EngineView engine;
+        engine.instance = view.instance;
+        engine.failureDomain = view.failureDomain;
+        engine.role = view.report.role;
+        engine.live = view.reported && !view.silent && !view.leaving;
+        engine.changing = busy.contains(view.failureDomain) && !view.report.accepting;
+        engine.reportAge = view.reported ? std::optional(view.reportAge) : std::nullopt;
+        engine.prefillTokensPerSecond = view.report.prefillTokensPerSecond;
+        engine.decodeTokensPerSecond = view.report.decodeTokensPerSecond;
+        engine.lastChange = known.lastChange;
+        engine.everChanged = known.everChanged;
+        engines.push_back(std::move(engine));
+    }
+    const std::vector<std::string> busyDomains(busy.begin(), busy.end());
+    const auto change = snipehill::planRoles(engines, group.pool, busyDomains, m_roleSettings, now);
+    if (!change) {
+        return std::nullopt;
+    }
+    return PlannedOrder{.instance = change->instance, .kind = EngineOrder::Kind::Role, .role = change->role};
+}
+
+void FleetPlanner::noteRoleOrder(const std::string &name, const PlannedOrder &order, TimePoint now)
+{
+    const std::lock_guard lock(m_lock);
+    Group &group = m_groups[name];
+    noteRoleChange(group.pool, now);
+    group.engines[order.instance] = {now, true};
+}
+
+std::vector<ScaleTarget> FleetPlanner::scaleTargets(Group &group, const std::vector<TargetView> &views, TimePoint now) const
+{
+    std::vector<ScaleTarget> targets;
+    for (const TargetView &view : views) {
+        targets.push_back({view.instance, view.failureDomain, view.reported && !view.silent, !view.reported, view.leaving});
+    }
+    if (views.size() > group.targetsAtStart) {
+        group.starting.clear(); // the started one is listed
+    }
+    std::erase_if(group.starting, [now](const auto &start) {
+        return now - start.second > startTime;
+    });
+    for (const auto &[domain, since] : group.starting) {
+        targets.push_back({"", domain, false, true, false});
+    }
+    return targets;
+}
+
+std::optional<PlannedTarget> FleetPlanner::planTargets(const std::string &failureDomain, TimePoint now)
+{
+    const ConfigPointer config = m_config.current();
+    const std::vector<std::string> domains = m_targets.failureDomains();
+    for (const auto &[name, targetGroup] : config->targetGroups) {
+        const std::vector<TargetView> views = m_targets.views(name, {}, now);
+        const std::lock_guard lock(m_lock);
+        Group &group = m_groups[name];
+        const auto targets = scaleTargets(group, views, now);
+        const auto order = planScale(group.scale[failureDomain], targets, domains, loadOf(views), targetGroup.value, m_scaleSettings, now);
+        if (!order || order->failureDomain != failureDomain) {
+            continue; // the holder of that domain's lease plans the same and acts
+        }
+        const bool start = order->kind == ScaleOrder::Kind::Start;
+        if (start) {
+            group.starting[failureDomain] = now;
+            group.targetsAtStart = views.size();
+        }
+        return PlannedTarget{start, name, failureDomain, order->instance};
+    }
+    return std::nullopt;
+}
+
+} // namespace snipehill
--- /dev/null
+++ b/src/serving/src/fleetplanner.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "targettable.h"
+
+#include <process/configfollower.h>
+#include <process/controlplane.h>
+#include <request/roleplan.h>
+#include <request/scaleplan.h>
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace snipehill
+{
+
+/**
+ * Feeds the role plan and the scale plan with what this entry sees of its targets, and hands their orders to
+ * the control plane, which gives them only under the lease. Remembers averages, so a new leaseholder plans on
+ * what it has itself observed. Thread-safe, one lock.
+ */
+class FleetPlanner
+{
+public:
+    FleetPlanner(const TargetTable &targets, const ConfigFollower &config);
+
+    /** Target groups whose roles are planned. */
+    std::vector<std::string> roleGroups() const;
+    std::optional<PlannedOrder> planRoles(const std::string &group, const std::set<std::string> &busy, TimePoint now);
+    void noteRoleOrder(const std::string &group, const PlannedOrder &order, TimePoint now);
+    std::optional<PlannedTarget> planTargets(const std::string &failureDomain, TimePoint now);
+
+private:
+    struct Admitted
+    {
+        std::uint64_t incarnation = 0;
+        std::uint64_t prefill = 0;
+        std::uint64_t decode = 0;
+    };
+    struct Engine
+    {
+        TimePoint lastChange{};
+        bool everChanged = false;
+    };
+    struct Group
+    {
+        RolePool pool;
+        std::map<std::string, Admitted> admitted; //!< by instance, at the last look
+        std::optional<TimePoint> lookedAt;
+        std::map<std::string, Engine> engines;
+        std::map<std::string, ScaleState> scale; //!< by failure domain
+        std::map<std::string, TimePoint> starting; //!< failure domains in which a start was ordered
+        std::size_t targetsAtStart = 0; //!< listed when the last start was ordered
+    };
+    void measureDemand(Group &group, const std::vector<TargetView> &views, TimePoint now) const;
+    std::vector<ScaleTarget> scaleTargets(Group &group, const std::vector<TargetView> &views, TimePoint now) const;
+
+    const TargetTable &m_targets;
+    const ConfigFollower &m_config;
+    std::mutex m_lock;
+    std::map<std::string, Group> m_groups;
+    RolePlanSettings m_roleSettings;
+    ScaleSettings m_scaleSettings;
+};
+
+} // namespace snipehill
--- a/src/serving/src/processparts.cpp
+++ b/src/serving/src/processparts.cpp
@@ -14,6 +14,49 @@
     return options;
 }
 
+ControlSettings controlSettings(const Settings &settings, const Incarnation &self)
+{
+    ControlSettings control;
+    control.self = self;
+    control.log = settings.platform.log;
+    control.targets = settings.platform.targets;
+    control.usage = settings.platform.usage;
+    control.lease.duration = settings.timings.lease;
+    control.lease.margin = settings.timings.leaseMargin;
+    control.grantDuration = settings.timings.grant;
+    control.usageWindow = settings.timings.usageWindow;
+    control.failureDomains = {settings.failureDomain};
+    return control;
+}
+
+SidecarAuthoritySettings authoritySettings(const Settings &settings, const Incarnation &self)
+{
+    SidecarAuthoritySettings authority;
+    authority.self = self;
+    authority.log = settings.platform.log;
+    authority.target = settings.target.address;
+    authority.targetGroup = settings.target.group;
+    authority.engine = settings.target.kind == TargetKind::Engine;
+    authority.grant.duration = settings.timings.grant;
+    authority.drainBound = settings.drain.bound;
+    authority.usageWindow = settings.timings.usageWindow;
+    return authority;
+}
+
+Json::Value leasesStatus(const std::vector<LeaseStatus> &leases)
+{
+    Json::Value list(Json::arrayValue);
+    for (const LeaseStatus &lease : leases) {
+        Json::Value entry;
+        entry["scope"] = lease.scope;
+        entry["held"] = lease.believes;
+        entry["holder"] = lease.holder;
+        entry["epoch"] = Json::Int64(lease.epoch);
+        list.append(std::move(entry));
+    }
+    return list;
+}
+
 Json::Value targetsStatus(const std::vector<TargetView> &views)
 {
     Json::Value list(Json::arrayValue);
--- a/src/serving/src/processparts.h
+++ b/src/serving/src/processparts.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include <process/configfollower.h>
+#include <process/controlplane.h>
+#include <process/leasekeeper.h>
 #include <process/members.h>
 #include <process/settings.h>
+#include <process/sidecarauthority.h>
 #include <request/targetchoice.h>
 
 #include <json/value.h>
@@ -16,6 +19,15 @@
 /** Options of the config follower, from the settings. */
 ConfigFollowerOptions followerOptions(const Settings &settings);
 
+/** Settings of the control work of an entry. */
+ControlSettings controlSettings(const Settings &settings, const Incarnation &self);
+
+/** Settings of a sidecar's authority over its target. */
+SidecarAuthoritySettings authoritySettings(const Settings &settings, const Incarnation &self);
+
+/** Leases as /status shows them. */
+Json::Value leasesStatus(const std::vector<LeaseStatus> &leases);
+
 /** Targets as /status shows them. */
 Json::Value targetsStatus(const std::vector<TargetView> &views);
 
--- a/src/serving/src/sidecar.cpp
+++ b/src/serving/src/sidecar.cpp
@@ -27,6 +27,7 @@
 constexpr milliseconds sweepInterval{50};
 constexpr int sweepsPerCleaning = 20; //!< attempts nobody asks for are looked for once a second
 constexpr milliseconds drainPoll{50};
+constexpr int sweepsPerReport = 100; //!< entries that got no answer for this long learn the load all the same
 
 } // namespace
 
@@ -51,6 +52,13 @@
                               targetChanged();
                           }},
                   .intents{intentOptions(settings, self), executor}}
+        , authority(executor,
+                    authoritySettings(settings, self),
+                    drainHooks(),
+                    peers.peerCall(),
+                    [this] {
+                        return entryLinks();
+                    })
         , admin(executor, settings, processMetrics())
     {
     }
@@ -63,6 +71,48 @@
         return options;
     }
 
+    DrainHooks drainHooks()
+    {
+        DrainHooks hooks;
+        hooks.stopAccepting = [this] {
+            setOrdered(true);
+        };
+        hooks.running = [this] {
+            return context.queue.busy();
+        };
+        hooks.resumeAccepting = [this] {
+            setOrdered(false);
+        };
+        hooks.noteRole = [this](EngineRole role) {
+            noteRole(role);
+        };
+        return hooks;
+    }
+
+    void setOrdered(bool ordered)
+    {
+        context.ordered = ordered;
+        broadcastLoad();
+    }
+
+    void noteRole(EngineRole role)
+    {
+        if (context.role.exchange(role) != role) {
+            broadcastLoad();
+        }
+    }
+
+    std::vector<Endpoint> entryLinks() const
+    {
+        std::vector<Endpoint> links;
+        for (const Member &member : *members.snapshot()) {
+            if (member.role == "entry") {
+                links.push_back(member.link);
+            }
+        }
+        return links;
+    }
+
     LinkHandlers serverHandlers()
     {
         LinkHandlers handlers;
@@ -172,6 +222,9 @@
             if (sweeps % sweepsPerCleaning == 0) {
                 parts->sweepAttempts();
             }
+            if (sweeps % sweepsPerReport == 0) {
+                parts->broadcastLoad();
+            }
             timer.expires_after(sweepInterval);
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         }
@@ -233,6 +286,7 @@
     LinkTable peers;
     ConfigFollower config;
     SidecarContext context;
+    SidecarAuthority authority;
     AdminServer admin;
     std::unique_ptr<LinkServer> server;
     std::atomic<bool> stopped{false};
@@ -248,6 +302,10 @@
     const Settings &settings = parts.context.settings;
     RpcMethods methods;
     parts.config.offerMethods(methods);
+    methods.merge(parts.authority.methods());
+    parts.context.bookUsage = [&parts](const std::string &workspace, const wire::Usage &usage) {
+        return parts.authority.usage().count(workspace, {1, usage.prompt_tokens(), usage.output_tokens()});
+    };
     LinkHandlers handlers = parts.serverHandlers();
     handlers.rpc = std::make_shared<RpcDispatcher>(std::move(methods));
     parts.server = std::make_unique<LinkServer>(parts.executor, parts.identity, std::move(handlers));
@@ -262,6 +320,7 @@
     parts.config.start();
     parts.context.health.start();
     parts.context.intents.start();
+    parts.authority.start();
     asio::co_spawn(asio::make_strand(parts.executor), Parts::sweepLoop(&parts), asio::detached);
     return true;
 }
--- a/src/serving/src/sidecarqueue.cpp
+++ b/src/serving/src/sidecarqueue.cpp
@@ -45,9 +45,26 @@
         return false;
     }
     m_waiting[attempt->id()] = attempt;
+    m_totals.queuedPrefillTokens += run.prompt_tokens();
+    m_totals.queuedDecodeTokens += run.output_tokens();
+    m_totals.admittedPrefillTokens += run.prompt_tokens();
+    m_totals.admittedDecodeTokens += run.output_tokens();
     return true;
 }
 
+AttemptPointer SidecarQueue::forgetWaiting(AttemptId attempt)
+{
+    const auto waiting = m_waiting.find(attempt);
+    if (waiting == m_waiting.end()) {
+        return nullptr;
+    }
+    AttemptPointer taken = std::move(waiting->second);
+    m_waiting.erase(waiting);
+    m_totals.queuedPrefillTokens -= taken->run().prompt_tokens();
+    m_totals.queuedDecodeTokens -= taken->run().output_tokens();
+    return taken;
+}
+
 std::optional<DispatchedAttempt> SidecarQueue::next()
 {
     const std::lock_guard lock(m_lock);
@@ -59,8 +76,8 @@
         return std::nullopt;
     }
     DispatchedAttempt dispatched;
-    dispatched.attempt = m_waiting.at(request->attempt);
-    m_waiting.erase(request->attempt);
+    dispatched.attempt = forgetWaiting(request->attempt);
+    m_runningDecodeTokens += dispatched.attempt->run().output_tokens();
     m_running[request->attempt] = dispatched.attempt;
     dispatched.priority = enginePriority(m_queue, *request, m_settings);
     dispatched.request = std::move(*request);
@@ -74,6 +91,7 @@
     const std::lock_guard lock(m_lock);
     finish(m_queue, dispatched.request, queueCost(promptTokens, outputTokens));
     m_running.erase(dispatched.request.attempt);
+    m_runningDecodeTokens -= dispatched.attempt->run().output_tokens();
     m_freeLanes.push_back(dispatched.lane);
 }
 
@@ -82,9 +100,7 @@
     std::vector<AttemptPointer> expired;
     const std::lock_guard lock(m_lock);
     for (const QueuedRequest &request : snipehill::takeExpired(m_queue, now)) {
-        const auto waiting = m_waiting.find(request.attempt);
-        expired.push_back(waiting->second);
-        m_waiting.erase(waiting);
+        expired.push_back(forgetWaiting(request.attempt));
     }
     return expired;
 }
@@ -92,7 +108,7 @@
 bool SidecarQueue::cancelWaiting(AttemptId attempt)
 {
     const std::lock_guard lock(m_lock);
-    m_waiting.erase(attempt);
+    forgetWaiting(attempt);
     return snipehill::cancelWaiting(m_queue, attempt).has_value();
 }
 
@@ -100,11 +116,11 @@
 {
     std::vector<AttemptPointer> taken;
     const std::lock_guard lock(m_lock);
-    for (const auto &[id, attempt] : m_waiting) {
-        snipehill::cancelWaiting(m_queue, id);
-        taken.push_back(attempt);
+    while (!m_waiting.empty()) {
+        const AttemptId attempt = m_waiting.begin()->first;
+        snipehill::cancelWaiting(m_queue, attempt);
+        taken.push_back(forgetWaiting(attempt));
     }
-    m_waiting.clear();
     return taken;
 }
 
@@ -122,13 +138,10 @@
     report.slots = m_settings.slots;
     report.running = static_cast<std::uint32_t>(m_running.size());
     report.queued = static_cast<std::uint32_t>(m_waiting.size());
-    for (const auto &[id, attempt] : m_waiting) {
-        report.queuedPrefillTokens += attempt->run().prompt_tokens();
-        report.queuedDecodeTokens += attempt->run().output_tokens();
-    }
-    for (const auto &[id, attempt] : m_running) {
-        report.queuedDecodeTokens += attempt->run().output_tokens() / 2; // half done on average
-    }
+    report.queuedPrefillTokens = m_totals.queuedPrefillTokens;
+    report.queuedDecodeTokens = m_totals.queuedDecodeTokens + m_runningDecodeTokens / 2; // those that run are half done on average
+    report.admittedPrefillTokens = m_totals.admittedPrefillTokens;
+    report.admittedDecodeTokens = m_totals.admittedDecodeTokens;
     report.prefillTokensPerSecond = m_rates.prefillTokensPerSecond;
     report.decodeTokensPerSecond = m_rates.decodeTokensPerSecond;
 }
--- a/src/serving/src/sidecarqueue.h
+++ b/src/serving/src/sidecarqueue.h
@@ -59,6 +59,9 @@
     std::size_t busy() const;
 
 private:
+    /** Takes the attempt out of the waiting ones and their totals. */
+    AttemptPointer forgetWaiting(AttemptId attempt);
+
     mutable std::mutex m_lock;
     FairQueueSettings m_settings;
     FairQueue m_queue;
@@ -67,6 +70,8 @@
     std::vector<std::unique_ptr<Lane>> m_lanes;
     std::vector<Lane *> m_freeLanes;
     TargetRates m_rates;
+    std::uint64_t m_runningDecodeTokens = 0;
+    LoadReport m_totals; //!< queued and admitted tokens, kept up to date instead of summed for each report
 };
 
 } // namespace snipehill
--- a/src/serving/src/sidecarrun.cpp
+++ b/src/serving/src/sidecarrun.cpp
@@ -90,10 +90,8 @@
     void takeUsage(const EventProgress &progress)
     {
         m_usage.set_prompt_tokens(progress.usageSeen ? progress.promptTokens : m_run.prompt_tokens());
-        m_usage.set_output_tokens(progress.usageSeen ? progress.outputTokens : progress.dataEvents);
-        if (m_run.resume_tokens() > 0) {
-            m_usage.set_prompt_tokens(0); // counted by the attempt that this one goes on after
-        }
+        // The sidecar that ends a resumed answer books all of it, the others none.
+        m_usage.set_output_tokens(progress.usageSeen ? progress.outputTokens : m_run.resume_tokens() + progress.dataEvents);
         if (m_context.bookUsage) {
             m_usage.set_window(m_context.bookUsage(m_run.workspace(), m_usage));
         }
--- a/src/serving/src/targettable.cpp
+++ b/src/serving/src/targettable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace snipehill
 {
@@ -27,7 +28,9 @@
 {
     std::map<std::string, std::vector<Member>> groups;
     std::uint32_t entries = 0;
+    std::set<std::string> domains;
     for (const Member &member : members) {
+        domains.insert(member.failureDomain);
         if (member.role == "sidecar") {
             groups[member.targetGroup].push_back(member);
         } else if (!member.leaving) {
@@ -37,6 +40,7 @@
     {
         const std::lock_guard lock(m_lock);
         m_liveEntries = std::max(entries, 1U);
+        m_failureDomains.assign(domains.begin(), domains.end());
         for (const auto &[name, list] : groups) {
             auto &slot = m_groups[name];
             if (!slot) {
@@ -90,6 +94,12 @@
     return m_liveEntries;
 }
 
+std::vector<std::string> TargetTable::failureDomains() const
+{
+    const std::lock_guard lock(m_lock);
+    return m_failureDomains;
+}
+
 void TargetTable::noteLoad(const LoadReport &report, TimePoint now)
 {
     Group *group = find(report.targetGroup);
--- a/src/serving/src/targettable.h
+++ b/src/serving/src/targettable.h
@@ -31,6 +31,8 @@
     /** Link endpoints of the sidecars of all subsets. */
     std::vector<Endpoint> subsetLinks() const;
     std::uint32_t liveEntries() const;
+    /** Failure domains of all members. */
+    std::vector<std::string> failureDomains() const;
 
     void noteLoad(const LoadReport &report, TimePoint now);
     void noteSent(const std::string &group, const std::string &instance, const CostEstimate &cost);
@@ -68,6 +70,7 @@
     mutable std::mutex m_lock; //!< guards the map, not the groups in it
     std::unordered_map<std::string, std::unique_ptr<Group>> m_groups; //!< never shrinks, so pointers stay valid
     std::uint32_t m_liveEntries = 1;
+    std::vector<std::string> m_failureDomains;
 };
 
 } // namespace snipehill
--- a/src/serving/src/wireconvert.cpp
+++ b/src/serving/src/wireconvert.cpp
@@ -29,6 +29,8 @@
     message.set_prefill_tokens_per_second(report.prefillTokensPerSecond);
     message.set_decode_tokens_per_second(report.decodeTokensPerSecond);
     message.set_cache_epoch(report.cacheEpoch);
+    message.set_admitted_prefill_tokens(report.admittedPrefillTokens);
+    message.set_admitted_decode_tokens(report.admittedDecodeTokens);
 }
 
 LoadReport readLoad(const wire::Load &message)
@@ -47,6 +49,8 @@
     report.prefillTokensPerSecond = message.prefill_tokens_per_second();
     report.decodeTokensPerSecond = message.decode_tokens_per_second();
     report.cacheEpoch = message.cache_epoch();
+    report.admittedPrefillTokens = message.admitted_prefill_tokens();
+    report.admittedDecodeTokens = message.admitted_decode_tokens();
     return report;
 }
 
--- a/tests/process/grantsimulation.cpp
+++ b/tests/process/grantsimulation.cpp
@@ -41,7 +41,7 @@
     std::uint64_t run = 0;
     DriftingClock clock;
     GrantState grants;
-    std::unique_ptr<RoleChange> change;
+    std::unique_ptr<RoleChangeMachine> change;
     EngineOrder order;
     Duration drainedAt{};
     Duration orderStarted{};
@@ -273,7 +273,7 @@
             return;
         }
         if (decision->run) {
-            m_sidecar.change = std::make_unique<RoleChange>(order.orderId);
+            m_sidecar.change = std::make_unique<RoleChangeMachine>(order.orderId);
             m_sidecar.order = order;
             m_sidecar.orderStarted = m_time.now();
             m_sidecar.drainedAt = m_time.now() + m_choices.time(0, 3500);
@@ -295,7 +295,7 @@
 
     void advanceOrder()
     {
-        RoleChange &change = *m_sidecar.change;
+        RoleChangeMachine &change = *m_sidecar.change;
         GrantState &grants = m_sidecar.grants;
         const bool lapsed = m_mutation != GrantMutation::NoSecondCheck && !grantInForce(grants, m_sidecar.order.grant, sidecarNow());
         if (change.step() == OrderStep::Drain) {
--- a/tests/process/granttest.cpp
+++ b/tests/process/granttest.cpp
@@ -121,38 +121,38 @@
 
 TEST_CASE("a role change takes its course", "[grant][role-change]")
 {
-    using Event = void (*)(RoleChange &);
-    const Event idle = [](RoleChange &change) {
+    using Event = void (*)(RoleChangeMachine &);
+    const Event idle = [](RoleChangeMachine &change) {
         change.onIdle();
     };
-    const Event drainBound = [](RoleChange &change) {
+    const Event drainBound = [](RoleChangeMachine &change) {
         change.onDrainBound();
     };
-    const Event lapsed = [](RoleChange &change) {
+    const Event lapsed = [](RoleChangeMachine &change) {
         change.onGrantLapsed();
     };
-    const Event accepted = [](RoleChange &change) {
+    const Event accepted = [](RoleChangeMachine &change) {
         change.onAccepted();
     };
-    const Event refused = [](RoleChange &change) {
+    const Event refused = [](RoleChangeMachine &change) {
         change.onRefused("old");
     };
-    const Event unanswered = [](RoleChange &change) {
+    const Event unanswered = [](RoleChangeMachine &change) {
         change.onUnanswered();
     };
-    const Event confirmBound = [](RoleChange &change) {
+    const Event confirmBound = [](RoleChangeMachine &change) {
         change.onConfirmBound();
     };
-    const Event changing = [](RoleChange &change) {
+    const Event changing = [](RoleChangeMachine &change) {
         change.onEngineState({.changing = true, .lastOrderId = "x"}, true);
     };
-    const Event inForce = [](RoleChange &change) {
+    const Event inForce = [](RoleChangeMachine &change) {
         change.onEngineState({.lastOrderId = "x"}, false);
     };
-    const Event otherUnsettled = [](RoleChange &change) {
+    const Event otherUnsettled = [](RoleChangeMachine &change) {
         change.onEngineState({.lastOrderId = "y"}, false);
     };
-    const Event other = [](RoleChange &change) {
+    const Event other = [](RoleChangeMachine &change) {
         change.onEngineState({.lastOrderId = ""}, true);
     };
     struct Case
@@ -178,7 +178,7 @@
                                            {"engine silent", {idle, unanswered, confirmBound}, OrderState::Unknown, OrderStep::Finish},
                                            {"ended for good", {idle, refused, accepted, inForce}, OrderState::Failed, OrderStep::Finish}}) {
         INFO(c.name);
-        RoleChange change("x");
+        RoleChangeMachine change("x");
         for (const Event &event : c.events) {
             event(change);
         }
