Measure and trace the path: metrics and a span for each hop

Cause: a request's way could not be seen from outside. Entry: request, attempt, resolve; sidecar: queue, log-append, target. Usage of plain services books requests only: their token estimate is no use of tokens.

--- a/src/serving/src/calleranswer.cpp
+++ b/src/serving/src/calleranswer.cpp
@@ -2,6 +2,8 @@
 
 #include "wireconvert.h"
 
+#include <process/metrics.h>
+
 #include <json/reader.h>
 #include <json/value.h>
 
@@ -43,9 +45,11 @@
     m_usage.set_output_tokens(m_usage.output_tokens() + usage.output_tokens());
     if (m_streaming) {
         const bool finished = co_await m_exchange.finish();
+        m_outcome = finished ? "complete" : "cut";
         co_return finished;
     }
     const bool sent = co_await m_exchange.respond(m_status, m_headers, std::move(m_held));
+    m_outcome = sent ? "complete" : "cut";
     co_return sent;
 }
 
@@ -59,8 +63,13 @@
         const bool sent = co_await takeEnd(frame.end());
         co_return sent;
     }
+    const TimePoint now = Clock::now();
+    if (m_streaming && m_lastData) {
+        processMetrics().observe(Timing::BetweenTokens, {m_workspace}, now - *m_lastData);
+    }
+    m_lastData = now;
     if (!m_firstData) {
-        m_firstData = Clock::now();
+        m_firstData = now;
     }
     if (!m_streaming) {
         m_held += frame.data();
@@ -73,8 +82,9 @@
 
 asio::awaitable<void> CallerAnswer::refuse(Refusal refusal)
 {
+    processMetrics().count(Counter::Refusals, {toString(refusal.outcome), toString(refusal.reason.step)});
+    m_outcome = toString(refusal.outcome);
     if (!m_streaming) {
-        m_status = refusal.status;
         co_await m_exchange.respond(refusal.status, problemHeaders(refusal, m_requestId), problemBody(refusal, m_requestId));
         co_return;
     }
@@ -99,9 +109,14 @@
     return readOutput(m_events);
 }
 
-unsigned CallerAnswer::status() const noexcept
+const char *CallerAnswer::outcome() const noexcept
+{
+    return m_outcome;
+}
+
+void CallerAnswer::measureFor(std::string workspace)
 {
-    return m_status;
+    m_workspace = std::move(workspace);
 }
 
 const wire::Usage &CallerAnswer::usage() const noexcept
--- a/src/serving/src/calleranswer.h
+++ b/src/serving/src/calleranswer.h
@@ -44,7 +44,10 @@
     void discardHeld();
     /** Output that the caller has, read from the events passed on. */
     DeliveredOutput delivered() const;
-    unsigned status() const noexcept;
+    /** "complete", "not_run", "outcome_unknown", "rejected", or "cut" for one that did not end. */
+    const char *outcome() const noexcept;
+    /** Times between pieces of a stream are observed for this workspace. */
+    void measureFor(std::string workspace);
     const wire::Usage &usage() const noexcept;
     std::optional<TimePoint> firstData() const noexcept;
 
@@ -55,6 +58,9 @@
     HttpExchange &m_exchange;
     std::string m_requestId;
     HeaderList m_headers;
+    std::string m_workspace;
+    std::optional<TimePoint> m_lastData;
+    const char *m_outcome = "cut";
     unsigned m_status = 0;
     bool m_streaming = false; //!< the head has gone out
     std::string m_held; //!< body of an answer that is not streamed
--- a/src/serving/src/entry.cpp
+++ b/src/serving/src/entry.cpp
@@ -112,7 +112,7 @@
             AttemptMessage delivered;
             delivered.frame = message.frame();
             if (!router.deliver(message.frame().attempt_id(), link.get(), std::move(delivered))) {
-                ++droppedFrames;
+                processMetrics().count(Counter::FramesDropped, {"no_attempt"});
             }
         } else if (message.has_resolved()) {
             AttemptMessage delivered;
@@ -133,6 +133,17 @@
         }
     }
 
+    void setGauges(Metrics &metrics)
+    {
+        setConfigGauges(metrics, config);
+        metrics.set(Gauge::Draining, {}, draining ? 1 : 0);
+        metrics.set(Gauge::RunningRequests, {}, static_cast<double>(callers.activeExchanges()));
+        for (const LeaseStatus &lease : control.leases().status()) {
+            metrics.set(Gauge::LeaseState, {lease.scope}, lease.believes ? 2 : (lease.holder.empty() ? 0 : 1));
+            metrics.set(Gauge::LeaseEpoch, {lease.scope}, static_cast<double>(lease.epoch));
+        }
+    }
+
     bool startAdmin(Reason &reason)
     {
         admin.addReadiness([this] {
@@ -150,6 +161,9 @@
         admin.addStatus("targets", [this] {
             return targetsStatus(targets.allViews(Clock::now()));
         });
+        processMetrics().onScrape([this](Metrics &metrics) {
+            setGauges(metrics);
+        });
         return admin.start(reason);
     }
 
@@ -166,7 +180,6 @@
     HttpServer callers;
     AdminServer admin;
     std::unique_ptr<LinkServer> linkServer;
-    std::atomic<std::uint64_t> droppedFrames{0}; //!< of attempts that have ended or were replaced
     std::atomic<bool> draining{false};
 };
 
--- a/src/serving/src/entryattempt.cpp
+++ b/src/serving/src/entryattempt.cpp
@@ -3,6 +3,8 @@
 #include "wireconvert.h"
 
 #include <process/log.h>
+#include <process/metrics.h>
+#include <process/tracing.h>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -29,7 +31,12 @@
     return std::chrono::duration_cast<milliseconds>(request.deadline - Clock::now());
 }
 
-wire::LinkMessage buildRun(EntryContext &context, const CallerRequest &request, AttemptId attempt, const AttemptTarget &target, const CallerAnswer &answer)
+wire::LinkMessage buildRun(EntryContext &context,
+                           const CallerRequest &request,
+                           AttemptId attempt,
+                           const AttemptTarget &target,
+                           const CallerAnswer &answer,
+                           const std::string &traceparent)
 {
     wire::LinkMessage message;
     wire::Run &run = *message.mutable_run();
@@ -51,7 +58,7 @@
     run.set_output_tokens(request.cost.outputTokens);
     run.set_fingerprint(request.fingerprint);
     run.set_alone(target.alone);
-    run.set_traceparent(request.traceparent);
+    run.set_traceparent(traceparent);
     {
         const std::lock_guard lock(context.suspects.lock);
         fillSuspects(*run.mutable_suspects(), suspectNews(context.suspects.suspects, maxSuspectNews, context.suspects.settings, Clock::now()));
@@ -83,6 +90,7 @@
         , m_answer(answer)
         , m_id(randomId())
         , m_inbox(std::make_shared<AttemptInbox>(std::move(strand)))
+        , m_span(startSpan(spans::attempt, request.traceparent))
     {
     }
 
@@ -95,6 +103,7 @@
 
     asio::awaitable<AttemptResult> run()
     {
+        m_span.setTag("instance", m_target.instance);
         Reason reason;
         m_link = co_await m_context.links.open(m_target.link, std::min(connectTimeout, untilDeadline(m_request)), reason);
         if (!m_link) {
@@ -105,13 +114,16 @@
             co_return result;
         }
         m_context.router.add(m_id, m_inbox, m_link.get());
-        m_link->send(buildRun(m_context, m_request, m_id, m_target, m_answer));
+        m_link->send(buildRun(m_context, m_request, m_id, m_target, m_answer, m_span.traceparent()));
         m_context.targets.noteSent(m_request.route.targetGroup, m_target.instance, m_request.cost);
         // A link that closed before the inbox was known told nobody.
         if (!m_link->isOpen()) {
             postClosed();
         }
         AttemptResult result = co_await readAnswer();
+        if (result.end != AttemptEnd::Complete) {
+            m_span.setError(result.refusal.reason);
+        }
         co_return result;
     }
 
@@ -191,6 +203,7 @@
     /** Asks over a new connection what became of the attempt; empty when its frames go on. */
     asio::awaitable<std::optional<AttemptResult>> resolve()
     {
+        Span span = startSpan(spans::resolve, m_span.traceparent());
         const TimePoint giveUp = std::min(m_request.deadline, Clock::now() + resolveBound);
         Reason reason{Step::Resolve, m_target.instance, "contact lost"};
         while (Clock::now() < giveUp) {
@@ -198,6 +211,7 @@
             if (link) {
                 auto outcome = co_await askOver(link, giveUp);
                 if (outcome) {
+                    processMetrics().count(Counter::Resolves, {*outcome ? "never_seen" : "goes_on"});
                     co_return std::move(*outcome);
                 }
             }
@@ -206,6 +220,8 @@
         }
         m_context.targets.noteSilent(m_request.route.targetGroup, m_target.instance, true);
         reason.step = Step::Resolve;
+        span.setError(reason);
+        processMetrics().count(Counter::Resolves, {"no_contact"});
         logEvent(Part::Entry, Level::Warning, "attempt not resolved", reason, {{"request", m_request.id}});
         if (Clock::now() >= m_request.deadline) {
             co_return expire();
@@ -278,6 +294,7 @@
     AttemptId m_id;
     std::shared_ptr<AttemptInbox> m_inbox;
     LinkPointer m_link;
+    Span m_span;
     std::uint32_t m_lastSequence = 0;
 };
 
--- a/src/serving/src/entryrequest.cpp
+++ b/src/serving/src/entryrequest.cpp
@@ -5,12 +5,15 @@
 #include "entryattempt.h"
 
 #include <process/log.h>
+#include <process/metrics.h>
+#include <process/tracing.h>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace snipehill
@@ -26,6 +29,23 @@
 constexpr unsigned overloadStatus = 429;
 constexpr unsigned blockedStatus = 422;
 
+const char *nameOf(AttemptEnd end) noexcept
+{
+    static constexpr std::array names{"complete", "refused", "lost_contact", "expired", "caller_gone"};
+    return names[static_cast<std::size_t>(end)];
+}
+
+/** Counts the request once its answer has ended. */
+void recordRequest(const std::string &workspace, const std::string &route, const CallerAnswer &answer, TimePoint received)
+{
+    Metrics &metrics = processMetrics();
+    metrics.count(Counter::Requests, {workspace, route, answer.outcome()});
+    metrics.observe(Timing::Request, {route}, Clock::now() - received);
+    if (answer.streaming() && answer.firstData()) {
+        metrics.observe(Timing::FirstToken, {workspace}, *answer.firstData() - received);
+    }
+}
+
 /** The coroutine's state of one request. */
 class Request
 {
@@ -108,6 +128,7 @@
                 continue;
             }
             const AttemptResult result = co_await runAttempt(m_context, m_request, *target, m_answer);
+            processMetrics().count(Counter::Attempts, {nameOf(result.end)});
             if (result.end == AttemptEnd::Complete || result.end == AttemptEnd::CallerGone) {
                 co_return std::nullopt;
             }
@@ -256,6 +277,7 @@
     {
         const bool overloaded = result.refusal.status == overloadStatus;
         const bool unplannedFailure = result.refusal.outcome == Outcome::OutcomeUnknown && !result.targetCrashed && result.end == AttemptEnd::Refused;
+        processMetrics().count(Counter::Retries, {toString(result.refusal.reason.step)});
         if (m_answer.streaming() || (!overloaded && !unplannedFailure)) {
             return true;
         }
@@ -285,10 +307,21 @@
     CallerAnswer answer(exchange, requestId);
     if (auto *refusal = std::get_if<Refusal>(&request)) {
         co_await answer.refuse(std::move(*refusal));
+        recordRequest({}, {}, answer, now);
         co_return;
     }
-    Request run(context, std::move(std::get<CallerRequest>(request)), answer);
+    auto &accepted = std::get<CallerRequest>(request);
+    Span span = startSpan(spans::request, accepted.traceparent);
+    span.setTag(requestIdTag, requestId);
+    span.setTag("route", accepted.route.name);
+    accepted.traceparent = span.traceparent();
+    const std::string workspace = accepted.workspace.name;
+    const std::string route = accepted.route.name;
+    answer.measureFor(workspace);
+    Request run(context, std::move(accepted), answer);
     co_await run.run();
+    span.setTag("outcome", answer.outcome());
+    recordRequest(workspace, route, answer, now);
 }
 
 } // namespace snipehill
--- a/src/serving/src/processparts.cpp
+++ b/src/serving/src/processparts.cpp
@@ -43,6 +43,14 @@
     return authority;
 }
 
+void setConfigGauges(Metrics &metrics, const ConfigFollower &config)
+{
+    metrics.set(Gauge::ConfigVersion, {}, static_cast<double>(config.current()->offset));
+    if (const auto contact = config.lastContact()) {
+        metrics.set(Gauge::ConfigAgeSeconds, {}, std::chrono::duration<double>(Clock::now() - *contact).count());
+    }
+}
+
 Json::Value leasesStatus(const std::vector<LeaseStatus> &leases)
 {
     Json::Value list(Json::arrayValue);
--- a/src/serving/src/processparts.h
+++ b/src/serving/src/processparts.h
@@ -4,6 +4,7 @@
 #include <process/controlplane.h>
 #include <process/leasekeeper.h>
 #include <process/members.h>
+#include <process/metrics.h>
 #include <process/settings.h>
 #include <process/sidecarauthority.h>
 #include <request/targetchoice.h>
@@ -25,6 +26,9 @@
 /** Settings of a sidecar's authority over its target. */
 SidecarAuthoritySettings authoritySettings(const Settings &settings, const Incarnation &self);
 
+/** Version and age of the configuration. */
+void setConfigGauges(Metrics &metrics, const ConfigFollower &config);
+
 /** Leases as /status shows them. */
 Json::Value leasesStatus(const std::vector<LeaseStatus> &leases);
 
--- a/src/serving/src/sidecar.cpp
+++ b/src/serving/src/sidecar.cpp
@@ -262,6 +262,11 @@
         admin.addStatus("target", [this] {
             return targetStatus();
         });
+        processMetrics().onScrape([this](Metrics &metrics) {
+            setConfigGauges(metrics, config);
+            metrics.set(Gauge::Draining, {}, context.leaving ? 1 : 0);
+            metrics.set(Gauge::RunningRequests, {}, static_cast<double>(context.queue.busy()));
+        });
         return admin.start(reason);
     }
 
--- a/src/serving/src/sidecarattempt.cpp
+++ b/src/serving/src/sidecarattempt.cpp
@@ -20,7 +20,11 @@
 } // namespace
 
 SidecarAttempt::SidecarAttempt(wire::Run run, LinkPointer link, TimePoint now)
-    : m_run(std::move(run)), m_deadline(now + milliseconds(m_run.deadline_ms())), m_link(std::move(link))
+    : m_run(std::move(run))
+    , m_received(now)
+    , m_deadline(now + milliseconds(m_run.deadline_ms()))
+    , m_link(std::move(link))
+    , m_waitSpan(startSpan(spans::queue, m_run.traceparent()))
 {
 }
 
@@ -51,6 +55,13 @@
     return m_machine.advance(event);
 }
 
+Duration SidecarAttempt::endWait(TimePoint now)
+{
+    const std::lock_guard lock(m_lock);
+    m_waitSpan.finish();
+    return now - m_received;
+}
+
 void SidecarAttempt::emit(wire::Frame frame)
 {
     const std::lock_guard lock(m_lock);
--- a/src/serving/src/sidecarattempt.h
+++ b/src/serving/src/sidecarattempt.h
@@ -4,6 +4,7 @@
 #include <core/ids.h>
 #include <core/refusal.h>
 #include <core/time.h>
+#include <process/tracing.h>
 #include <request/attemptphase.h>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -36,6 +37,9 @@
     /** Moves on; false if the event does not fit the phase, for example a start after a cancellation. */
     bool advance(AttemptEvent event);
 
+    /** Ends the span of the wait in the queue; returns how long it was. */
+    Duration endWait(TimePoint now);
+
     /** Numbers the frame, keeps it until acknowledged and sends it if the link is open. */
     void emit(wire::Frame frame);
     void acknowledge(std::uint32_t sequence);
@@ -58,6 +62,7 @@
 
 private:
     wire::Run m_run;
+    TimePoint m_received;
     TimePoint m_deadline;
     mutable std::mutex m_lock;
     AttemptPhaseMachine m_machine;
@@ -68,6 +73,7 @@
     bool m_cancelled = false;
     std::function<void()> m_onCancel;
     std::shared_ptr<boost::asio::steady_timer> m_windowTimer; //!< set while the runner waits for the window
+    Span m_waitSpan;
     std::optional<TimePoint> m_linkClosedAt; //!< first seen closed
 };
 
--- a/src/serving/src/sidecarqueue.cpp
+++ b/src/serving/src/sidecarqueue.cpp
@@ -86,10 +86,10 @@
     return dispatched;
 }
 
-void SidecarQueue::done(const DispatchedAttempt &dispatched, std::uint64_t promptTokens, std::uint64_t outputTokens)
+void SidecarQueue::done(const DispatchedAttempt &dispatched, std::uint64_t costTokens)
 {
     const std::lock_guard lock(m_lock);
-    finish(m_queue, dispatched.request, queueCost(promptTokens, outputTokens));
+    finish(m_queue, dispatched.request, costTokens);
     m_running.erase(dispatched.request.attempt);
     m_runningDecodeTokens -= dispatched.attempt->run().output_tokens();
     m_freeLanes.push_back(dispatched.lane);
--- a/src/serving/src/sidecarqueue.h
+++ b/src/serving/src/sidecarqueue.h
@@ -45,7 +45,7 @@
     /** The next attempt for a free lane, or empty. */
     std::optional<DispatchedAttempt> next();
     /** Gives the lane back and books the cost. */
-    void done(const DispatchedAttempt &dispatched, std::uint64_t promptTokens, std::uint64_t outputTokens);
+    void done(const DispatchedAttempt &dispatched, std::uint64_t costTokens);
     /** Waiting attempts whose deadline has passed. */
     std::vector<AttemptPointer> takeExpired(TimePoint now);
     /** Takes a waiting attempt out; false if it does not wait. */
--- a/src/serving/src/sidecarrun.cpp
+++ b/src/serving/src/sidecarrun.cpp
@@ -3,6 +3,8 @@
 #include "wireconvert.h"
 
 #include <process/log.h>
+#include <process/metrics.h>
+#include <process/tracing.h>
 #include <request/estimate.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -55,19 +57,20 @@
 
     asio::awaitable<void> run()
     {
+        processMetrics().observe(Timing::QueueWait, {m_run.workspace()}, m_attempt->endWait(Clock::now()));
         if (m_run.idempotent()) {
             co_await runIdempotent();
         } else {
             co_await runOnce();
         }
-        m_context.queue.done(m_dispatched, m_usage.prompt_tokens(), m_usage.output_tokens());
+        m_context.queue.done(m_dispatched, m_costTokens);
         pump(m_context);
     }
 
 private:
-    ExchangeTarget target() const
+    ExchangeTarget target(const Span &span) const
     {
-        return {m_context.settings.target.address, m_context.settings.target.kind == TargetKind::Engine, m_dispatched.priority};
+        return {m_context.settings.target.address, m_context.settings.target.kind == TargetKind::Engine, m_dispatched.priority, span.traceparent()};
     }
 
     /** Exchange with the target, known to the health watch while it lasts. */
@@ -75,8 +78,10 @@
     {
         m_context.health.enter(m_attempt->id(), m_run.fingerprint());
         const TimePoint start = Clock::now();
-        ExchangeResult result = co_await exchangeWithTarget(*m_dispatched.lane, m_attempt, target(), std::move(sink));
+        Span span = startSpan(spans::target, m_run.traceparent());
+        ExchangeResult result = co_await exchangeWithTarget(*m_dispatched.lane, m_attempt, target(span), std::move(sink));
         if (result.end == ExchangeEnd::NotSent || result.end == ExchangeEnd::Failed) {
+            span.setError(result.reason);
             m_finding = co_await m_context.health.judgeFailure(m_attempt->id());
         }
         m_context.health.leave(m_attempt->id());
@@ -89,14 +94,23 @@
 
     void takeUsage(const EventProgress &progress)
     {
-        m_usage.set_prompt_tokens(progress.usageSeen ? progress.promptTokens : m_run.prompt_tokens());
-        // The sidecar that ends a resumed answer books all of it, the others none.
-        m_usage.set_output_tokens(progress.usageSeen ? progress.outputTokens : m_run.resume_tokens() + progress.dataEvents);
+        const bool engine = m_context.settings.target.kind == TargetKind::Engine;
+        m_costTokens = queueCost(m_run.prompt_tokens(), engine ? progress.outputTokens : m_run.output_tokens());
+        if (engine) {
+            takeTokens(progress);
+        }
         if (m_context.bookUsage) {
             m_usage.set_window(m_context.bookUsage(m_run.workspace(), m_usage));
         }
     }
 
+    void takeTokens(const EventProgress &progress)
+    {
+        m_usage.set_prompt_tokens(progress.usageSeen ? progress.promptTokens : m_run.prompt_tokens());
+        // The sidecar that ends a resumed answer books all of it, the others none.
+        m_usage.set_output_tokens(progress.usageSeen ? progress.outputTokens : m_run.resume_tokens() + progress.dataEvents);
+    }
+
     void noteCrashHere()
     {
         logEvent(Part::Sidecar, Level::Warning, "target died", {{"inFlight", m_finding.inFlight.size()}, {"alone", m_dispatched.request.alone ? "yes" : "no"}});
@@ -176,7 +190,11 @@
         m_attempt->advance(AttemptEvent::Claim);
         const auto remaining = std::chrono::duration_cast<milliseconds>(m_attempt->deadline() - Clock::now());
         const std::string bodyHash = std::to_string(m_run.fingerprint());
+        Span span = startSpan(spans::logAppend, m_run.traceparent());
+        const TimePoint start = Clock::now();
         const IntentClaim claim = co_await m_context.intents.claim(key, bodyHash, remaining);
+        span.finish();
+        processMetrics().observe(Timing::LogAppend, {"intents"}, Clock::now() - start);
         if (const auto *other = std::get_if<IntentOwnedByOther>(&claim)) {
             answerForOther(key, *other);
             co_return;
@@ -255,6 +273,7 @@
     AttemptPointer m_attempt;
     const wire::Run &m_run;
     wire::Usage m_usage;
+    std::uint64_t m_costTokens = 0; //!< real cost; 0 for an attempt that the target did not answer
     FailureFinding m_finding;
 };
 
--- a/src/serving/src/targetexchange.cpp
+++ b/src/serving/src/targetexchange.cpp
@@ -47,8 +47,8 @@
     if (!run.idempotent()) {
         request.set("Idempotency-Key", run.idempotency_key());
     }
-    if (!run.traceparent().empty()) {
-        request.set("traceparent", run.traceparent());
+    if (!target.traceparent.empty()) {
+        request.set("traceparent", target.traceparent);
     }
     request.body() = target.engine ? engineBody(run, target.priority) : run.body();
     if (target.engine && request.body().empty()) {
--- a/src/serving/src/targetexchange.h
+++ b/src/serving/src/targetexchange.h
@@ -55,6 +55,7 @@
     Endpoint endpoint;
     bool engine = false;
     int priority = 0; //!< for engines
+    std::string traceparent;
 };
 
 /**
