--- a/src/process/src/configholding.cpp
+++ b/src/process/src/configholding.cpp
@@ -81,7 +81,7 @@
 bool takeCopy(ConfigHolding &holding, const Json::Value &copy)
 {
     Reason reason;
-    auto config = readSnapshot(copy, holding.fold.config.understands, reason);
+    auto config = readCopy(copy, holding.fold.config.understands, reason);
     if (!config || config->offset <= holding.fold.config.offset) {
         return false;
     }
--- a/src/version/include/version/configsnapshot.h
+++ b/src/version/include/version/configsnapshot.h
@@ -24,11 +24,18 @@
 Json::Value writeCopy(const ConfigVersion &config);
 
 /**
- * Reads a snapshot record or a copy into the configuration that it describes, at the offset "upTo".
- * Reads for a program that understands schema versions up to the given one.
+ * Reads a snapshot record into the configuration that it describes, at the offset "upTo", for a program that
+ * understands schema versions up to the given one. Records that the writer did not understand but this program does
+ * are judged by what is in force at the snapshot; as every reader goes on from it, all agree.
  */
 std::optional<ConfigVersion> readSnapshot(const Json::Value &record, int understands, Reason &reason);
 
+/**
+ * Reads a copy. Empty with a reason if it holds records that its writer did not understand but this program does:
+ * only those who read them in their place, or from a snapshot, know whether they are effective.
+ */
+std::optional<ConfigVersion> readCopy(const Json::Value &copy, int understands, Reason &reason);
+
 /** Hexadecimal SHA-256 over what is in force; equal in all processes that applied the same prefix. */
 std::string configDigest(const ConfigVersion &config);
 
--- a/src/version/include/version/jsonfields.h
+++ b/src/version/include/version/jsonfields.h
@@ -6,9 +6,9 @@
 
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace snipehill
 {
@@ -26,13 +26,13 @@
  * Reads the members of one JSON object into typed fields and keeps the first error.
  *
  * Each read of a member that is absent leaves the field at its default. finish() reports members that
- * nobody asked for. The object must outlive the reader. One thread.
+ * nobody asked for. The object, path and names must outlive the reader. One thread.
  */
 class FieldReader
 {
 public:
     /** The path stands before the member names in errors, for example "spec.". */
-    FieldReader(const Json::Value &object, std::string path, Step step);
+    FieldReader(const Json::Value &object, const char *path, Step step);
 
     void read(const char *name, std::string &field, std::size_t maxBytes);
     void read(const char *name, bool &field);
@@ -49,9 +49,9 @@
 private:
     bool present(const char *name);
     const Json::Value &m_object;
-    std::string m_path;
+    const char *m_path;
     Step m_step;
-    std::set<std::string, std::less<>> m_known;
+    std::vector<std::string_view> m_known;
     std::string m_error;
 };
 
--- a/src/version/src/configsnapshot.cpp
+++ b/src/version/src/configsnapshot.cpp
@@ -27,6 +27,7 @@
     Offset offset = noOffset;
     bool judged = false;
     Json::Value record;
+    RecordEnvelope envelope; //!< of entries that were read
 };
 
 Json::Value toJson(const SnapshotEntry &entry)
@@ -45,12 +46,12 @@
     for (const auto &[object, versions] : config.variants) {
         for (const auto &[version, variant] : versions) {
             if (!variant.withdrawn || variant.offset > forgottenUpTo) {
-                entries.push_back({variant.offset, true, variant.record});
+                entries.push_back({variant.offset, true, variant.record, {}});
             }
         }
     }
     for (const AsideRecord &aside : config.aside) {
-        entries.push_back({aside.offset, aside.judged, aside.record});
+        entries.push_back({aside.offset, aside.judged, aside.record, {}});
     }
     std::sort(entries.begin(), entries.end(), [](const SnapshotEntry &a, const SnapshotEntry &b) {
         return a.offset < b.offset;
@@ -88,12 +89,18 @@
     if (!fields.finish(reason)) {
         return std::nullopt;
     }
+    auto envelope = parseEnvelope(entry.record, reason);
+    if (!envelope) {
+        return std::nullopt;
+    }
+    entry.envelope = std::move(*envelope);
     return entry;
 }
 
 /** Takes an entry that its writer knew to be effective, so without the checks of applyRecord. */
-bool takeJudged(ConfigVersion &config, const SnapshotEntry &entry, const RecordEnvelope &envelope, Reason &reason)
+bool takeJudged(ConfigVersion &config, const SnapshotEntry &entry, Reason &reason)
 {
+    const RecordEnvelope &envelope = entry.envelope;
     RecordVariant variant{.offset = entry.offset, .withdrawn = envelope.withdrawn, .record = entry.record};
     if (!envelope.withdrawn) {
         auto spec = parseSpec(envelope, entry.record, reason);
@@ -108,54 +115,35 @@
 
 bool takeEntry(ConfigVersion &config, const SnapshotEntry &entry, Reason &reason)
 {
-    const auto envelope = parseEnvelope(entry.record, reason);
-    if (!envelope) {
-        return false;
-    }
     if (entry.offset <= config.offset) {
         reason = {Step::Config, "", "entries.offset must grow"};
         return false;
     }
     config.offset = entry.offset;
-    if (envelope->schemaVersion > config.understands) {
+    if (entry.envelope.schemaVersion > config.understands) {
         config.aside.push_back({entry.offset, entry.judged, entry.record});
         return true;
     }
-    return !entry.judged || takeJudged(config, entry, *envelope, reason);
+    return !entry.judged || takeJudged(config, entry, reason);
+}
+
+bool isOpen(const SnapshotEntry &entry, int understands)
+{
+    return !entry.judged && entry.envelope.schemaVersion <= understands;
 }
 
 /** Judges what the writer could not, after all that it could. */
 void judgeOpenEntries(ConfigVersion &config, const std::vector<SnapshotEntry> &entries)
 {
     for (const SnapshotEntry &entry : entries) {
-        Reason ignored;
-        const auto envelope = parseEnvelope(entry.record, ignored);
-        if (envelope && !entry.judged && envelope->schemaVersion <= config.understands) {
+        if (isOpen(entry, config.understands)) {
             config.offset = entry.offset - 1;
             applyRecord(config, entry.offset, entry.record);
         }
     }
 }
 
-} // namespace
-
-bool isSnapshot(const Json::Value &record)
-{
-    return record.isObject() && record["kind"].isString() && record["kind"].asString() == "snapshot";
-}
-
-Json::Value writeSnapshot(const ConfigVersion &config)
-{
-    // A withdrawal is carried through one snapshot: long enough for late duplicates, and the list stays short.
-    return writeRecord(config, config.snapshotOffset);
-}
-
-Json::Value writeCopy(const ConfigVersion &config)
-{
-    return writeRecord(config, noOffset);
-}
-
-std::optional<ConfigVersion> readSnapshot(const Json::Value &record, int understands, Reason &reason)
+std::optional<ConfigVersion> readRecord(const Json::Value &record, int understands, bool judgeOpen, Reason &reason)
 {
     FieldReader fields(record, "", Step::Config);
     std::string kind;
@@ -177,11 +165,15 @@
     config.understands = understands;
     std::vector<SnapshotEntry> entries;
     for (const Json::Value &value : list) {
-        const auto entry = parseEntry(value, reason);
+        auto entry = parseEntry(value, reason);
         if (!entry || !takeEntry(config, *entry, reason)) {
             return std::nullopt;
         }
-        entries.push_back(*entry);
+        if (!judgeOpen && isOpen(*entry, understands)) {
+            reason = {Step::Config, "", "the writer did not understand record " + std::to_string(entry->offset)};
+            return std::nullopt;
+        }
+        entries.push_back(std::move(*entry));
     }
     if (config.offset > upTo) {
         reason = {Step::Config, "", "entries.offset must not lie past upTo"};
@@ -193,6 +185,34 @@
     return config;
 }
 
+} // namespace
+
+bool isSnapshot(const Json::Value &record)
+{
+    return record.isObject() && record["kind"].isString() && record["kind"].asString() == "snapshot";
+}
+
+Json::Value writeSnapshot(const ConfigVersion &config)
+{
+    // A withdrawal is carried through one snapshot: long enough for late duplicates, and the list stays short.
+    return writeRecord(config, config.snapshotOffset);
+}
+
+Json::Value writeCopy(const ConfigVersion &config)
+{
+    return writeRecord(config, noOffset);
+}
+
+std::optional<ConfigVersion> readSnapshot(const Json::Value &record, int understands, Reason &reason)
+{
+    return readRecord(record, understands, true, reason);
+}
+
+std::optional<ConfigVersion> readCopy(const Json::Value &copy, int understands, Reason &reason)
+{
+    return readRecord(copy, understands, false, reason);
+}
+
 std::string configDigest(const ConfigVersion &config)
 {
     return hashSecret(std::to_string(config.offset) + writeJson(entriesJson(config, noOffset)));
--- a/src/version/src/jsonfields.cpp
+++ b/src/version/src/jsonfields.cpp
@@ -3,6 +3,7 @@
 #include <json/reader.h>
 #include <json/writer.h>
 
+#include <algorithm>
 #include <cmath>
 #include <memory>
 
@@ -68,16 +69,16 @@
     return Json::writeString(writer, value);
 }
 
-FieldReader::FieldReader(const Json::Value &object, std::string path, Step step) : m_object(object), m_path(std::move(path)), m_step(step)
+FieldReader::FieldReader(const Json::Value &object, const char *path, Step step) : m_object(object), m_path(path), m_step(step)
 {
     if (!object.isObject()) {
-        m_error = (m_path.empty() ? "value" : m_path) + " must be an object";
+        m_error = (*m_path == '\0' ? std::string("value") : std::string(m_path)) + " must be an object";
     }
 }
 
 bool FieldReader::present(const char *name)
 {
-    m_known.insert(name);
+    m_known.emplace_back(name);
     return m_object.isObject() && m_object.isMember(name);
 }
 
@@ -89,7 +90,7 @@
 void FieldReader::fail(const char *name, std::string_view problem)
 {
     if (m_error.empty()) {
-        m_error = m_path + name + " " + std::string(problem);
+        m_error = std::string(m_path) + name + " " + std::string(problem);
     }
 }
 
@@ -160,8 +161,9 @@
 bool FieldReader::finish(Reason &reason)
 {
     if (m_object.isObject()) {
-        for (const std::string &name : m_object.getMemberNames()) {
-            if (!m_known.contains(name)) {
+        for (auto member = m_object.begin(); member != m_object.end(); ++member) {
+            const std::string name = member.name();
+            if (std::find(m_known.begin(), m_known.end(), name) == m_known.end()) {
                 fail(name.c_str(), "is not known");
             }
         }
--- /dev/null
+++ b/tests/process/configsimulation.cpp
@@ -0,0 +1,491 @@
+#include "configsimulation.h"
+
+#include <process/configholding.h>
+#include <version/configsnapshot.h>
+
+#include <array>
+#include <map>
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace snipehill::test
+{
+
+namespace
+{
+
+constexpr milliseconds faultsEnd{12000};
+constexpr milliseconds runEnd{16000};
+constexpr milliseconds freshness{3000};
+constexpr milliseconds readInterval{300};
+constexpr milliseconds askInterval{500};
+constexpr std::size_t processCount = 4;
+constexpr std::size_t pageRecords = 8;
+
+/**
+ * What processes have to agree on; a record is known by its offset. Not what they keep aside: a copy from a program
+ * that understands such records carries fewer of them, which only shows in snapshots, from which all go on alike.
+ */
+struct Essence
+{
+    std::vector<std::pair<Offset, int>> entries;
+    friend bool operator==(const Essence &, const Essence &) = default;
+};
+
+template<typename T> void addView(Essence &essence, const T &view)
+{
+    for (const auto &[name, versioned] : view) {
+        essence.entries.emplace_back(versioned.offset, versioned.schemaVersion);
+    }
+    essence.entries.emplace_back(noOffset, 0);
+}
+
+Essence essenceOf(const ConfigVersion &config)
+{
+    Essence essence;
+    for (const auto &[object, versions] : config.variants) {
+        for (const auto &[version, variant] : versions) {
+            essence.entries.emplace_back(variant.offset, variant.withdrawn ? -version : version);
+        }
+    }
+    addView(essence, config.workspaces);
+    addView(essence, config.keys);
+    addView(essence, config.targetGroups);
+    addView(essence, config.routes);
+    essence.entries.emplace_back(config.snapshotOffset, static_cast<int>(config.keyNameByHash.size()));
+    return essence;
+}
+
+struct Process
+{
+    std::string name;
+    int understands = 1;
+    ConfigHolding holding;
+    std::uint64_t incarnation = 0;
+    Offset highest = noOffset; //!< of this incarnation
+    Duration pausedUntil{};
+    Duration cutUntil{}; //!< from the log
+};
+
+class Simulation
+{
+public:
+    Simulation(std::uint64_t seed, ConfigMutation mutation) : m_choices(seed), m_mutation(mutation)
+    {
+        for (std::size_t i = 0; i < processCount; ++i) {
+            m_processes[i].name = "p" + std::to_string(i);
+            m_processes[i].understands = i % 2 == 0 ? 1 : 2;
+            m_processes[i].holding.fold.config.understands = m_processes[i].understands;
+        }
+        for (const int understands : {1, 2}) {
+            ConfigFold &fold = m_reference[understands];
+            fold.config.understands = understands;
+            beginPage(fold, 0);
+            m_known[understands][noOffset] = essenceOf(fold.config);
+        }
+        m_faults = {.lossPercent = static_cast<int>(m_choices.between(0, 20)),
+                    .duplicatePercent = 10,
+                    .slowPercent = static_cast<int>(m_choices.between(0, 20)),
+                    .usualDelay = milliseconds(30),
+                    .longDelay = milliseconds(2500)};
+    }
+
+    ConfigRun run()
+    {
+        for (std::size_t i = 0; i < processCount; ++i) {
+            m_time.after(m_choices.time(0, 500), [this, i] {
+                readTick(i);
+            });
+            m_time.after(m_choices.time(0, 500), [this, i] {
+                askTick(i);
+            });
+        }
+        m_time.after(m_choices.time(0, 500), [this] {
+            operatorTick();
+        });
+        m_time.after(m_choices.time(1000, 4000), [this] {
+            snapshotTick();
+        });
+        m_time.after(m_choices.time(500, 3000), [this] {
+            faultTick();
+        });
+        m_time.run(faultsEnd);
+        m_faults = {.usualDelay = milliseconds(30)};
+        m_outageUntil = {};
+        for (Process &process : m_processes) {
+            process.cutUntil = {};
+            process.pausedUntil = {};
+        }
+        m_time.run(runEnd);
+        checkEnd();
+        m_run.records = m_records.size();
+        return m_run;
+    }
+
+private:
+    TimePoint clock(const Process &process) const
+    {
+        // Each process has a clock of its own; they differ by far more than a run takes.
+        const auto index = static_cast<std::int64_t>(&process - m_processes.data());
+        return TimePoint(m_time.now() + seconds(1000 * (index + 1)));
+    }
+
+    void violate(const std::string &what)
+    {
+        m_run.violations.push_back(what + " at " + std::to_string(std::chrono::duration_cast<milliseconds>(m_time.now()).count()) + " ms");
+    }
+
+    void append(const Json::Value &record)
+    {
+        m_records.push_back(record);
+        m_appendedAt.push_back(m_time.now());
+        const auto offset = static_cast<Offset>(m_records.size()) - 1;
+        for (auto &[understands, fold] : m_reference) {
+            advance(fold, offset, record);
+            m_known[understands][offset] = essenceOf(fold.config);
+        }
+        m_run.snapshots += m_reference[1].config.snapshotOffset == offset ? 1 : 0;
+    }
+
+    void sendToLog(Json::Value value)
+    {
+        // Shared, because events are copied on their way.
+        const auto record = std::make_shared<const Json::Value>(std::move(value));
+        sendMessage(m_time, m_choices, m_faults, [this, record] {
+            if (!outage()) {
+                append(*record);
+            }
+        });
+    }
+
+    bool outage() const
+    {
+        return m_time.now() < m_outageUntil;
+    }
+
+    /** Runs the action now, or when the process goes on after a pause; not at all if it was restarted meanwhile. */
+    void deliver(std::size_t index, std::uint64_t incarnation, VirtualTime::Action action)
+    {
+        Process &process = m_processes[index];
+        if (process.incarnation != incarnation) {
+            return;
+        }
+        if (m_time.now() < process.pausedUntil) {
+            m_time.at(process.pausedUntil, [this, index, incarnation, action] {
+                deliver(index, incarnation, action);
+            });
+            return;
+        }
+        action();
+        check(process);
+    }
+
+    void readTick(std::size_t index)
+    {
+        m_time.after(readInterval, [this, index] {
+            readTick(index);
+        });
+        Process &process = m_processes[index];
+        if (m_time.now() < process.pausedUntil || m_time.now() < process.cutUntil) {
+            return;
+        }
+        const Offset from = process.holding.fold.nextRead;
+        const TimePoint sentAt = clock(process);
+        const std::uint64_t incarnation = process.incarnation;
+        sendMessage(m_time, m_choices, m_faults, [this, index, incarnation, from, sentAt] {
+            answerRead(index, incarnation, from, sentAt);
+        });
+    }
+
+    void answerRead(std::size_t index, std::uint64_t incarnation, Offset from, TimePoint sentAt)
+    {
+        if (outage()) {
+            return;
+        }
+        const auto page = std::make_shared<LogPage>(LogPage{m_firstRetained, static_cast<Offset>(m_records.size()), {}});
+        for (Offset offset = std::max(from, m_firstRetained); offset < page->next && page->records.size() < pageRecords; ++offset) {
+            page->records.push_back({offset, m_records[static_cast<std::size_t>(offset)]});
+        }
+        if (!page->records.empty()) {
+            page->next = page->records.back().offset + 1;
+        }
+        sendMessage(m_time, m_choices, m_faults, [this, index, incarnation, page, sentAt] {
+            deliver(index, incarnation, [this, index, page, sentAt] {
+                takeAnswer(m_processes[index], *page, sentAt);
+            });
+        });
+    }
+
+    void takeAnswer(Process &process, const LogPage &page, TimePoint sentAt)
+    {
+        const TimePoint now = clock(process);
+        const TimePoint proof = m_mutation == ConfigMutation::ContactFromReceipt ? now : sentAt;
+        if (m_mutation == ConfigMutation::GapIgnored && !page.records.empty()) {
+            process.holding.fold.nextRead = page.records.front().offset;
+            process.holding.fold.complete = true;
+            LogPage joined = page;
+            joined.firstRetained = 0;
+            takePage(process.holding, joined, proof, now, {});
+            return;
+        }
+        takePage(process.holding, page, proof, now, {});
+    }
+
+    void askTick(std::size_t index)
+    {
+        m_time.after(askInterval, [this, index] {
+            askTick(index);
+        });
+        Process &process = m_processes[index];
+        if (m_time.now() < process.pausedUntil) {
+            return;
+        }
+        const auto other = static_cast<std::size_t>(m_choices.between(0, processCount - 1));
+        if (other == index) {
+            return;
+        }
+        if (m_choices.percent(30)) {
+            push(index, other);
+        } else {
+            ask(index, other);
+        }
+    }
+
+    void ask(std::size_t index, std::size_t other)
+    {
+        const Process &process = m_processes[index];
+        const TimePoint sentAt = clock(process);
+        const Offset from = askFrom(process.holding);
+        const std::uint64_t incarnation = process.incarnation;
+        const std::uint64_t otherIncarnation = m_processes[other].incarnation;
+        sendMessage(m_time, m_choices, m_faults, [=, this] {
+            deliver(other, otherIncarnation, [=, this] {
+                const auto told = std::make_shared<const Json::Value>(tell(m_processes[other], from));
+                sendMessage(m_time, m_choices, m_faults, [=, this] {
+                    deliver(index, incarnation, [=, this] {
+                        hear(m_processes[index], *told, sentAt);
+                    });
+                });
+            });
+        });
+    }
+
+    void push(std::size_t index, std::size_t other)
+    {
+        const auto told = std::make_shared<const Json::Value>(tell(m_processes[index], m_processes[other].holding.fold.config.offset));
+        const std::uint64_t otherIncarnation = m_processes[other].incarnation;
+        sendMessage(m_time, m_choices, m_faults, [=, this] {
+            deliver(other, otherIncarnation, [=, this] {
+                const bool proves = m_mutation == ConfigMutation::UnaskedNewsProves;
+                const TimePoint now = clock(m_processes[other]);
+                hear(m_processes[other], *told, proves ? std::optional(now) : std::nullopt);
+            });
+        });
+    }
+
+    Json::Value tell(const Process &process, Offset from)
+    {
+        Json::Value told = tellPeer(process.holding, process.name, from, clock(process));
+        if (m_mutation == ConfigMutation::WithdrawalsForgotten && told.isMember("copy")) {
+            told["copy"] = writeSnapshot(process.holding.fold.config);
+            Json::Value kept(Json::arrayValue);
+            for (const Json::Value &entry : told["copy"]["entries"]) {
+                if (!entry["record"]["withdrawn"].asBool()) {
+                    kept.append(entry);
+                }
+            }
+            told["copy"]["entries"] = kept;
+        }
+        return told;
+    }
+
+    void hear(Process &process, const Json::Value &told, std::optional<TimePoint> sentAt)
+    {
+        if (m_mutation == ConfigMutation::LowerCopyTaken && told.isMember("copy")) {
+            process.holding.fold.config.offset = noOffset;
+        }
+        hearPeer(process.holding, told, sentAt, {});
+    }
+
+    std::string name(const char *prefix)
+    {
+        return prefix + std::to_string(m_choices.between(0, 2));
+    }
+
+    Json::Value randomSpec(const std::string &kind)
+    {
+        Json::Value spec(Json::objectValue);
+        if (kind == "workspace") {
+            spec["weight"] = Json::Int64(m_choices.between(m_choices.percent(5) ? 0 : 1, 5));
+        } else if (kind == "key") {
+            spec["workspace"] = name("workspace");
+            spec["sha256"] = std::string(64, static_cast<char>('a' + m_choices.between(0, 5)));
+        } else if (kind == "targetGroup") {
+            spec["kind"] = "service";
+        } else {
+            spec["prefix"] = "/" + name("p");
+            spec["targetGroup"] = name("targetGroup");
+        }
+        return spec;
+    }
+
+    Json::Value randomRecord()
+    {
+        static constexpr std::array kinds{"workspace", "key", "targetGroup", "route"};
+        static constexpr std::array kindValues{RecordKind::Workspace, RecordKind::Key, RecordKind::TargetGroup, RecordKind::Route};
+        const auto kind = static_cast<std::size_t>(m_choices.between(0, 3));
+        Json::Value record(Json::objectValue);
+        record["kind"] = kinds[kind];
+        record["name"] = name(kinds[kind]);
+        const int version = m_choices.percent(25) ? 2 : 1;
+        record["schemaVersion"] = version;
+        // An operator looks at what some process has in force, which may be old.
+        const Process &seen = m_processes[static_cast<std::size_t>(m_choices.between(0, processCount - 1))];
+        const auto replaces = replaceableOffset(seen.holding.fold.config, {kindValues[kind], record["name"].asString()}, version);
+        record["replaces"] = replaces ? Json::Value(Json::Int64(*replaces)) : Json::Value();
+        if (replaces && m_choices.percent(30)) {
+            record["withdrawn"] = true;
+        } else {
+            record["spec"] = randomSpec(kinds[kind]);
+        }
+        return record;
+    }
+
+    void operatorTick()
+    {
+        if (m_time.now() >= faultsEnd) {
+            return;
+        }
+        m_time.after(m_choices.time(50, 1200), [this] {
+            operatorTick();
+        });
+        const bool late = !m_records.empty() && m_choices.percent(10);
+        const auto again = static_cast<std::size_t>(m_choices.between(0, static_cast<std::int64_t>(m_records.size()) - (m_records.empty() ? 0 : 1)));
+        sendToLog(late ? m_records[again] : randomRecord());
+    }
+
+    void snapshotTick()
+    {
+        if (m_time.now() >= faultsEnd) {
+            return;
+        }
+        m_time.after(m_choices.time(500, 4000), [this] {
+            snapshotTick();
+        });
+        const Process &writer = m_processes[static_cast<std::size_t>(m_choices.between(0, processCount - 1))];
+        if (!writer.holding.fold.complete || writer.holding.fold.config.offset == noOffset) {
+            return;
+        }
+        sendToLog(writeSnapshot(writer.holding.fold.config));
+    }
+
+    void faultTick()
+    {
+        if (m_time.now() >= faultsEnd) {
+            return;
+        }
+        m_time.after(m_choices.time(300, 4000), [this] {
+            faultTick();
+        });
+        ++m_run.faults;
+        const auto index = static_cast<std::size_t>(m_choices.between(0, processCount - 1));
+        Process &process = m_processes[index];
+        switch (m_choices.between(0, 4)) {
+        case 0:
+            process.pausedUntil = m_time.now() + m_choices.time(100, 6000);
+            break;
+        case 1:
+            restart(process);
+            break;
+        case 2:
+            m_outageUntil = m_time.now() + m_choices.time(100, 6000);
+            break;
+        case 3:
+            process.cutUntil = m_time.now() + m_choices.time(1000, 6000);
+            break;
+        default:
+            // Retention passes live records, too, but never the newest snapshot.
+            m_firstRetained = m_choices.between(m_firstRetained, std::max(m_firstRetained, m_reference[1].config.snapshotOffset));
+        }
+    }
+
+    void restart(Process &process)
+    {
+        process.holding = m_blank;
+        process.holding.fold.config.understands = process.understands;
+        process.highest = noOffset;
+        process.pausedUntil = {};
+        ++process.incarnation;
+    }
+
+    void check(Process &process)
+    {
+        const ConfigFold &fold = process.holding.fold;
+        if (fold.config.offset < process.highest) {
+            violate(process.name + " went back from " + std::to_string(process.highest) + " to " + std::to_string(fold.config.offset));
+        }
+        const bool moved = fold.config.offset != process.highest;
+        process.highest = fold.config.offset;
+        if (moved && !(essenceOf(fold.config) == m_known[process.understands][fold.config.offset])) {
+            violate(process.name + " differs from the others at " + std::to_string(fold.config.offset));
+        }
+        checkFreshness(process);
+    }
+
+    Freshness judge(const Process &process) const
+    {
+        std::vector<std::string> others;
+        for (const Process &other : m_processes) {
+            if (other.name != process.name) {
+                others.push_back(other.name);
+            }
+        }
+        return judgeFreshness(freshnessView(process.holding, others), freshness, clock(process));
+    }
+
+    void checkFreshness(const Process &process)
+    {
+        if (judge(process) != Freshness::Fresh) {
+            return;
+        }
+        const auto next = static_cast<std::size_t>(process.holding.fold.config.offset + 1);
+        if (next < m_records.size() && m_appendedAt[next] < m_time.now() - freshness) {
+            violate(process.name + " calls itself fresh without record " + std::to_string(next));
+        }
+    }
+
+    void checkEnd()
+    {
+        for (const Process &process : m_processes) {
+            if (process.holding.fold.config.offset + 1 != static_cast<Offset>(m_records.size())) {
+                violate(process.name + " does not have the newest configuration");
+            } else if (judge(process) != Freshness::Fresh) {
+                violate(process.name + " is not fresh");
+            }
+        }
+    }
+
+    VirtualTime m_time;
+    Choices m_choices;
+    ConfigMutation m_mutation;
+    NetworkFaults m_faults;
+    std::vector<Json::Value> m_records;
+    std::vector<Duration> m_appendedAt;
+    Offset m_firstRetained = 0;
+    Duration m_outageUntil{};
+    std::array<Process, processCount> m_processes;
+    ConfigHolding m_blank; //!< of a process that starts
+    std::map<int, ConfigFold> m_reference; //!< by schema version understood, never forgets
+    std::map<int, std::map<Offset, Essence>> m_known;
+    ConfigRun m_run;
+};
+
+} // namespace
+
+ConfigRun simulateConfig(std::uint64_t seed, ConfigMutation mutation)
+{
+    return Simulation(seed, mutation).run();
+}
+
+} // namespace snipehill::test
