--- a/src/request/include/request/admission.h
+++ b/src/request/include/request/admission.h
@@ -2,6 +2,7 @@
 
 #include <core/refusal.h>
 #include <core/time.h>
+#include <request/targetchoice.h>
 #include <version/records.h>
 
 #include <cstdint>
@@ -26,6 +27,9 @@
     RateBucket requests;
     RateBucket tokens;
     std::uint32_t running = 0;
+    double weight = 1; //!< of the workspace
+    double recentCost = 0; //!< admitted work in the unit of queueCost(), decaying
+    TimePoint recentUpdated{};
     double demand = 0; //!< tokens asked for since the last report to the keeper of the workspace, admitted or not
     std::optional<double> share; //!< part of the limits granted by the keeper, 0..1
     TimePoint shareUntil{}; //!< end of the grant
@@ -42,6 +46,13 @@
 {
     seconds burst{2}; //!< a bucket holds the limit of this long
     double minShare = 0; //!< least part of a limit that an entry enforces without a keeper
+    milliseconds maxPressure{1250}; //!< predicted wait and interference beyond which a request is refused at once
+    seconds recentTime{30}; //!< time constant of the recent work that workspaces are compared by
+    double aboveShare = 2; //!< times its share that a workspace may use before its patience shrinks
+    double belowShare = 0.75; //!< times its share below which its patience grows
+    double fairness = 3; //!< how fast maxPressure shrinks for a workspace above its share; 0: the same for all
+    double minPatience = 0.3; //!< least part of maxPressure
+    double maxPatience = 3; //!< most times maxPressure, for a workspace below its share
     seconds maxRetryAfter{30};
 };
 
@@ -51,7 +62,7 @@
     std::uint64_t promptTokens = 0;
     std::uint64_t outputTokens = 0;
     Duration remaining{}; //!< until the caller's deadline
-    std::optional<Duration> predictedDelay; //!< until the first token on the best target, empty if there is no target
+    std::optional<PlacementCost> forecast; //!< on the target that chooseTarget() names; empty if there is none
 };
 
 /**
@@ -67,6 +78,12 @@
                              const AdmissionSettings &settings,
                              TimePoint now);
 
+/**
+ * Part of maxPressure that holds for a workspace: below 1 when its recent work exceeds its share by weight among
+ * the active workspaces of this entry, above 1 when it is less.
+ */
+double patienceFor(Admission &admission, const Workspace &workspace, const AdmissionSettings &settings, TimePoint now);
+
 /** Ends one admitted request; corrects its token estimate by what was really used. */
 void release(Admission &admission, std::string_view workspace, std::int64_t tokensOverEstimate);
 
--- a/src/serving/src/entry.cpp
+++ b/src/serving/src/entry.cpp
@@ -2,11 +2,15 @@
 
 #include "entrycontext.h"
 #include "entryrequest.h"
+#include "fleetplanner.h"
 #include "processparts.h"
 #include "wireconvert.h"
 
 #include <connection/httpserver.h>
+#include <process/adminserver.h>
+#include <process/controlplane.h>
 #include <process/log.h>
+#include <process/metrics.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -35,9 +39,10 @@
     return limits;
 }
 
-}
+} // namespace
 
-struct Entry::Parts {
+struct Entry::Parts
+{
     Parts(asio::io_context &io, const Settings &settings)
         : executor(io.get_executor())
         , identity{{settings.instance, randomId()}, "entry", settings.link.heartbeat}
@@ -45,16 +50,56 @@
         , members(settings.platform.instances, settings.timings.instancesPoll, executor)
         , links(executor, identity, linkHandlers())
         , config(followerOptions(settings), executor, links.peerCall())
+        , planner(targets, config)
+        , control(executor, controlSettings(settings, identity.self), controlHooks(), links.peerCall())
         , context{.settings = settings, .config = config, .members = members, .links = links, .targets = targets, .router = router}
-        , callers(executor, callerLimits(settings.callers), [this](HttpExchange &exchange) { return serveCaller(context, exchange); })
+        , callers(executor,
+                  callerLimits(settings.callers),
+                  [this](HttpExchange &exchange) {
+                      return serveCaller(context, exchange);
+                  })
+        , admin(executor, settings, processMetrics())
+    {
+    }
+
+    ControlHooks controlHooks()
+    {
+        ControlHooks hooks;
+        hooks.members = [this] {
+            return members.snapshot();
+        };
+        hooks.roleGroups = [this] {
+            return planner.roleGroups();
+        };
+        hooks.planRoles = [this](const std::string &group, const std::set<std::string> &busy, TimePoint now) {
+            return planner.planRoles(group, busy, now);
+        };
+        hooks.noteRoleOrder = [this](const std::string &group, const PlannedOrder &order, TimePoint now) {
+            planner.noteRoleOrder(group, order, now);
+        };
+        hooks.planTargets = [this](const std::string &failureDomain, TimePoint now) {
+            return planner.planTargets(failureDomain, now);
+        };
+        return hooks;
+    }
+
+    /** Second copy of what the sidecar booked; answers that were booked before carry no window. */
+    void countUsage(const std::string &workspace, const Incarnation &sidecar, const wire::Usage &usage)
     {
+        if (usage.window() != 0) {
+            control.usageCopies().count({sidecar, usage.window()}, workspace, {1, usage.prompt_tokens(), usage.output_tokens()});
+        }
     }
 
     LinkHandlers linkHandlers()
     {
         LinkHandlers handlers;
-        handlers.message = [this](const LinkPointer &link, const wire::LinkMessage &message) { receive(link, message); };
-        handlers.closed = [this](const LinkPointer &link) { router.linkClosed(link.get()); };
+        handlers.message = [this](const LinkPointer &link, const wire::LinkMessage &message) {
+            receive(link, message);
+        };
+        handlers.closed = [this](const LinkPointer &link) {
+            router.linkClosed(link.get());
+        };
         return handlers;
     }
 
@@ -88,6 +133,26 @@
         }
     }
 
+    bool startAdmin(Reason &reason)
+    {
+        admin.addReadiness([this] {
+            return draining ? std::optional<std::string>("draining") : std::nullopt;
+        });
+        admin.addReadiness([this] {
+            return config.ready() ? std::nullopt : std::optional<std::string>("no configuration yet");
+        });
+        admin.addStatus("config", [this] {
+            return config.status(Clock::now());
+        });
+        admin.addStatus("leases", [this] {
+            return leasesStatus(control.leases().status());
+        });
+        admin.addStatus("targets", [this] {
+            return targetsStatus(targets.allViews(Clock::now()));
+        });
+        return admin.start(reason);
+    }
+
     asio::any_io_executor executor;
     LinkIdentity identity;
     AttemptRouter router;
@@ -95,17 +160,17 @@
     Members members;
     LinkTable links;
     ConfigFollower config;
+    FleetPlanner planner;
+    ControlPlane control;
     EntryContext context;
     HttpServer callers;
+    AdminServer admin;
     std::unique_ptr<LinkServer> linkServer;
     std::atomic<std::uint64_t> droppedFrames{0}; //!< of attempts that have ended or were replaced
     std::atomic<bool> draining{false};
 };
 
-Entry::Entry(asio::io_context &context, const Settings &settings)
-    : m_parts(std::make_unique<Parts>(context, settings))
-{
-}
+Entry::Entry(asio::io_context &context, const Settings &settings) : m_parts(std::make_unique<Parts>(context, settings)) { }
 
 Entry::~Entry() = default;
 
@@ -115,6 +180,10 @@
     const Settings &settings = parts.context.settings;
     RpcMethods methods;
     parts.config.offerMethods(methods);
+    methods.merge(parts.control.methods());
+    parts.context.countUsage = [&parts](const std::string &workspace, const Incarnation &sidecar, const wire::Usage &usage) {
+        parts.countUsage(workspace, sidecar, usage);
+    };
     LinkHandlers serverHandlers = parts.linkHandlers();
     serverHandlers.rpc = std::make_shared<RpcDispatcher>(std::move(methods));
     parts.linkServer = std::make_unique<LinkServer>(parts.executor, parts.identity, std::move(serverHandlers));
@@ -123,12 +192,13 @@
         parts.links.keepOpen(parts.targets.subsetLinks());
         parts.config.setPeers(configPeers(*members, self));
     });
-    if (!parts.linkServer->start(settings.link.listen, reason)) {
+    if (!parts.linkServer->start(settings.link.listen, reason) || !parts.startAdmin(reason)) {
         return false;
     }
     parts.links.start();
     parts.members.start();
     parts.config.start();
+    parts.control.start();
     return parts.callers.start(settings.callers.listen, reason);
 }
 
@@ -152,9 +222,10 @@
             timer.expires_after(drainPoll);
             co_await timer.async_wait(asio::use_awaitable);
         }
+        co_await parts->control.stop();
         finished();
     };
     asio::co_spawn(asio::make_strand(m_parts->executor), run(m_parts.get(), std::move(done)), asio::detached);
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/sidecarqueue.h
+++ b/src/serving/src/sidecarqueue.h
@@ -19,7 +19,8 @@
 {
 
 /** An attempt that may go to the target now, and the lane that it runs on. */
-struct DispatchedAttempt {
+struct DispatchedAttempt
+{
     AttemptPointer attempt;
     QueuedRequest request;
     Lane *lane = nullptr;
@@ -27,7 +28,8 @@
 };
 
 /** Speeds of the target over recent requests. */
-struct TargetRates {
+struct TargetRates
+{
     double prefillTokensPerSecond = 0;
     double decodeTokensPerSecond = 0;
 };
@@ -57,6 +59,9 @@
     std::size_t busy() const;
 
 private:
+    /** Takes the attempt out of the waiting ones and their totals. */
+    AttemptPointer forgetWaiting(AttemptId attempt);
+
     mutable std::mutex m_lock;
     FairQueueSettings m_settings;
     FairQueue m_queue;
@@ -65,6 +70,8 @@
     std::vector<std::unique_ptr<Lane>> m_lanes;
     std::vector<Lane *> m_freeLanes;
     TargetRates m_rates;
+    std::uint64_t m_runningDecodeTokens = 0;
+    LoadReport m_totals; //!< queued and admitted tokens, kept up to date instead of summed for each report
 };
 
-}
+} // namespace snipehill
