--- /dev/null
+++ b/bench/crashes.cpp
@@ -0,0 +1,52 @@
+#include "report.h"
+
+#include <fakes/crashrun.h>
+
+#include <string>
+#include <vector>
+
+using namespace snipehill;
+using namespace snipehill::fakes;
+
+namespace
+{
+
+constexpr std::uint64_t seeds[] = {41, 42, 43, 44, 45};
+
+void compare(const bench::Report &report, const RunSettings &settings)
+{
+    std::vector<bench::Row> rows;
+    for (const CrashCase &crashCase : crashCases()) {
+        CrashFigures figures;
+        for (const std::uint64_t seed : seeds) {
+            const CrashFigures one = runCrashCase(crashCase, settings, seed);
+            figures.culprits += one.culprits;
+            figures.targetsLost += one.targetsLost;
+            figures.bystandersLost += one.bystandersLost;
+            figures.refusedEverywhere = std::max(figures.refusedEverywhere, one.refusedEverywhere);
+            figures.goodput += one.goodput / std::size(seeds);
+            figures.goodputWithout += one.goodputWithout / std::size(seeds);
+        }
+        rows.push_back({crashCase.name,
+                        {{"culprits", static_cast<double>(figures.culprits)},
+                         {"lost", static_cast<double>(figures.targetsLost)},
+                         {"bystanders", static_cast<double>(figures.bystandersLost)},
+                         {"refused_all_s", figures.refusedEverywhere},
+                         {"goodput", figures.goodput},
+                         {"without", figures.goodputWithout}}});
+    }
+    report.table("targets and bystanders lost, " + std::to_string(settings.queue.dispatchesBeforeAlone) + " dispatches before one alone", rows);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const bench::Report report("crashes", argc, argv);
+    for (const std::uint32_t before : {0U, 4U, 16U}) {
+        RunSettings settings;
+        settings.queue.dispatchesBeforeAlone = before;
+        compare(report, settings);
+    }
+    return 0;
+}
--- a/src/request/include/request/fairqueue.h
+++ b/src/request/include/request/fairqueue.h
@@ -42,6 +42,7 @@
 {
     std::uint32_t slots = 8; //!< requests that the target may run at once
     std::uint32_t reservedSlots = 1; //!< slots that a workspace which holds more than its part of the target leaves free
+    std::uint32_t dispatchesBeforeAlone = 0; //!< others that may still start while a request waits to run alone
     std::size_t maxWaiting = 4096; //!< requests beyond this are refused at once
 };
 
--- a/src/request/include/request/roleplan.h
+++ b/src/request/include/request/roleplan.h
@@ -3,7 +3,7 @@
 #include <core/loadreport.h>
 #include <core/time.h>
 
-#include <map>
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
@@ -19,7 +19,7 @@
     double decode = 0;
 };
 
-/** Fast and slow moving averages of a model's demand. */
+/** Fast and slow moving averages of a model's demand; the plan reckons with the fast one, the slow one tells shifts from swings. */
 struct DemandAverages
 {
     TokenDemand fast;
@@ -27,6 +27,8 @@
     TimePoint updated{};
     TimePoint sideSince{}; //!< since when the fast ratio of prefill to decode stands on one side of the slow one
     bool prefillRises = false; //!< the side
+    double sideSeconds = 0; //!< how long the ratio stayed on a side before, moving average
+    std::uint32_t sideChanges = 0;
     bool started = false;
 };
 
@@ -35,13 +37,13 @@
 {
     seconds fastAverage{30}; //!< time constant
     seconds slowAverage{300};
-    seconds persistence{60}; //!< a shift that has lasted so long is believed in full
     seconds changeTime{20}; //!< drain and change: the engine serves nothing for so long
     seconds horizon{180}; //!< a change must pay within this
     seconds engineDwell{120}; //!< least time between two changes of one engine
     seconds poolDwell{15}; //!< least time between two changes in one pool
+    double sideMargin = 0.05; //!< the ratio changes sides when it passes the slow one by this part
     double minGain = 0.05; //!< least drop of the worst utilisation
-    double busy = 0.7; //!< below this worst utilisation nothing is changed
+    double busy = 0.85; //!< below this worst utilisation nothing is changed
     seconds freshReport{10}; //!< a report older than this counts as missing
     double minFresh = 0.7; //!< part of the engines that must have fresh reports
     double mixedEfficiency = 0.85; //!< of an engine that does both kinds of work
@@ -82,8 +84,11 @@
 /** Adds a measurement of admitted work, taken over an interval that ends now. */
 void addDemand(DemandAverages &averages, const TokenDemand &measured, const RolePlanSettings &settings, TimePoint now);
 
-/** Demand that the plan reckons with: between the averages, nearer to the fast one the longer the shift has lasted. */
-TokenDemand plannedDemand(const DemandAverages &averages, const RolePlanSettings &settings, TimePoint now) noexcept;
+/**
+ * How long the present mix of work is expected to last, at most the horizon: the rest of a usual stay on one
+ * side, or as long again as the stay has lasted when it is longer than usual.
+ */
+Duration expectedStay(const DemandAverages &averages, const RolePlanSettings &settings, TimePoint now) noexcept;
 
 /** Worst utilisation of prefill and decode when the engines that serve carry the demand; infinite where nothing serves one kind. */
 double worstUtilisation(std::span<const EngineView> engines, const TokenDemand &demand, const RolePlanSettings &settings);
--- a/src/request/src/fairqueue.cpp
+++ b/src/request/src/fairqueue.cpp
@@ -142,7 +142,7 @@
     if (queue.aloneRunning) {
         return std::nullopt;
     }
-    const bool aloneTurn = !queue.aloneLine.empty() && (queue.backlogged.empty() || queue.sinceAlone >= settings.slots);
+    const bool aloneTurn = !queue.aloneLine.empty() && (queue.backlogged.empty() || queue.sinceAlone >= settings.dispatchesBeforeAlone);
     if (aloneTurn) {
         // The target drains first: others wait until the request has run.
         return queue.running == 0 ? std::optional(startAlone(queue)) : std::nullopt;
--- a/src/request/src/roleplan.cpp
+++ b/src/request/src/roleplan.cpp
@@ -28,10 +28,22 @@
     return {approach(average.prefill, measured.prefill, elapsed, constant), approach(average.decode, measured.decode, elapsed, constant)};
 }
 
-/** True when the fast average leans more towards prefill than the slow one. */
-bool leansToPrefill(const DemandAverages &averages)
+/** True when the fast average leans to the other side of the slow one than before, by more than the margin. */
+bool hasChangedSides(const DemandAverages &averages, const RolePlanSettings &settings)
 {
-    return averages.fast.prefill * averages.slow.decode > averages.slow.prefill * averages.fast.decode;
+    const double fast = averages.fast.prefill * averages.slow.decode;
+    const double slow = averages.slow.prefill * averages.fast.decode;
+    return averages.prefillRises ? fast < slow * (1 - settings.sideMargin) : fast > slow * (1 + settings.sideMargin);
+}
+
+void changeSides(DemandAverages &averages, TimePoint now)
+{
+    constexpr double newest = 0.3; // weight of the last stay
+    const double stay = inSeconds(now - averages.sideSince);
+    averages.sideSeconds += (averages.sideChanges > 0 ? newest : 1) * (stay - averages.sideSeconds);
+    ++averages.sideChanges;
+    averages.prefillRises = !averages.prefillRises;
+    averages.sideSince = now;
 }
 
 struct Capacity
@@ -103,11 +115,11 @@
     return std::clamp(utilisation, settings.busy, infiniteUtilisation);
 }
 
-/** Gain of a change over the horizon in utilisation-seconds, less what the change itself costs. */
-double netGain(double before, double during, double after, const RolePlanSettings &settings)
+/** Gain of a change over the stay in utilisation-seconds, less what the change itself costs. */
+double netGain(double before, double during, double after, Duration stay, const RolePlanSettings &settings)
 {
     const double change = static_cast<double>(settings.changeTime.count());
-    const double rest = static_cast<double>(settings.horizon.count()) - change;
+    const double rest = std::max(0.0, inSeconds(stay) - change);
     const double gain = (felt(before, settings) - felt(after, settings)) * rest;
     const double loss = (felt(during, settings) - felt(before, settings)) * change;
     return gain - loss;
@@ -118,26 +130,31 @@
 void addDemand(DemandAverages &averages, const TokenDemand &measured, const RolePlanSettings &settings, TimePoint now)
 {
     if (!averages.started) {
-        averages = DemandAverages{measured, measured, now, now, false, true};
+        averages = DemandAverages{};
+        averages.fast = measured;
+        averages.slow = measured;
+        averages.updated = now;
+        averages.sideSince = now;
+        averages.started = true;
         return;
     }
     const double elapsed = inSeconds(now - averages.updated);
     averages.fast = approach(averages.fast, measured, elapsed, settings.fastAverage);
     averages.slow = approach(averages.slow, measured, elapsed, settings.slowAverage);
     averages.updated = now;
-    const bool side = leansToPrefill(averages);
-    if (side != averages.prefillRises) {
-        averages.prefillRises = side;
-        averages.sideSince = now;
+    if (hasChangedSides(averages, settings)) {
+        changeSides(averages, now);
     }
 }
 
-TokenDemand plannedDemand(const DemandAverages &averages, const RolePlanSettings &settings, TimePoint now) noexcept
+Duration expectedStay(const DemandAverages &averages, const RolePlanSettings &settings, TimePoint now) noexcept
 {
-    const double lasted = inSeconds(now - averages.sideSince) / static_cast<double>(settings.persistence.count());
-    const double trust = std::clamp(lasted, 0.0, 1.0);
-    return {averages.slow.prefill + trust * (averages.fast.prefill - averages.slow.prefill),
-            averages.slow.decode + trust * (averages.fast.decode - averages.slow.decode)};
+    if (averages.sideChanges < 2) {
+        return settings.horizon;
+    }
+    const double lasted = inSeconds(now - averages.sideSince);
+    const double expected = lasted < averages.sideSeconds ? averages.sideSeconds - lasted : lasted;
+    return std::min<Duration>(settings.horizon, std::chrono::duration_cast<Duration>(std::chrono::duration<double>(expected)));
 }
 
 double worstUtilisation(std::span<const EngineView> engines, const TokenDemand &demand, const RolePlanSettings &settings)
@@ -161,11 +178,12 @@
     if (!pool.demand.started || !mayPlan(engines, pool, settings, now)) {
         return std::nullopt;
     }
-    const TokenDemand demand = plannedDemand(pool.demand, settings, now);
+    const TokenDemand demand = pool.demand.fast;
     const double before = worstUtilisation(engines, demand, settings);
     if (before < settings.busy) {
         return std::nullopt;
     }
+    const Duration stay = expectedStay(pool.demand, settings, now);
     std::vector<EngineView> trial(engines.begin(), engines.end());
     std::optional<RoleChange> best;
     double bestGain = 0;
@@ -180,7 +198,7 @@
         for (const EngineRole role : {EngineRole::Mixed, EngineRole::Prefill, EngineRole::Decode}) {
             engine.role = role;
             const double after = worstUtilisation(trial, demand, settings);
-            const double gain = netGain(before, during, after, settings);
+            const double gain = netGain(before, during, after, stay, settings);
             if (role != current && gain > bestGain && std::min(before, infiniteUtilisation) - after >= settings.minGain) {
                 bestGain = gain;
                 best = RoleChange{engine.instance, role, before, after};
--- /dev/null
+++ b/tests/fakes/crashrun.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "routingrun.h"
+
+#include <string>
+#include <vector>
+
+namespace snipehill::fakes
+{
+
+/** Requests that crash each target that runs them, among ordinary traffic. */
+struct CrashCase
+{
+    std::string name;
+    std::uint32_t culprits = 1; //!< different requests
+    std::uint32_t copies = 1; //!< of each, sent one after the other
+    double gap = 5; //!< seconds between copies
+    bool judged = true; //!< false: without the judgement, each crash is just retried
+    bool manyEntries = true; //!< copies arrive at different entries
+};
+
+struct CrashFigures
+{
+    std::size_t culprits = 0;
+    std::uint32_t targetsLost = 0;
+    std::size_t bystandersLost = 0; //!< other requests that were admitted and got no whole answer
+    double refusedEverywhere = 0; //!< seconds from the first crash until a copy sent to any entry is refused at once
+    double goodput = 0; //!< of the other requests
+    double goodputWithout = 0; //!< the same traffic without the culprits
+};
+
+inline std::vector<CrashCase> crashCases()
+{
+    return {
+        {"one request, sent once", 1, 1},
+        {"one request, sent 20 times, 5 s apart", 1, 20},
+        {"one request, sent 20 times, 0.5 s apart", 1, 20, 0.5},
+        {"one request, sent 20 times at once", 1, 20, 0.001},
+        {"three requests, each sent 10 times", 3, 10},
+        {"no judgement, one request sent once", 1, 1, 5, false},
+        {"no judgement, one request sent 20 times", 1, 20, 5, false},
+    };
+}
+
+inline std::vector<Arrival> culpritsOf(const CrashCase &crashCase, std::uint32_t entries)
+{
+    std::vector<Arrival> arrivals;
+    for (std::uint32_t culprit = 0; culprit < crashCase.culprits; ++culprit) {
+        for (std::uint32_t copy = 0; copy < crashCase.copies; ++copy) {
+            Arrival arrival;
+            arrival.due = 20 + 15 * culprit + copy * crashCase.gap;
+            arrival.workspace = "bureau";
+            arrival.promptTokens = 500;
+            arrival.outputTokens = 50;
+            arrival.fingerprint = 1000 + culprit;
+            arrival.crashes = true;
+            arrival.entry = crashCase.manyEntries ? copy % entries : 0;
+            arrivals.push_back(arrival);
+        }
+    }
+    std::stable_sort(arrivals.begin(), arrivals.end(), [](const Arrival &left, const Arrival &right) {
+        return left.due < right.due;
+    });
+    return arrivals;
+}
+
+inline CrashFigures runCrashCase(const CrashCase &crashCase, RunSettings settings, std::uint64_t seed)
+{
+    TrafficSettings traffic;
+    traffic.requestsPerSecond = 12;
+    traffic.until = 150;
+    settings.seed = seed;
+    if (!crashCase.judged) {
+        settings.crashes.suspectTime = seconds(0);
+        settings.crashes.blockTime = seconds(0);
+        settings.crashes.memory = seconds(0);
+    }
+    const std::vector<Arrival> ordinary = makeTraffic(traffic, seed);
+    const std::vector<Arrival> all = mergeTraffic(ordinary, culpritsOf(crashCase, settings.entries));
+    const RunResult result = RoutingRun(settings, all).run();
+
+    CrashFigures figures;
+    figures.culprits = crashCase.culprits;
+    figures.targetsLost = result.targetsLost;
+    figures.goodputWithout = summarise(RoutingRun(settings, ordinary).run().records).goodput;
+    std::vector<RequestRecord> others;
+    double lastAttempted = 0;
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        if (all[i].crashes) {
+            lastAttempted = result.records[i].attempts > 0 ? std::max(lastAttempted, result.records[i].due) : lastAttempted;
+        } else {
+            others.push_back(result.records[i]);
+            const bool answered = result.records[i].end >= 0;
+            figures.bystandersLost += result.records[i].attempts > 0 && !answered ? 1 : 0;
+        }
+    }
+    const Summary summary = summarise(others);
+    figures.goodput = summary.goodput;
+    figures.refusedEverywhere = result.firstCrash < 0 ? 0 : std::max(0.0, lastAttempted - result.firstCrash);
+    return figures;
+}
+
+} // namespace snipehill::fakes
--- a/tests/fakes/routingrun.h
+++ b/tests/fakes/routingrun.h
@@ -89,6 +89,7 @@
     std::uint64_t prefilledTokens = 0;
     std::uint64_t cachedTokens = 0;
     std::uint32_t targetsLost = 0;
+    double firstCrash = -1; //!< seconds, -1: none
     std::uint32_t retriesRefused = 0; //!< by the retry budget
     std::uint64_t attempts = 0;
 };
@@ -432,6 +433,20 @@
                 break;
             }
             const Arrival &arrival = m_arrivals[next->attempt];
+            const Judgement judgement = judge(target.suspects, arrival.fingerprint, m_settings.crashes, timePoint(m_now));
+            if (judgement == Judgement::Blocked || (judgement == Judgement::RunAlone && !next->alone)) {
+                // News came while the request waited.
+                finish(target.queue, *next, 0);
+                if (judgement == Judgement::Blocked) {
+                    leave(next->attempt, position);
+                    endRequest(next->attempt, true);
+                } else {
+                    QueuedRequest suspect = *next;
+                    suspect.alone = true;
+                    enqueue(target.queue, suspect, m_settings.queue);
+                }
+                continue;
+            }
             const std::uint64_t done = m_generated[next->attempt];
             FakeStream stream{
                 next->attempt, arrival.promptTokens + done, arrival.outputTokens - std::min(done, arrival.outputTokens - 1), arrival.prefixHashes};
@@ -494,6 +509,7 @@
     void crashTarget(std::size_t position)
     {
         FakeTarget &target = m_targets[position];
+        m_result.firstCrash = m_result.targetsLost == 0 ? m_now : m_result.firstCrash;
         ++m_result.targetsLost;
         ++target.cacheEpoch;
         target.down = true;
