--- a/src/request/include/request/scaleplan.h
+++ b/src/request/include/request/scaleplan.h
@@ -27,7 +27,7 @@
     double targetUtilisation = 0.7; //!< of the serving targets
     double lossUtilisation = 0.95; //!< allowed after the loss of the largest failure domain
     seconds startSustain{20}; //!< too few targets for this long before one is started
-    seconds stopSustain{300}; //!< one too many for this long before it is stopped
+    seconds stopSustain{120}; //!< one too many for this long before it is stopped
     seconds stopGap{30}; //!< least time between two stops
 };
 
--- a/src/request/src/roleplan.cpp
+++ b/src/request/src/roleplan.cpp
@@ -10,6 +10,7 @@
 namespace
 {
 
+constexpr double leastRate = 1e-6; // tokens a second; what is below is rounding
 constexpr double infiniteUtilisation = 10; // stands for "nothing serves it" where gains are compared
 
 double inSeconds(Duration duration)
@@ -52,20 +53,25 @@
     TokenDemand mixed; //!< if all mixed engines did only the one or the other
 };
 
+/** Adds an engine's rates in a role to a capacity, or takes them out with a sign of -1. */
+void addEngine(Capacity &capacity, const EngineView &engine, EngineRole role, double sign, const RolePlanSettings &settings)
+{
+    if (role == EngineRole::Prefill) {
+        capacity.dedicated.prefill += sign * engine.prefillTokensPerSecond;
+    } else if (role == EngineRole::Decode) {
+        capacity.dedicated.decode += sign * engine.decodeTokensPerSecond;
+    } else {
+        capacity.mixed.prefill += sign * settings.mixedEfficiency * engine.prefillTokensPerSecond;
+        capacity.mixed.decode += sign * settings.mixedEfficiency * engine.decodeTokensPerSecond;
+    }
+}
+
 Capacity capacityOf(std::span<const EngineView> engines, const RolePlanSettings &settings)
 {
     Capacity capacity;
     for (const EngineView &engine : engines) {
-        if (!engine.live || engine.changing) {
-            continue;
-        }
-        if (engine.role == EngineRole::Prefill) {
-            capacity.dedicated.prefill += engine.prefillTokensPerSecond;
-        } else if (engine.role == EngineRole::Decode) {
-            capacity.dedicated.decode += engine.decodeTokensPerSecond;
-        } else {
-            capacity.mixed.prefill += settings.mixedEfficiency * engine.prefillTokensPerSecond;
-            capacity.mixed.decode += settings.mixedEfficiency * engine.decodeTokensPerSecond;
+        if (engine.live && !engine.changing) {
+            addEngine(capacity, engine, engine.role, 1, settings);
         }
     }
     return capacity;
@@ -76,7 +82,21 @@
     if (demand <= 0) {
         return 0;
     }
-    return capacity > 0 ? demand / capacity : std::numeric_limits<double>::infinity();
+    return capacity > leastRate ? demand / capacity : std::numeric_limits<double>::infinity();
+}
+
+double utilisationOf(const Capacity &capacity, const TokenDemand &demand)
+{
+    const double prefill = ratio(demand.prefill, capacity.dedicated.prefill + capacity.mixed.prefill);
+    const double decode = ratio(demand.decode, capacity.dedicated.decode + capacity.mixed.decode);
+    double joint = 0;
+    if (capacity.mixed.prefill > leastRate && capacity.mixed.decode > leastRate) {
+        // Mixed engines give each kind the part of their time that evens out both utilisations.
+        const double work = demand.prefill / capacity.mixed.prefill + demand.decode / capacity.mixed.decode;
+        const double room = 1 + capacity.dedicated.prefill / capacity.mixed.prefill + capacity.dedicated.decode / capacity.mixed.decode;
+        joint = work / room;
+    }
+    return std::max({prefill, decode, joint});
 }
 
 bool hasFreshReport(const EngineView &engine, const RolePlanSettings &settings)
@@ -159,17 +179,7 @@
 
 double worstUtilisation(std::span<const EngineView> engines, const TokenDemand &demand, const RolePlanSettings &settings)
 {
-    const Capacity capacity = capacityOf(engines, settings);
-    const double prefill = ratio(demand.prefill, capacity.dedicated.prefill + capacity.mixed.prefill);
-    const double decode = ratio(demand.decode, capacity.dedicated.decode + capacity.mixed.decode);
-    double joint = 0;
-    if (capacity.mixed.prefill > 0 && capacity.mixed.decode > 0) {
-        // Mixed engines give each kind the part of their time that evens out both utilisations.
-        const double work = demand.prefill / capacity.mixed.prefill + demand.decode / capacity.mixed.decode;
-        const double room = 1 + capacity.dedicated.prefill / capacity.mixed.prefill + capacity.dedicated.decode / capacity.mixed.decode;
-        joint = work / room;
-    }
-    return std::max({prefill, decode, joint});
+    return utilisationOf(capacityOf(engines, settings), demand);
 }
 
 std::optional<RoleChange>
@@ -179,32 +189,31 @@
         return std::nullopt;
     }
     const TokenDemand demand = pool.demand.fast;
-    const double before = worstUtilisation(engines, demand, settings);
+    const Capacity capacity = capacityOf(engines, settings);
+    const double before = utilisationOf(capacity, demand);
     if (before < settings.busy) {
         return std::nullopt;
     }
     const Duration stay = expectedStay(pool.demand, settings, now);
-    std::vector<EngineView> trial(engines.begin(), engines.end());
     std::optional<RoleChange> best;
     double bestGain = 0;
-    for (EngineView &engine : trial) {
+    for (const EngineView &engine : engines) {
         if (!mayChange(engine, busyDomains, settings, now)) {
             continue;
         }
-        const EngineRole current = engine.role;
-        engine.changing = true;
-        const double during = worstUtilisation(trial, demand, settings);
-        engine.changing = false;
+        Capacity without = capacity;
+        addEngine(without, engine, engine.role, -1, settings);
+        const double during = utilisationOf(without, demand);
         for (const EngineRole role : {EngineRole::Mixed, EngineRole::Prefill, EngineRole::Decode}) {
-            engine.role = role;
-            const double after = worstUtilisation(trial, demand, settings);
+            Capacity changed = without;
+            addEngine(changed, engine, role, 1, settings);
+            const double after = utilisationOf(changed, demand);
             const double gain = netGain(before, during, after, stay, settings);
-            if (role != current && gain > bestGain && std::min(before, infiniteUtilisation) - after >= settings.minGain) {
+            if (role != engine.role && gain > bestGain && std::min(before, infiniteUtilisation) - after >= settings.minGain) {
                 bestGain = gain;
                 best = RoleChange{engine.instance, role, before, after};
             }
         }
-        engine.role = current;
     }
     return best;
 }
--- a/tests/request/fairqueuetest.cpp
+++ b/tests/request/fairqueuetest.cpp
@@ -140,11 +140,11 @@
 {
     FairQueue queue;
     enqueue(queue, requestOf(1, "a", 1), oneSlot());
+    const auto running = dequeue(queue, oneSlot());
     enqueue(queue, requestOf(2, "a", 1), oneSlot());
     QueuedRequest suspect = requestOf(3, "b", 1);
     suspect.alone = true;
     enqueue(queue, suspect, oneSlot());
-    const auto running = dequeue(queue, oneSlot());
     CHECK(takeExpired(queue, TimePoint{} + seconds(1000)).empty());
     const auto expired = takeExpired(queue, TimePoint{} + seconds(1003));
     REQUIRE(expired.size() == 2); // the running one isn't waiting any more
