--- a/src/serving/src/callerrequest.cpp
+++ b/src/serving/src/callerrequest.cpp
@@ -23,8 +23,22 @@
 
 // Credentials stop here; the others concern one connection only or are set anew for the target.
 constexpr std::array<std::string_view, 16> fieldsNotForwarded{
-    "authorization", "proxy-authorization", "connection", "keep-alive",      "proxy-connection", "te",           "trailer",     "transfer-encoding",
-    "upgrade",       "content-length",      "host",       "expect",          "x-request-id",     "x-workspace",  "traceparent", "idempotency-key",
+    "authorization",
+    "proxy-authorization",
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "host",
+    "expect",
+    "x-request-id",
+    "x-workspace",
+    "traceparent",
+    "idempotency-key",
 };
 
 Refusal rejected(unsigned status, Step step, std::string detail)
@@ -87,13 +101,13 @@
     return std::nullopt;
 }
 
-bool isChatBody(const ConfigVersion &config, const Route &route)
+TargetKind kindOf(const ConfigVersion &config, const Route &route)
 {
     const auto group = config.targetGroups.find(route.targetGroup);
-    return group != config.targetGroups.end() && group->second.value.kind == TargetKind::Engine;
+    return group == config.targetGroups.end() ? TargetKind::Service : group->second.value.kind;
 }
 
-}
+} // namespace
 
 bool nestingWithin(std::string_view json, std::uint32_t bound) noexcept
 {
@@ -134,7 +148,8 @@
     if (auto refusal = readIdempotencyKey(request, requestId, result)) {
         return std::move(*refusal);
     }
-    const bool chat = isChatBody(*checks.config, *route);
+    result.kind = kindOf(*checks.config, *route);
+    const bool chat = result.kind == TargetKind::Engine;
     if (chat && !nestingWithin(request.body(), checks.jsonDepth)) {
         return rejected(400, Step::Parse, "the body is nested too deeply");
     }
@@ -185,4 +200,4 @@
     return headers;
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/sidecar.cpp
+++ b/src/serving/src/sidecar.cpp
@@ -4,7 +4,9 @@
 #include "sidecarcontext.h"
 #include "wireconvert.h"
 
+#include <process/adminserver.h>
 #include <process/log.h>
+#include <process/metrics.h>
 #include <serving/linktable.h>
 
 #include <boost/asio/as_tuple.hpp>
@@ -25,10 +27,12 @@
 constexpr milliseconds sweepInterval{50};
 constexpr int sweepsPerCleaning = 20; //!< attempts nobody asks for are looked for once a second
 constexpr milliseconds drainPoll{50};
+constexpr int sweepsPerReport = 100; //!< entries that got no answer for this long learn the load all the same
 
-}
+} // namespace
 
-struct Sidecar::Parts {
+struct Sidecar::Parts
+{
     Parts(asio::io_context &io, const Settings &settings)
         : executor(io.get_executor())
         , self{settings.instance, randomId()}
@@ -42,8 +46,20 @@
                   .attempts = {},
                   .queue{executor, settings.target.slots},
                   .keyed = {},
-                  .health{executor, settings.target.address, [this] { targetChanged(); }},
+                  .health{executor,
+                          settings.target.address,
+                          [this] {
+                              targetChanged();
+                          }},
                   .intents{intentOptions(settings, self), executor}}
+        , authority(executor,
+                    authoritySettings(settings, self),
+                    drainHooks(),
+                    peers.peerCall(),
+                    [this] {
+                        return entryLinks();
+                    })
+        , admin(executor, settings, processMetrics())
     {
     }
 
@@ -55,10 +71,54 @@
         return options;
     }
 
+    DrainHooks drainHooks()
+    {
+        DrainHooks hooks;
+        hooks.stopAccepting = [this] {
+            setOrdered(true);
+        };
+        hooks.running = [this] {
+            return context.queue.busy();
+        };
+        hooks.resumeAccepting = [this] {
+            setOrdered(false);
+        };
+        hooks.noteRole = [this](EngineRole role) {
+            noteRole(role);
+        };
+        return hooks;
+    }
+
+    void setOrdered(bool ordered)
+    {
+        context.ordered = ordered;
+        broadcastLoad();
+    }
+
+    void noteRole(EngineRole role)
+    {
+        if (context.role.exchange(role) != role) {
+            broadcastLoad();
+        }
+    }
+
+    std::vector<Endpoint> entryLinks() const
+    {
+        std::vector<Endpoint> links;
+        for (const Member &member : *members.snapshot()) {
+            if (member.role == "entry") {
+                links.push_back(member.link);
+            }
+        }
+        return links;
+    }
+
     LinkHandlers serverHandlers()
     {
         LinkHandlers handlers;
-        handlers.message = [this](const LinkPointer &link, const wire::LinkMessage &message) { receive(link, message); };
+        handlers.message = [this](const LinkPointer &link, const wire::LinkMessage &message) {
+            receive(link, message);
+        };
         handlers.opened = [this](const LinkPointer &link) {
             wire::LinkMessage message;
             *message.mutable_load() = context.load();
@@ -162,6 +222,9 @@
             if (sweeps % sweepsPerCleaning == 0) {
                 parts->sweepAttempts();
             }
+            if (sweeps % sweepsPerReport == 0) {
+                parts->broadcastLoad();
+            }
             timer.expires_after(sweepInterval);
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         }
@@ -182,6 +245,40 @@
         finished();
     }
 
+    bool startAdmin(Reason &reason)
+    {
+        admin.addReadiness([this] {
+            return context.leaving ? std::optional<std::string>("draining") : std::nullopt;
+        });
+        admin.addReadiness([this] {
+            return config.ready() ? std::nullopt : std::optional<std::string>("no configuration yet");
+        });
+        admin.addReadiness([this] {
+            return context.health.up() ? std::nullopt : std::optional<std::string>("the target is down");
+        });
+        admin.addStatus("config", [this] {
+            return config.status(Clock::now());
+        });
+        admin.addStatus("target", [this] {
+            return targetStatus();
+        });
+        return admin.start(reason);
+    }
+
+    Json::Value targetStatus() const
+    {
+        LoadReport report;
+        context.queue.describe(report);
+        Json::Value status;
+        status["group"] = context.settings.target.group;
+        status["up"] = context.health.up();
+        status["accepting"] = context.accepting();
+        status["role"] = toString(context.role.load());
+        status["running"] = report.running;
+        status["queued"] = report.queued;
+        return status;
+    }
+
     asio::any_io_executor executor;
     Incarnation self;
     LinkIdentity identity;
@@ -189,14 +286,13 @@
     LinkTable peers;
     ConfigFollower config;
     SidecarContext context;
+    SidecarAuthority authority;
+    AdminServer admin;
     std::unique_ptr<LinkServer> server;
     std::atomic<bool> stopped{false};
 };
 
-Sidecar::Sidecar(asio::io_context &context, const Settings &settings)
-    : m_parts(std::make_unique<Parts>(context, settings))
-{
-}
+Sidecar::Sidecar(asio::io_context &context, const Settings &settings) : m_parts(std::make_unique<Parts>(context, settings)) { }
 
 Sidecar::~Sidecar() = default;
 
@@ -206,18 +302,25 @@
     const Settings &settings = parts.context.settings;
     RpcMethods methods;
     parts.config.offerMethods(methods);
+    methods.merge(parts.authority.methods());
+    parts.context.bookUsage = [&parts](const std::string &workspace, const wire::Usage &usage) {
+        return parts.authority.usage().count(workspace, {1, usage.prompt_tokens(), usage.output_tokens()});
+    };
     LinkHandlers handlers = parts.serverHandlers();
     handlers.rpc = std::make_shared<RpcDispatcher>(std::move(methods));
     parts.server = std::make_unique<LinkServer>(parts.executor, parts.identity, std::move(handlers));
-    if (!parts.server->start(settings.link.listen, reason)) {
+    if (!parts.server->start(settings.link.listen, reason) || !parts.startAdmin(reason)) {
         return false;
     }
-    parts.members.onChange([&parts](const MemberList &members) { parts.config.setPeers(configPeers(*members, parts.self.instance)); });
+    parts.members.onChange([&parts](const MemberList &members) {
+        parts.config.setPeers(configPeers(*members, parts.self.instance));
+    });
     parts.peers.start();
     parts.members.start();
     parts.config.start();
     parts.context.health.start();
     parts.context.intents.start();
+    parts.authority.start();
     asio::co_spawn(asio::make_strand(parts.executor), Parts::sweepLoop(&parts), asio::detached);
     return true;
 }
@@ -232,4 +335,4 @@
     asio::co_spawn(asio::make_strand(m_parts->executor), Parts::drainLoop(m_parts.get(), std::move(done)), asio::detached);
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/sidecarrun.cpp
+++ b/src/serving/src/sidecarrun.cpp
@@ -49,10 +49,7 @@
 {
 public:
     Runner(SidecarContext &context, DispatchedAttempt dispatched)
-        : m_context(context)
-        , m_dispatched(std::move(dispatched))
-        , m_attempt(m_dispatched.attempt)
-        , m_run(m_attempt->run())
+        : m_context(context), m_dispatched(std::move(dispatched)), m_attempt(m_dispatched.attempt), m_run(m_attempt->run())
     {
     }
 
@@ -93,10 +90,8 @@
     void takeUsage(const EventProgress &progress)
     {
         m_usage.set_prompt_tokens(progress.usageSeen ? progress.promptTokens : m_run.prompt_tokens());
-        m_usage.set_output_tokens(progress.usageSeen ? progress.outputTokens : progress.dataEvents);
-        if (m_run.resume_tokens() > 0) {
-            m_usage.set_prompt_tokens(0); // counted by the attempt that this one goes on after
-        }
+        // The sidecar that ends a resumed answer books all of it, the others none.
+        m_usage.set_output_tokens(progress.usageSeen ? progress.outputTokens : m_run.resume_tokens() + progress.dataEvents);
         if (m_context.bookUsage) {
             m_usage.set_window(m_context.bookUsage(m_run.workspace(), m_usage));
         }
@@ -221,7 +216,9 @@
             answer.status = status;
             answer.headers = std::move(headers);
         };
-        sink.data = [&answer](std::string data) { answer.body += data; };
+        sink.data = [&answer](std::string data) {
+            answer.body += data;
+        };
         ExchangeResult result = co_await exchange(std::move(sink));
         if (result.end == ExchangeEnd::Complete) {
             noteSuccessAlone();
@@ -277,7 +274,7 @@
     return own == Judgement::Clear && run.alone() ? Judgement::RunAlone : own;
 }
 
-}
+} // namespace
 
 wire::Load SidecarContext::load() const
 {
@@ -357,4 +354,4 @@
     attempt->cancel();
 }
 
-}
+} // namespace snipehill
--- a/src/serving/src/targettable.h
+++ b/src/serving/src/targettable.h
@@ -31,6 +31,8 @@
     /** Link endpoints of the sidecars of all subsets. */
     std::vector<Endpoint> subsetLinks() const;
     std::uint32_t liveEntries() const;
+    /** Failure domains of all members. */
+    std::vector<std::string> failureDomains() const;
 
     void noteLoad(const LoadReport &report, TimePoint now);
     void noteSent(const std::string &group, const std::string &instance, const CostEstimate &cost);
@@ -45,7 +47,8 @@
     std::vector<TargetView> allViews(TimePoint now) const;
 
 private:
-    struct Target {
+    struct Target
+    {
         Member member;
         LoadReport report;
         bool reported = false;
@@ -54,7 +57,8 @@
         TimePoint suspectUntil{};
         bool silent = false;
     };
-    struct Group {
+    struct Group
+    {
         mutable std::mutex lock;
         std::unordered_map<std::string, Target> targets; //!< of the subset
         PrefixIndex prefixes;
@@ -66,6 +70,7 @@
     mutable std::mutex m_lock; //!< guards the map, not the groups in it
     std::unordered_map<std::string, std::unique_ptr<Group>> m_groups; //!< never shrinks, so pointers stay valid
     std::uint32_t m_liveEntries = 1;
+    std::vector<std::string> m_failureDomains;
 };
 
-}
+} // namespace snipehill
