--- a/src/serving/src/entry.cpp
+++ b/src/serving/src/entry.cpp
@@ -152,6 +152,9 @@
         admin.addReadiness([this] {
             return config.ready() ? std::nullopt : std::optional<std::string>("no configuration yet");
         });
+        admin.addReadiness([this] {
+            return members.snapshot()->empty() ? std::optional<std::string>("no instance list yet") : std::nullopt;
+        });
         admin.addStatus("config", [this] {
             return config.status(Clock::now());
         });
