Stop the demo's daemons before its stand-ins

A sidecar that had posted waits at its end until the log has taken what the posting came to; with the log stopped first the demo took its drain bound of 30 s.

--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -6,15 +6,24 @@
 build=${1:-build}
 demo=examples/demo
 work=$(mktemp -d)
-pids=
+daemons=
+stand_ins=
 
-stop_all() {
-    for pid in $pids; do
+stop() { # PID...
+    for pid in "$@"; do
         kill "$pid" 2>/dev/null || true
     done
-    for pid in $pids; do
+    for pid in "$@"; do
         wait "$pid" 2>/dev/null || true
     done
+}
+
+# A sidecar's end needs the log: it records what its postings came to.
+stop_all() {
+    # shellcheck disable=SC2086
+    stop $daemons
+    # shellcheck disable=SC2086
+    stop $stand_ins
     rm -rf "$work"
 }
 trap stop_all EXIT
@@ -24,11 +33,11 @@
     name=$1
     shift
     "$@" >"$work/$name.out" 2>&1 &
-    pids="$! $pids"
 }
 
 stand_in() { # NAME KIND PORT CONTROL_PORT
     start "$1" "$build/tests/snipehill_standins" --kind "$2" --name "$1" --listen "127.0.0.1:$3" --control "127.0.0.1:$4"
+    stand_ins="$stand_ins $!"
 }
 
 fail() {
@@ -77,6 +86,7 @@
 
 for name in sidecar-1 sidecar-2 sidecar-3 entry-1 entry-2; do
     start "$name" "$build/src/snipehilld" --settings "$demo/$name.json"
+    daemons="$daemons $!"
 done
 for admin in 18311 18312 18313 18301 18302; do
     wait_for "http://127.0.0.1:$admin/readyz"
