--- a/src/serving/src/calleranswer.cpp
+++ b/src/serving/src/calleranswer.cpp
@@ -2,6 +2,8 @@
 
 #include "wireconvert.h"
 
+#include <process/metrics.h>
+
 #include <json/reader.h>
 #include <json/value.h>
 
@@ -43,9 +45,11 @@
     m_usage.set_output_tokens(m_usage.output_tokens() + usage.output_tokens());
     if (m_streaming) {
         const bool finished = co_await m_exchange.finish();
+        m_outcome = finished ? "complete" : "cut";
         co_return finished;
     }
     const bool sent = co_await m_exchange.respond(m_status, m_headers, std::move(m_held));
+    m_outcome = sent ? "complete" : "cut";
     co_return sent;
 }
 
@@ -59,23 +63,28 @@
         const bool sent = co_await takeEnd(frame.end());
         co_return sent;
     }
+    const TimePoint now = Clock::now();
+    if (m_streaming && m_lastData) {
+        processMetrics().observe(Timing::BetweenTokens, {m_workspace}, now - *m_lastData);
+    }
+    m_lastData = now;
     if (!m_firstData) {
-        m_firstData = Clock::now();
+        m_firstData = now;
     }
     if (!m_streaming) {
         m_held += frame.data();
         co_return m_held.size() <= maxHeldBytes;
     }
     m_events += frame.data();
-    ++m_eventCount;
     const bool sent = co_await m_exchange.write(frame.data());
     co_return sent;
 }
 
 asio::awaitable<void> CallerAnswer::refuse(Refusal refusal)
 {
+    processMetrics().count(Counter::Refusals, {toString(refusal.outcome), toString(refusal.reason.step)});
+    m_outcome = toString(refusal.outcome);
     if (!m_streaming) {
-        m_status = refusal.status;
         co_await m_exchange.respond(refusal.status, problemHeaders(refusal, m_requestId), problemBody(refusal, m_requestId));
         co_return;
     }
@@ -95,19 +104,19 @@
     m_held.clear();
 }
 
-std::string CallerAnswer::deliveredText() const
+DeliveredOutput CallerAnswer::delivered() const
 {
-    return textOfEvents(m_events);
+    return readOutput(m_events);
 }
 
-std::uint32_t CallerAnswer::deliveredEvents() const noexcept
+const char *CallerAnswer::outcome() const noexcept
 {
-    return m_eventCount;
+    return m_outcome;
 }
 
-unsigned CallerAnswer::status() const noexcept
+void CallerAnswer::measureFor(std::string workspace)
 {
-    return m_status;
+    m_workspace = std::move(workspace);
 }
 
 const wire::Usage &CallerAnswer::usage() const noexcept
@@ -120,9 +129,9 @@
     return m_firstData;
 }
 
-std::string textOfEvents(std::string_view events)
+DeliveredOutput readOutput(std::string_view events)
 {
-    std::string text;
+    DeliveredOutput output;
     const Json::CharReaderBuilder builder;
     const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
     while (!events.empty()) {
@@ -136,10 +145,12 @@
         Json::Value chunk;
         if (reader->parse(event.data(), event.data() + event.size(), &chunk, nullptr) && chunk.isObject() && chunk["choices"].isArray()
             && !chunk["choices"].empty()) {
-            text += chunk["choices"][0]["delta"]["content"].asString();
+            const std::string content = chunk["choices"][0]["delta"]["content"].asString();
+            output.text += content;
+            output.tokens += content.empty() ? 0 : 1;
         }
     }
-    return text;
+    return output;
 }
 
 } // namespace snipehill
--- a/src/serving/src/entry.cpp
+++ b/src/serving/src/entry.cpp
@@ -2,11 +2,13 @@
 
 #include "entrycontext.h"
 #include "entryrequest.h"
+#include "fleetplanner.h"
 #include "processparts.h"
 #include "wireconvert.h"
 
 #include <connection/httpserver.h>
 #include <process/adminserver.h>
+#include <process/controlplane.h>
 #include <process/log.h>
 #include <process/metrics.h>
 
@@ -48,6 +50,8 @@
         , members(settings.platform.instances, settings.timings.instancesPoll, executor)
         , links(executor, identity, linkHandlers())
         , config(followerOptions(settings), executor, links.peerCall())
+        , planner(targets, config)
+        , control(executor, controlSettings(settings, identity.self), controlHooks(), links.peerCall())
         , context{.settings = settings, .config = config, .members = members, .links = links, .targets = targets, .router = router}
         , callers(executor,
                   callerLimits(settings.callers),
@@ -58,6 +62,35 @@
     {
     }
 
+    ControlHooks controlHooks()
+    {
+        ControlHooks hooks;
+        hooks.members = [this] {
+            return members.snapshot();
+        };
+        hooks.roleGroups = [this] {
+            return planner.roleGroups();
+        };
+        hooks.planRoles = [this](const std::string &group, const std::set<std::string> &busy, TimePoint now) {
+            return planner.planRoles(group, busy, now);
+        };
+        hooks.noteRoleOrder = [this](const std::string &group, const PlannedOrder &order, TimePoint now) {
+            planner.noteRoleOrder(group, order, now);
+        };
+        hooks.planTargets = [this](const std::string &failureDomain, TimePoint now) {
+            return planner.planTargets(failureDomain, now);
+        };
+        return hooks;
+    }
+
+    /** Second copy of what the sidecar booked; answers that were booked before carry no window. */
+    void countUsage(const std::string &workspace, const Incarnation &sidecar, const wire::Usage &usage)
+    {
+        if (usage.window() != 0) {
+            control.usageCopies().count({sidecar, usage.window()}, workspace, {1, usage.prompt_tokens(), usage.output_tokens()});
+        }
+    }
+
     LinkHandlers linkHandlers()
     {
         LinkHandlers handlers;
@@ -79,7 +112,7 @@
             AttemptMessage delivered;
             delivered.frame = message.frame();
             if (!router.deliver(message.frame().attempt_id(), link.get(), std::move(delivered))) {
-                ++droppedFrames;
+                processMetrics().count(Counter::FramesDropped, {"no_attempt"});
             }
         } else if (message.has_resolved()) {
             AttemptMessage delivered;
@@ -100,6 +133,17 @@
         }
     }
 
+    void setGauges(Metrics &metrics)
+    {
+        setConfigGauges(metrics, config);
+        metrics.set(Gauge::Draining, {}, draining ? 1 : 0);
+        metrics.set(Gauge::RunningRequests, {}, static_cast<double>(callers.activeExchanges()));
+        for (const LeaseStatus &lease : control.leases().status()) {
+            metrics.set(Gauge::LeaseState, {lease.scope}, lease.believes ? 2 : (lease.holder.empty() ? 0 : 1));
+            metrics.set(Gauge::LeaseEpoch, {lease.scope}, static_cast<double>(lease.epoch));
+        }
+    }
+
     bool startAdmin(Reason &reason)
     {
         admin.addReadiness([this] {
@@ -111,9 +155,15 @@
         admin.addStatus("config", [this] {
             return config.status(Clock::now());
         });
+        admin.addStatus("leases", [this] {
+            return leasesStatus(control.leases().status());
+        });
         admin.addStatus("targets", [this] {
             return targetsStatus(targets.allViews(Clock::now()));
         });
+        processMetrics().onScrape([this](Metrics &metrics) {
+            setGauges(metrics);
+        });
         return admin.start(reason);
     }
 
@@ -124,11 +174,12 @@
     Members members;
     LinkTable links;
     ConfigFollower config;
+    FleetPlanner planner;
+    ControlPlane control;
     EntryContext context;
     HttpServer callers;
     AdminServer admin;
     std::unique_ptr<LinkServer> linkServer;
-    std::atomic<std::uint64_t> droppedFrames{0}; //!< of attempts that have ended or were replaced
     std::atomic<bool> draining{false};
 };
 
@@ -142,6 +193,10 @@
     const Settings &settings = parts.context.settings;
     RpcMethods methods;
     parts.config.offerMethods(methods);
+    methods.merge(parts.control.methods());
+    parts.context.countUsage = [&parts](const std::string &workspace, const Incarnation &sidecar, const wire::Usage &usage) {
+        parts.countUsage(workspace, sidecar, usage);
+    };
     LinkHandlers serverHandlers = parts.linkHandlers();
     serverHandlers.rpc = std::make_shared<RpcDispatcher>(std::move(methods));
     parts.linkServer = std::make_unique<LinkServer>(parts.executor, parts.identity, std::move(serverHandlers));
@@ -156,6 +211,7 @@
     parts.links.start();
     parts.members.start();
     parts.config.start();
+    parts.control.start();
     return parts.callers.start(settings.callers.listen, reason);
 }
 
@@ -179,6 +235,7 @@
             timer.expires_after(drainPoll);
             co_await timer.async_wait(asio::use_awaitable);
         }
+        co_await parts->control.stop();
         finished();
     };
     asio::co_spawn(asio::make_strand(m_parts->executor), run(m_parts.get(), std::move(done)), asio::detached);
