--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -6,10 +6,10 @@
 build=${1:-build}
 demo=examples/demo
 work=$(mktemp -d)
-stand_ins=
 daemons=
+stand_ins=
 
-stop() { # PIDS
+stop() { # PID...
     for pid in "$@"; do
         kill "$pid" 2>/dev/null || true
     done
@@ -18,9 +18,9 @@
     done
 }
 
-# The daemons first: a sidecar that drains still appends how its postings ended.
+# A sidecar's end needs the log: it records what its postings came to.
 stop_all() {
-    # shellcheck disable=SC2086 # lists of process ids
+    # shellcheck disable=SC2086
     stop $daemons
     # shellcheck disable=SC2086
     stop $stand_ins
@@ -33,12 +33,11 @@
     name=$1
     shift
     "$@" >"$work/$name.out" 2>&1 &
-    pid=$!
 }
 
 stand_in() { # NAME KIND PORT CONTROL_PORT
     start "$1" "$build/tests/snipehill_standins" --kind "$2" --name "$1" --listen "127.0.0.1:$3" --control "127.0.0.1:$4"
-    stand_ins="$pid $stand_ins"
+    stand_ins="$stand_ins $!"
 }
 
 fail() {
@@ -87,7 +86,7 @@
 
 for name in sidecar-1 sidecar-2 sidecar-3 entry-1 entry-2; do
     start "$name" "$build/src/snipehilld" --settings "$demo/$name.json"
-    daemons="$pid $daemons"
+    daemons="$daemons $!"
 done
 for admin in 18311 18312 18313 18301 18302; do
     wait_for "http://127.0.0.1:$admin/readyz"
