--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,6 +1,7 @@
 #include "run.h"
 
 #include <process/log.h>
+#include <process/tracing.h>
 
 #include <popt.h>
 
@@ -48,6 +49,10 @@
         return BadSettings;
     }
     startLogging(settings->logging, settings->instance);
+    if (!startTracing(settings->traces, settings->instance, reason)) {
+        logEvent(Part::Settings, Level::Error, "not usable", reason);
+        return BadSettings;
+    }
     const int code = settings->role == ProcessRole::Entry ? runEntry(*settings) : runSidecar(*settings);
     flushLog(TimePoint::max());
     return code;
--- a/tests/ctl/declarationstest.cpp
+++ b/tests/ctl/declarationstest.cpp
@@ -210,3 +210,11 @@
     REQUIRE(lost.size() == 1);
     REQUIRE(lost[0].detail.find("replaces") != std::string::npos);
 }
+
+TEST_CASE("the example records are good", "[ctl][pages]")
+{
+    const Declarations declarations = loadDeclarations(SNIPEHILL_SOURCE_DIR "/examples/records");
+    REQUIRE(toText(declarations.problems).empty());
+    REQUIRE_FALSE(declarations.records.empty());
+    REQUIRE(toText(checkTogether(declarations.records)).empty());
+}
