--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -50,7 +50,7 @@
     }
     startLogging(settings->logging, settings->instance);
     if (!startTracing(settings->traces, settings->instance, reason)) {
-        logEvent(Part::Settings, Level::Error, "not usable", reason);
+        logEvent(Part::Settings, Level::Error, "cannot write traces", reason);
         return BadSettings;
     }
     const int code = settings->role == ProcessRole::Entry ? runEntry(*settings) : runSidecar(*settings);
