--- a/src/serving/src/entry.cpp
+++ b/src/serving/src/entry.cpp
@@ -3,6 +3,7 @@
 #include "entrycontext.h"
 #include "entryrequest.h"
 #include "fleetplanner.h"
+#include "limitsharing.h"
 #include "processparts.h"
 #include "wireconvert.h"
 
@@ -12,6 +13,7 @@
 #include <process/log.h>
 #include <process/metrics.h>
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -27,6 +29,8 @@
 {
 
 constexpr milliseconds drainPoll{50};
+constexpr milliseconds snapshotInterval{5000};
+constexpr milliseconds snapshotBound{2000}; //!< of one append
 
 HttpServerLimits callerLimits(const CallersSettings &settings)
 {
@@ -133,6 +137,24 @@
         }
     }
 
+    /** Keeps live config records from ageing out, under the lease so that one entry does it. */
+    static asio::awaitable<void> appendSnapshots(Parts *parts)
+    {
+        asio::steady_timer timer(parts->executor);
+        while (!parts->draining) {
+            timer.expires_after(snapshotInterval);
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+            Reason reason;
+            if (!parts->control.leases().mayCall(scopes::snapshot, snapshotBound)) {
+                continue;
+            }
+            const bool done = co_await parts->config.appendSnapshotIfDue(reason);
+            if (!done) {
+                logEvent(Part::Config, Level::Warning, "snapshot not appended", reason);
+            }
+        }
+    }
+
     void setGauges(Metrics &metrics)
     {
         setConfigGauges(metrics, config);
@@ -215,6 +237,8 @@
     parts.members.start();
     parts.config.start();
     parts.control.start();
+    asio::co_spawn(asio::make_strand(parts.executor), shareLimits(&parts.context, parts.links.peerCall(), &parts.draining), asio::detached);
+    asio::co_spawn(asio::make_strand(parts.executor), Parts::appendSnapshots(&parts), asio::detached);
     return parts.callers.start(settings.callers.listen, reason);
 }
 
--- a/src/serving/src/sidecar.cpp
+++ b/src/serving/src/sidecar.cpp
@@ -1,5 +1,6 @@
 #include <serving/sidecar.h>
 
+#include "limitsharing.h"
 #include "processparts.h"
 #include "sidecarcontext.h"
 #include "wireconvert.h"
@@ -292,6 +293,7 @@
     ConfigFollower config;
     SidecarContext context;
     SidecarAuthority authority;
+    LimitKeeperService limits;
     AdminServer admin;
     std::unique_ptr<LinkServer> server;
     std::atomic<bool> stopped{false};
@@ -308,6 +310,7 @@
     RpcMethods methods;
     parts.config.offerMethods(methods);
     methods.merge(parts.authority.methods());
+    parts.limits.offerMethods(methods);
     parts.context.bookUsage = [&parts](const std::string &workspace, const wire::Usage &usage) {
         return parts.authority.usage().count(workspace, {1, usage.prompt_tokens(), usage.output_tokens()});
     };
