--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -87,7 +87,7 @@
     daemon.platformRelay = std::make_unique<Relay>(platform.endpoint);
     daemon.listed["instance"] = name;
     daemon.listed["role"] = role;
-    daemon.listed["link"] = toString(daemon.linkRelay->endpoint());
+    daemon.listed["link"] = toString(m_options.relays ? daemon.linkRelay->endpoint() : daemon.link);
     daemon.listed["admin"] = toString(daemon.admin);
     daemon.listed["region"] = "r1";
     daemon.listed["failureDomain"] = failureDomain;
@@ -106,8 +106,8 @@
     settings["failureDomain"] = daemon.listed["failureDomain"];
     settings["link"]["listen"] = toString(daemon.link);
     settings["admin"]["listen"] = toString(daemon.admin);
-    settings["platform"]["log"] = toString(daemon.logRelay->endpoint());
-    settings["platform"]["instances"] = toString(daemon.platformRelay->endpoint());
+    settings["platform"]["log"] = toString(m_options.relays ? daemon.logRelay->endpoint() : log.endpoint);
+    settings["platform"]["instances"] = toString(m_options.relays ? daemon.platformRelay->endpoint() : platform.endpoint);
     return settings;
 }
 
@@ -119,7 +119,7 @@
     daemon.listed["targetGroup"] = target.group;
     daemon.targetRelay = std::make_unique<Relay>(targets.back().endpoint);
     Json::Value settings = commonSettings(daemon);
-    settings["target"]["address"] = toString(daemon.targetRelay->endpoint());
+    settings["target"]["address"] = toString(m_options.relays ? daemon.targetRelay->endpoint() : targets.back().endpoint);
     settings["target"]["group"] = target.group;
     settings["target"]["kind"] = target.kind;
     writeSettings(daemon, std::move(settings));
@@ -132,8 +132,8 @@
     daemon.callers = loopback();
     Json::Value settings = commonSettings(daemon);
     settings["callers"]["listen"] = toString(daemon.callers);
-    settings["platform"]["targets"] = toString(daemon.platformRelay->endpoint());
-    settings["platform"]["usage"] = toString(daemon.platformRelay->endpoint());
+    settings["platform"]["targets"] = toString(m_options.relays ? daemon.platformRelay->endpoint() : platform.endpoint);
+    settings["platform"]["usage"] = toString(m_options.relays ? daemon.platformRelay->endpoint() : platform.endpoint);
     writeSettings(daemon, std::move(settings));
     entries.push_back(std::move(daemon));
 }
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -26,6 +26,7 @@
 {
     int entries = 2;
     std::vector<TargetOptions> targets;
+    bool relays = true; //!< false: processes reach each other directly, for measurements
     std::string settings = "{}"; //!< JSON merged into each process's settings, member by member
 };
 
