Acknowledge every 32 frames instead of each

Cause: each streamed token cost an acknowledgement message of its own, half the messages on a link. Ruled out: a timer for late acknowledgements; what is unacknowledged is bounded by the window and only kept.

--- a/src/serving/src/entryattempt.cpp
+++ b/src/serving/src/entryattempt.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds connectTimeout{1000};
 constexpr milliseconds resolveBound{4000}; //!< after which a sidecar that can't be reached is given up
 constexpr milliseconds resolveRetryDelay{100};
+constexpr std::uint32_t framesPerAck = 32; //!< an acknowledgement costs as much as a frame
+constexpr std::size_t bytesPerAck = 64U << 10U; //!< a quarter of the sidecar's window
 constexpr std::size_t maxSuspectNews = 8; //!< in one message
 constexpr milliseconds deadlineMargin{100}; //!< lets the sidecar's own refusal arrive before the caller's deadline
 
@@ -176,8 +178,8 @@
             gone.end = AttemptEnd::CallerGone;
             co_return gone;
         }
-        // One acknowledgement for all that was waiting.
-        if (m_inbox->empty() || frame.has_end()) {
+        m_unacknowledgedBytes += frame.data().size();
+        if (m_lastSequence - m_acknowledged >= framesPerAck || m_unacknowledgedBytes >= bytesPerAck || frame.has_end()) {
             acknowledge();
         }
         if (!frame.has_end()) {
@@ -272,6 +274,8 @@
 
     void acknowledge()
     {
+        m_acknowledged = m_lastSequence;
+        m_unacknowledgedBytes = 0;
         wire::LinkMessage message;
         message.mutable_ack()->set_attempt_id(m_id);
         message.mutable_ack()->set_sequence(m_lastSequence);
@@ -296,6 +300,8 @@
     LinkPointer m_link;
     Span m_span;
     std::uint32_t m_lastSequence = 0;
+    std::uint32_t m_acknowledged = 0;
+    std::size_t m_unacknowledgedBytes = 0;
 };
 
 } // namespace
