--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -82,9 +82,11 @@
     daemon.settingsFile = m_folder.file(name + ".json");
     daemon.link = loopback();
     daemon.admin = loopback();
-    daemon.linkRelay = std::make_unique<Relay>(daemon.link);
-    daemon.logRelay = std::make_unique<Relay>(log.endpoint);
-    daemon.platformRelay = std::make_unique<Relay>(platform.endpoint);
+    if (m_options.relays) {
+        daemon.linkRelay = std::make_unique<Relay>(daemon.link);
+        daemon.logRelay = std::make_unique<Relay>(log.endpoint);
+        daemon.platformRelay = std::make_unique<Relay>(platform.endpoint);
+    }
     daemon.listed["instance"] = name;
     daemon.listed["role"] = role;
     daemon.listed["link"] = toString(m_options.relays ? daemon.linkRelay->endpoint() : daemon.link);
@@ -114,10 +116,14 @@
 void Cluster::layOutSidecar(const TargetOptions &target, int number)
 {
     const std::string suffix = std::to_string(number);
-    targets.push_back(layOutStandIn(target.kind, "target-" + suffix, target.faults));
+    if (targets.empty() || !m_options.sharedTarget) {
+        targets.push_back(layOutStandIn(target.kind, "target-" + suffix, target.faults));
+    }
     Daemon daemon = layOutDaemon("sidecar", "sidecar-" + suffix, target.failureDomain);
     daemon.listed["targetGroup"] = target.group;
-    daemon.targetRelay = std::make_unique<Relay>(targets.back().endpoint);
+    if (m_options.relays) {
+        daemon.targetRelay = std::make_unique<Relay>(targets.back().endpoint);
+    }
     Json::Value settings = commonSettings(daemon);
     settings["target"]["address"] = toString(m_options.relays ? daemon.targetRelay->endpoint() : targets.back().endpoint);
     settings["target"]["group"] = target.group;
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -27,6 +27,7 @@
     int entries = 2;
     std::vector<TargetOptions> targets;
     bool relays = true; //!< false: processes reach each other directly, for measurements
+    bool sharedTarget = false; //!< true: one stand-in is the target of all sidecars
     std::string settings = "{}"; //!< JSON merged into each process's settings, member by member
 };
 
