Prove that answers are whole under failures of each part on their way

Kills, pauses, dropped and silent connections while a stream runs, an answer that is not streamed, two faults in a row, and lookups crossed over breaking links, as separate processes.

--- /dev/null
+++ b/tests/proofs/wholeanswertest.cpp
@@ -0,0 +1,163 @@
+#include "support/callers.h"
+#include "support/cluster.h"
+#include "support/wait.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace snipehill;
+using namespace snipehill::support;
+
+namespace
+{
+
+constexpr int tokens = 150;
+constexpr int pieceOfFault = 20;
+
+ClusterOptions twoEngines()
+{
+    ClusterOptions options;
+    options.entries = 1;
+    Json::Value faults;
+    faults["decodeRate"] = 100;
+    options.targets = {{.faults = faults}, {.failureDomain = "fd-b", .faults = faults}};
+    options.settings = R"({"timings": {"instancesPollMs": 200}, "link": {"heartbeatMs": 300}})";
+    return options;
+}
+
+/** Number of the target that took up the latest generation. */
+std::size_t runningOn(const Cluster &cluster)
+{
+    const Journal received = eventsOf(cluster.targetJournal(), "received");
+    const std::string name = received.empty() ? std::string() : received.back()["standIn"].asString();
+    const auto found = std::find_if(cluster.targets.begin(), cluster.targets.end(), [&name](const StandIn &target) {
+        return target.name == name;
+    });
+    return static_cast<std::size_t>(found - cluster.targets.begin());
+}
+
+struct Fault
+{
+    const char *what;
+    std::function<void(Cluster &, std::size_t)> act;
+};
+
+const std::vector<Fault> faults{
+    {"engine killed",
+     [](Cluster &cluster, std::size_t number) {
+         cluster.targets[number].process->signal(SIGKILL);
+     }},
+    {"sidecar killed",
+     [](Cluster &cluster, std::size_t number) {
+         cluster.sidecars[number].process->signal(SIGKILL);
+     }},
+    {"link dropped",
+     [](Cluster &cluster, std::size_t number) {
+         cluster.sidecars[number].linkRelay->dropConnections();
+     }},
+    {"link silent",
+     [](Cluster &cluster, std::size_t number) {
+         cluster.sidecars[number].linkRelay->silenceConnections();
+     }},
+    {"connection to the engine dropped",
+     [](Cluster &cluster, std::size_t number) {
+         cluster.sidecars[number].targetRelay->dropConnections();
+     }},
+    {"sidecar cut off for good",
+     [](Cluster &cluster, std::size_t number) {
+         cluster.sidecars[number].linkRelay->cut(true);
+     }},
+    {"sidecar paused for good",
+     [](Cluster &cluster, std::size_t number) {
+         cluster.sidecars[number].process->signal(SIGSTOP);
+     }},
+};
+
+} // namespace
+
+TEST_CASE("A stream is whole although one part fails while it runs", "[whole-answer]")
+{
+    for (const Fault &fault : faults) {
+        DYNAMIC_SECTION(fault.what)
+        {
+            Cluster cluster(twoEngines());
+            REQUIRE(cluster.start(usualRecords()));
+            Call call = chatCall("household file " + std::string(fault.what), tokens);
+            std::atomic<bool> acted{false};
+            call.onData = atPiece(pieceOfFault, [&] {
+                fault.act(cluster, runningOn(cluster));
+                acted = true;
+            });
+            const CallerRecord record = sendOnce(cluster.entries[0].callers, "bureau", call);
+            CHECK(acted);
+            CHECK(record.answer.status == 200);
+            CHECK(wholeAnswer({record}) == Violations{});
+        }
+    }
+}
+
+TEST_CASE("A stream is whole although its engine and then its link fail", "[whole-answer]")
+{
+    Cluster cluster(twoEngines());
+    REQUIRE(cluster.start(usualRecords()));
+    Call call = chatCall("household file, two faults", 2 * tokens);
+    std::atomic<int> pieces{0};
+    call.onData = [&](std::string_view) {
+        const int piece = ++pieces;
+        if (piece == pieceOfFault) {
+            cluster.targets[runningOn(cluster)].process->signal(SIGKILL);
+        }
+        if (piece == 4 * pieceOfFault) {
+            cluster.sidecars[runningOn(cluster)].linkRelay->dropConnections();
+        }
+    };
+    const CallerRecord record = sendOnce(cluster.entries[0].callers, "bureau", call);
+    CHECK(pieces > 4 * pieceOfFault);
+    CHECK(wholeAnswer({record}) == Violations{});
+    CHECK(record.answer.status == 200);
+}
+
+TEST_CASE("An answer that is not streamed is whole although its engine is killed", "[whole-answer]")
+{
+    Cluster cluster(twoEngines());
+    REQUIRE(cluster.start(usualRecords()));
+    auto answer = sendInBackground(cluster.entries[0].callers, "bureau", chatCall("quick check", tokens, false));
+    REQUIRE(waitUntil([&] {
+        return !eventsOf(cluster.targetJournal(), "received").empty();
+    }));
+    cluster.targets[runningOn(cluster)].process->kill();
+    const CallerRecord record = answer.get();
+    CHECK(record.answer.status == 200);
+    CHECK(wholeAnswer({record}) == Violations{});
+}
+
+TEST_CASE("Callers get their own answers although they arrive late, crossed and over breaking links", "[whole-answer]")
+{
+    constexpr unsigned seed = 20261203;
+    INFO("seed " << seed);
+    ClusterOptions options;
+    options.targets = {{.kind = "service", .group = "licences"}, {.kind = "service", .group = "licences", .failureDomain = "fd-b"}};
+    options.settings = R"({"link": {"heartbeatMs": 300}})";
+    Cluster cluster(options);
+    REQUIRE(cluster.start(usualRecords()));
+    SteadyCallers callers(8, [&](int caller, int round) {
+        std::minstd_rand random(seed + static_cast<unsigned>(caller * 100000 + round));
+        const std::string path = "/status/" + std::to_string(caller) + "-" + std::to_string(round) + "?lateMs=" + std::to_string(random() % 60);
+        return SteadyCallers::Planned{cluster.entries[random() % 2].callers, random() % 2 == 0 ? "bureau" : "kaspiy", lookupCall(path)};
+    });
+    for (int fault = 0; fault < 10; ++fault) {
+        letPass(milliseconds(300));
+        Relay &link = *cluster.sidecars[static_cast<std::size_t>(fault % 2)].linkRelay;
+        if (fault % 4 < 2) {
+            link.dropConnections();
+        } else {
+            link.silenceConnections();
+        }
+    }
+    const std::vector<CallerRecord> records = callers.stop();
+    WARN(records.size() << " lookups under 10 broken links");
+    CHECK(wholeAnswer(records) == Violations{});
+    CHECK(refusalsNotRunAreTrue(records, cluster.targetJournal()) == Violations{});
+}
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -163,7 +163,24 @@
     for (Daemon &entry : entries) {
         startDaemon(entry);
     }
-    return std::all_of(sidecars.begin(), sidecars.end(), waitReady) && std::all_of(entries.begin(), entries.end(), waitReady);
+    const bool ready = std::all_of(sidecars.begin(), sidecars.end(), waitReady) && std::all_of(entries.begin(), entries.end(), waitReady);
+    return ready && std::all_of(entries.begin(), entries.end(), [this](const Daemon &entry) {
+               return std::all_of(sidecars.begin(), sidecars.end(), [this, &entry](const Daemon &sidecar) {
+                   return waitAccepting(entry, sidecar);
+               });
+           });
+}
+
+bool Cluster::waitAccepting(const Daemon &entry, const Daemon &sidecar, bool accepting) const
+{
+    return waitUntil([&] {
+        const Json::Value status = statusOf(entry);
+        bool seen = false;
+        for (const Json::Value &target : status["targets"]) {
+            seen = seen || (target["instance"] == sidecar.name && target["accepting"].asBool() && !target["leaving"].asBool());
+        }
+        return seen == accepting;
+    });
 }
 
 void Cluster::startStandIn(StandIn &standIn)
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -78,6 +78,8 @@
     /** GET /readyz answers 200. */
     static bool ready(const Daemon &daemon);
     static bool waitReady(const Daemon &daemon);
+    /** The entry knows this sidecar and it accepts, or, with false, it does not. */
+    bool waitAccepting(const Daemon &entry, const Daemon &sidecar, bool accepting = true) const;
 
     /** Appends config records straight to the log; the offset of the first. */
     std::int64_t publish(const std::vector<Json::Value> &records);
