--- /dev/null
+++ b/tests/proofs/keyisolationtest.cpp
@@ -0,0 +1,124 @@
+#include "support/callers.h"
+#include "support/cluster.h"
+#include "support/wait.h"
+
+#include <catch2/catch.hpp>
+
+using namespace snipehill;
+using namespace snipehill::support;
+
+namespace
+{
+
+constexpr milliseconds bound{4000}; //!< "within seconds"
+const std::vector<std::string> secrets{bureauSecret, kaspiySecret};
+
+ClusterOptions oneService()
+{
+    ClusterOptions options;
+    options.targets = {{.kind = "service", .group = "licences"}};
+    return options;
+}
+
+/** Sends lookups on one kept connection until the bound has passed twice, marking those after the bound. */
+std::vector<CallerRecord> lookupsAfter(Client &client, TimePoint withdrawn)
+{
+    std::vector<CallerRecord> records;
+    while (Clock::now() < withdrawn + bound + milliseconds(1000)) {
+        const bool late = Clock::now() > withdrawn + bound;
+        records.push_back(send(client, "bureau", lookupCall("/status/1")));
+        records.back().keyWithdrawn = late;
+        letPass(milliseconds(50));
+    }
+    return records;
+}
+
+} // namespace
+
+TEST_CASE("Requests run only for the workspace of their key, which no target sees", "[key-isolation]")
+{
+    Cluster cluster(oneService());
+    REQUIRE(cluster.start(usualRecords()));
+    const Endpoint entry = cluster.entries[0].callers;
+    std::vector<CallerRecord> records;
+    for (const char *workspace : {"bureau", "kaspiy"}) {
+        records.push_back(sendOnce(entry, workspace, lookupCall("/status/1")));
+        CHECK(records.back().answer.status == 200);
+        Call claiming = lookupCall("/status/2");
+        claiming.headers["X-Workspace"] = "other";
+        claiming.headers["Proxy-Authorization"] = std::string(workspace) == "bureau" ? bureauSecret : kaspiySecret;
+        records.push_back(sendOnce(entry, workspace, claiming));
+    }
+    records.push_back(sendOnce(entry, "", lookupCall("/hours")));
+    CHECK(records.back().answer.status == 200);
+    Call keyOnOpenRoute = lookupCall("/hours");
+    records.push_back(sendOnce(entry, "bureau", keyOnOpenRoute));
+    records.back().workspace = "";
+    const std::size_t ran = eventsOf(cluster.targetJournal(), "run").size();
+    CHECK(outcomeOf(sendOnce(entry, "", lookupCall("/status/3")).answer) == "rejected");
+    Call wrong = lookupCall("/status/3");
+    wrong.headers["Authorization"] = "Bearer wrong";
+    CHECK(outcomeOf(sendOnce(entry, "", wrong).answer) == "rejected");
+    CHECK(eventsOf(cluster.targetJournal(), "run").size() == ran);
+    CHECK(keysIsolated(records, cluster.targetJournal(), secrets) == Violations{});
+}
+
+TEST_CASE("A withdrawn key stops working on a kept connection", "[key-isolation]")
+{
+    Cluster cluster(oneService());
+    REQUIRE(cluster.start(usualRecords()));
+    Client client(cluster.entries[0].callers);
+    CHECK(send(client, "bureau", lookupCall("/status/1")).answer.status == 200);
+    cluster.withdraw("key", "bureau-key");
+    const std::vector<CallerRecord> records = lookupsAfter(client, Clock::now());
+    CHECK(keysIsolated(records, cluster.targetJournal(), secrets) == Violations{});
+    CHECK(outcomeOf(records.back().answer) == "rejected");
+    CHECK(sendOnce(cluster.entries[0].callers, "kaspiy", lookupCall("/status/1")).answer.status == 200);
+}
+
+TEST_CASE("A withdrawn key stops working at an entry that is cut from the log", "[key-isolation]")
+{
+    Cluster cluster(oneService());
+    REQUIRE(cluster.start(usualRecords()));
+    Client client(cluster.entries[0].callers);
+    CHECK(send(client, "bureau", lookupCall("/status/1")).answer.status == 200);
+    cluster.entries[0].logRelay->cut(true);
+    cluster.withdraw("key", "bureau-key");
+    const std::vector<CallerRecord> records = lookupsAfter(client, Clock::now());
+    CHECK(keysIsolated(records, cluster.targetJournal(), secrets) == Violations{});
+}
+
+TEST_CASE("A withdrawn key stops working at an entry that is cut from log and peers", "[key-isolation]")
+{
+    Cluster cluster(oneService());
+    REQUIRE(cluster.start(usualRecords()));
+    Client client(cluster.entries[0].callers);
+    CHECK(send(client, "bureau", lookupCall("/status/1")).answer.status == 200);
+    cluster.entries[0].logRelay->cut(true);
+    cluster.entries[0].linkRelay->cut(true);
+    cluster.entries[1].linkRelay->cut(true);
+    cluster.sidecars[0].linkRelay->cut(true);
+    cluster.withdraw("key", "bureau-key");
+    std::vector<CallerRecord> records = lookupsAfter(client, Clock::now());
+    CHECK(keysIsolated(records, cluster.targetJournal(), secrets) == Violations{});
+}
+
+TEST_CASE("A withdrawn key does not work at an entry that starts during an outage", "[key-isolation]")
+{
+    Cluster cluster(oneService());
+    REQUIRE(cluster.start(usualRecords()));
+    const Offset withdrawal = cluster.withdraw("key", "bureau-key");
+    REQUIRE(waitUntil([&] {
+        return cluster.statusOf(cluster.sidecars[0])["config"]["offset"].asInt64() >= withdrawal;
+    }));
+    cluster.setFaults(cluster.log, R"({"outage": true})");
+    cluster.entries[0].process->kill();
+    cluster.startDaemon(cluster.entries[0]);
+    REQUIRE(Cluster::waitReady(cluster.entries[0]));
+    CallerRecord record = sendOnce(cluster.entries[0].callers, "bureau", lookupCall("/status/1"));
+    record.keyWithdrawn = true;
+    CHECK(keysIsolated({record}, cluster.targetJournal(), secrets) == Violations{});
+    CHECK(waitUntil([&] {
+        return sendOnce(cluster.entries[0].callers, "kaspiy", lookupCall("/status/1")).answer.status == 200;
+    }));
+}
--- /dev/null
+++ b/tests/proofs/leavingtest.cpp
@@ -0,0 +1,155 @@
+#include "support/callers.h"
+#include "support/cluster.h"
+#include "support/wait.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+
+using namespace snipehill;
+using namespace snipehill::support;
+
+namespace
+{
+
+constexpr milliseconds bound{4000}; //!< "after a few seconds"
+
+ClusterOptions mixedTargets()
+{
+    ClusterOptions options;
+    Json::Value faults;
+    faults["decodeRate"] = 100;
+    options.targets = {{.kind = "service", .group = "licences"},
+                       {.kind = "service", .group = "licences", .failureDomain = "fd-b"},
+                       {.faults = faults},
+                       {.failureDomain = "fd-b", .faults = faults}};
+    options.settings = R"({"timings": {"instancesPollMs": 200}, "link": {"heartbeatMs": 300},
+                           "drain": {"balancerDelayMs": 500, "boundMs": 20000}})";
+    return options;
+}
+
+SteadyCallers::Planned mixedCall(const Cluster &cluster, int caller, int round)
+{
+    const std::string id = std::to_string(caller) + "-" + std::to_string(round);
+    const Endpoint entry = cluster.entries[static_cast<std::size_t>(caller % 2)].callers;
+    if (caller % 4 == 3) {
+        return {entry, "bureau", chatCall("question " + id, 40)};
+    }
+    if (caller % 4 == 2) {
+        return {entry, "kaspiy", postingCall("/fees/" + id + "?lateMs=200", "fee-" + id, "{}")};
+    }
+    letPass(milliseconds(5));
+    return {entry, "bureau", lookupCall("/status/" + id)};
+}
+
+/** Calls that got anything but a whole answer of the target. */
+Violations notServed(const std::vector<CallerRecord> &records)
+{
+    Violations violations;
+    for (const CallerRecord &record : records) {
+        if (!record.answer.whole || record.answer.status != 200) {
+            violations.push_back(record.call.target + ": " + std::to_string(record.answer.status) + " " + record.answer.error + record.answer.body);
+        }
+    }
+    return violations;
+}
+
+} // namespace
+
+TEST_CASE("A target shown as leaving gets no new work, and nothing is cut", "[leaving]")
+{
+    Cluster cluster(mixedTargets());
+    REQUIRE(cluster.start(usualRecords()));
+    SteadyCallers callers(8, [&](int caller, int round) {
+        return mixedCall(cluster, caller, round);
+    });
+    letPass(milliseconds(1000));
+    cluster.sidecars[0].listed["state"] = "leaving";
+    cluster.sidecars[2].listed["state"] = "leaving";
+    cluster.showInstances();
+    const TimePoint left = Clock::now();
+    letPass(bound + milliseconds(1500));
+    const std::vector<CallerRecord> records = callers.stop();
+    const Journal journal = cluster.targetJournal();
+    CHECK(leavingTargetGetsNoNewWork(journal, "target-1", left, bound) == Violations{});
+    CHECK(leavingTargetGetsNoNewWork(journal, "target-3", left, bound) == Violations{});
+    CHECK(wholeAnswer(records) == Violations{});
+    CHECK(notServed(records) == Violations{});
+}
+
+TEST_CASE("A sidecar told to leave gets no new work although the list still shows it", "[leaving]")
+{
+    Cluster cluster(mixedTargets());
+    REQUIRE(cluster.start(usualRecords()));
+    SteadyCallers callers(8, [&](int caller, int round) {
+        return mixedCall(cluster, caller, round);
+    });
+    letPass(milliseconds(1000));
+    cluster.sidecars[0].process->signal(SIGTERM);
+    cluster.sidecars[2].process->signal(SIGTERM);
+    const TimePoint left = Clock::now();
+    letPass(bound + milliseconds(500));
+    const std::vector<CallerRecord> records = callers.stop();
+    const Journal journal = cluster.targetJournal();
+    CHECK(leavingTargetGetsNoNewWork(journal, "target-1", left, bound) == Violations{});
+    CHECK(leavingTargetGetsNoNewWork(journal, "target-3", left, bound) == Violations{});
+    CHECK(wholeAnswer(records) == Violations{});
+    CHECK(refusalsNotRunAreTrue(records, journal) == Violations{});
+    CHECK(noRequestRunTwice(journal, "/fees") == Violations{});
+    CHECK(notServed(records) == Violations{});
+}
+
+TEST_CASE("Processes told to end cut no request", "[graceful-shutdown]")
+{
+    struct Case
+    {
+        const char *what;
+        bool entry;
+        bool sidecars;
+    };
+    for (const Case &c : {Case{"an entry", true, false}, Case{"two sidecars", false, true}, Case{"an entry and two sidecars", true, true}}) {
+        DYNAMIC_SECTION(c.what)
+        {
+            Cluster cluster(mixedTargets());
+            REQUIRE(cluster.start(usualRecords()));
+            std::vector<std::future<CallerRecord>> running;
+            for (int number = 0; number < 6; ++number) {
+                const std::string id = std::to_string(number);
+                running.push_back(sendInBackground(cluster.entries[0].callers, "bureau", chatCall("long file " + id, 200)));
+                running.push_back(sendInBackground(cluster.entries[0].callers, "kaspiy", postingCall("/fees/" + id + "?lateMs=1500", "fee-" + id, "{}")));
+            }
+            REQUIRE(waitUntil([&] {
+                return eventsOf(cluster.targetJournal(), "received").size() == running.size();
+            }));
+            std::vector<Daemon *> ending;
+            if (c.entry) {
+                ending.push_back(&cluster.entries[0]);
+            }
+            if (c.sidecars) {
+                ending.push_back(&cluster.sidecars[0]);
+                ending.push_back(&cluster.sidecars[2]);
+            }
+            for (Daemon *daemon : ending) {
+                daemon->process->signal(SIGTERM);
+            }
+            if (c.entry) {
+                CHECK(waitUntil([&] {
+                    return !Cluster::ready(cluster.entries[0]);
+                }));
+                // The balancer has not seen it yet: new requests are still served.
+                running.push_back(sendInBackground(cluster.entries[0].callers, "bureau", lookupCall("/status/late")));
+            }
+            std::vector<CallerRecord> records;
+            for (std::future<CallerRecord> &record : running) {
+                records.push_back(record.get());
+            }
+            CHECK(wholeAnswer(records) == Violations{});
+            CHECK(notServed(records) == Violations{});
+            CHECK(noRequestRunTwice(cluster.targetJournal(), "/fees") == Violations{});
+            for (Daemon *daemon : ending) {
+                INFO(daemon->name);
+                CHECK(daemon->process->waitForEnd(generousBound) == 0);
+            }
+        }
+    }
+}
