--- a/src/process/include/process/configfollower.h
+++ b/src/process/include/process/configfollower.h
@@ -41,11 +41,11 @@
     TreeLimits tree;
     std::vector<Endpoint> seeds; //!< link servers to ask before the instance list is known
     milliseconds freshness{3000}; //!< age of contact up to which keyed routes are served
-    milliseconds longPoll{1000}; //!< wait of one read of the log; well below the freshness
+    milliseconds longPoll{1200}; //!< wait of one read of the log; well below the freshness
     milliseconds retryDelay{200}; //!< pause after a failed read
     milliseconds peerTimeout{500}; //!< of one call to a peer
     milliseconds pullInterval{1000}; //!< keyed members of the tree ask their parent this often to prove freshness
-    milliseconds tellInterval{4000}; //!< members of the tree tell their children this often when nothing changes
+    milliseconds tellInterval{1500}; //!< members of the tree tell children that don't ask this often when nothing changes
     milliseconds retention{600000}; //!< for which the log keeps records
 };
 
--- a/src/process/src/configfollowerloops.cpp
+++ b/src/process/src/configfollowerloops.cpp
@@ -92,7 +92,7 @@
     }
 }
 
-std::vector<Endpoint> ConfigFollower::State::peersToAsk(TimePoint now) const
+std::vector<Endpoint> ConfigFollower::State::peersToAsk(TimePoint now)
 {
     const std::lock_guard lock(mutex);
     std::vector<Endpoint> endpoints;
@@ -102,7 +102,8 @@
         }
     };
     const bool parentSilent = older(heardAt, silentIntervals * options.tellInterval, now);
-    if (options.keyed && !place.parents.empty()) {
+    if (options.keyed && !place.parents.empty() && older(pulledAt, options.pullInterval - peerLoopInterval / 2, now)) {
+        pulledAt = now;
         addParent(place.parents.front());
     }
     const bool contactLate = older(holding.contactAt, options.keyed ? silentIntervals * options.pullInterval : silentIntervals * options.tellInterval, now);
@@ -187,14 +188,22 @@
     }
 }
 
+bool ConfigFollower::State::needsTelling(const ConfigPeer &child) const
+{
+    // Keyed members ask often enough to know that this process lives.
+    const auto known = childOffsets.find(child.instance);
+    return !child.keyed || known == childOffsets.end() || known->second < holding.fold.config.offset;
+}
+
 void ConfigFollower::State::tellChildren()
 {
     std::vector<std::pair<std::string, Endpoint>> children;
     {
         const std::lock_guard lock(mutex);
-        for (const std::string &child : place.children) {
-            if (const auto link = linkOf(child)) {
-                children.emplace_back(child, *link);
+        for (const ConfigPeer &peer : peers) {
+            const bool child = std::find(place.children.begin(), place.children.end(), peer.instance) != place.children.end();
+            if (child && needsTelling(peer)) {
+                children.emplace_back(peer.instance, peer.link);
             }
         }
     }
--- a/src/process/src/configfollowerstate.h
+++ b/src/process/src/configfollowerstate.h
@@ -47,6 +47,7 @@
     std::set<Endpoint> asking; //!< calls in flight
     std::set<std::string> telling; //!< calls in flight, by instance
     std::map<std::string, Offset> childOffsets;
+    std::optional<TimePoint> pulledAt; //!< last question for the sake of freshness
 
     /** Puts what the holding has into force; to be called after the lock was released. */
     void publish();
@@ -66,7 +67,8 @@
     boost::asio::awaitable<void> pause(boost::asio::steady_timer &timer, milliseconds time);
 
     bool readsLog(TimePoint now) const;
-    std::vector<Endpoint> peersToAsk(TimePoint now) const;
+    std::vector<Endpoint> peersToAsk(TimePoint now);
+    bool needsTelling(const ConfigPeer &child) const;
     void tellChildren();
     std::optional<Json::Value> answerRead(const Json::Value &params);
     std::optional<Json::Value> answerAdvance(const Json::Value &params);
