--- a/src/request/src/roleplan.cpp
+++ b/src/request/src/roleplan.cpp
@@ -10,6 +10,7 @@
 namespace
 {
 
+constexpr double leastRate = 1e-6; // tokens a second; what is below is rounding
 constexpr double infiniteUtilisation = 10; // stands for "nothing serves it" where gains are compared
 
 double inSeconds(Duration duration)
@@ -28,10 +29,22 @@
     return {approach(average.prefill, measured.prefill, elapsed, constant), approach(average.decode, measured.decode, elapsed, constant)};
 }
 
-/** True when the fast average leans more towards prefill than the slow one. */
-bool leansToPrefill(const DemandAverages &averages)
+/** True when the fast average leans to the other side of the slow one than before, by more than the margin. */
+bool hasChangedSides(const DemandAverages &averages, const RolePlanSettings &settings)
 {
-    return averages.fast.prefill * averages.slow.decode > averages.slow.prefill * averages.fast.decode;
+    const double fast = averages.fast.prefill * averages.slow.decode;
+    const double slow = averages.slow.prefill * averages.fast.decode;
+    return averages.prefillRises ? fast < slow * (1 - settings.sideMargin) : fast > slow * (1 + settings.sideMargin);
+}
+
+void changeSides(DemandAverages &averages, TimePoint now)
+{
+    constexpr double newest = 0.3; // weight of the last stay
+    const double stay = inSeconds(now - averages.sideSince);
+    averages.sideSeconds += (averages.sideChanges > 0 ? newest : 1) * (stay - averages.sideSeconds);
+    ++averages.sideChanges;
+    averages.prefillRises = !averages.prefillRises;
+    averages.sideSince = now;
 }
 
 struct Capacity
@@ -40,20 +53,25 @@
     TokenDemand mixed; //!< if all mixed engines did only the one or the other
 };
 
+/** Adds an engine's rates in a role to a capacity, or takes them out with a sign of -1. */
+void addEngine(Capacity &capacity, const EngineView &engine, EngineRole role, double sign, const RolePlanSettings &settings)
+{
+    if (role == EngineRole::Prefill) {
+        capacity.dedicated.prefill += sign * engine.prefillTokensPerSecond;
+    } else if (role == EngineRole::Decode) {
+        capacity.dedicated.decode += sign * engine.decodeTokensPerSecond;
+    } else {
+        capacity.mixed.prefill += sign * settings.mixedEfficiency * engine.prefillTokensPerSecond;
+        capacity.mixed.decode += sign * settings.mixedEfficiency * engine.decodeTokensPerSecond;
+    }
+}
+
 Capacity capacityOf(std::span<const EngineView> engines, const RolePlanSettings &settings)
 {
     Capacity capacity;
     for (const EngineView &engine : engines) {
-        if (!engine.live || engine.changing) {
-            continue;
-        }
-        if (engine.role == EngineRole::Prefill) {
-            capacity.dedicated.prefill += engine.prefillTokensPerSecond;
-        } else if (engine.role == EngineRole::Decode) {
-            capacity.dedicated.decode += engine.decodeTokensPerSecond;
-        } else {
-            capacity.mixed.prefill += settings.mixedEfficiency * engine.prefillTokensPerSecond;
-            capacity.mixed.decode += settings.mixedEfficiency * engine.decodeTokensPerSecond;
+        if (engine.live && !engine.changing) {
+            addEngine(capacity, engine, engine.role, 1, settings);
         }
     }
     return capacity;
@@ -64,7 +82,21 @@
     if (demand <= 0) {
         return 0;
     }
-    return capacity > 0 ? demand / capacity : std::numeric_limits<double>::infinity();
+    return capacity > leastRate ? demand / capacity : std::numeric_limits<double>::infinity();
+}
+
+double utilisationOf(const Capacity &capacity, const TokenDemand &demand)
+{
+    const double prefill = ratio(demand.prefill, capacity.dedicated.prefill + capacity.mixed.prefill);
+    const double decode = ratio(demand.decode, capacity.dedicated.decode + capacity.mixed.decode);
+    double joint = 0;
+    if (capacity.mixed.prefill > leastRate && capacity.mixed.decode > leastRate) {
+        // Mixed engines give each kind the part of their time that evens out both utilisations.
+        const double work = demand.prefill / capacity.mixed.prefill + demand.decode / capacity.mixed.decode;
+        const double room = 1 + capacity.dedicated.prefill / capacity.mixed.prefill + capacity.dedicated.decode / capacity.mixed.decode;
+        joint = work / room;
+    }
+    return std::max({prefill, decode, joint});
 }
 
 bool hasFreshReport(const EngineView &engine, const RolePlanSettings &settings)
@@ -103,11 +135,11 @@
     return std::clamp(utilisation, settings.busy, infiniteUtilisation);
 }
 
-/** Gain of a change over the horizon in utilisation-seconds, less what the change itself costs. */
-double netGain(double before, double during, double after, const RolePlanSettings &settings)
+/** Gain of a change over the stay in utilisation-seconds, less what the change itself costs. */
+double netGain(double before, double during, double after, Duration stay, const RolePlanSettings &settings)
 {
     const double change = static_cast<double>(settings.changeTime.count());
-    const double rest = static_cast<double>(settings.horizon.count()) - change;
+    const double rest = std::max(0.0, inSeconds(stay) - change);
     const double gain = (felt(before, settings) - felt(after, settings)) * rest;
     const double loss = (felt(during, settings) - felt(before, settings)) * change;
     return gain - loss;
@@ -118,41 +150,36 @@
 void addDemand(DemandAverages &averages, const TokenDemand &measured, const RolePlanSettings &settings, TimePoint now)
 {
     if (!averages.started) {
-        averages = DemandAverages{measured, measured, now, now, false, true};
+        averages = DemandAverages{};
+        averages.fast = measured;
+        averages.slow = measured;
+        averages.updated = now;
+        averages.sideSince = now;
+        averages.started = true;
         return;
     }
     const double elapsed = inSeconds(now - averages.updated);
     averages.fast = approach(averages.fast, measured, elapsed, settings.fastAverage);
     averages.slow = approach(averages.slow, measured, elapsed, settings.slowAverage);
     averages.updated = now;
-    const bool side = leansToPrefill(averages);
-    if (side != averages.prefillRises) {
-        averages.prefillRises = side;
-        averages.sideSince = now;
+    if (hasChangedSides(averages, settings)) {
+        changeSides(averages, now);
     }
 }
 
-TokenDemand plannedDemand(const DemandAverages &averages, const RolePlanSettings &settings, TimePoint now) noexcept
+Duration expectedStay(const DemandAverages &averages, const RolePlanSettings &settings, TimePoint now) noexcept
 {
-    const double lasted = inSeconds(now - averages.sideSince) / static_cast<double>(settings.persistence.count());
-    const double trust = std::clamp(lasted, 0.0, 1.0);
-    return {averages.slow.prefill + trust * (averages.fast.prefill - averages.slow.prefill),
-            averages.slow.decode + trust * (averages.fast.decode - averages.slow.decode)};
+    if (averages.sideChanges < 2) {
+        return settings.horizon;
+    }
+    const double lasted = inSeconds(now - averages.sideSince);
+    const double expected = lasted < averages.sideSeconds ? averages.sideSeconds - lasted : lasted;
+    return std::min<Duration>(settings.horizon, std::chrono::duration_cast<Duration>(std::chrono::duration<double>(expected)));
 }
 
 double worstUtilisation(std::span<const EngineView> engines, const TokenDemand &demand, const RolePlanSettings &settings)
 {
-    const Capacity capacity = capacityOf(engines, settings);
-    const double prefill = ratio(demand.prefill, capacity.dedicated.prefill + capacity.mixed.prefill);
-    const double decode = ratio(demand.decode, capacity.dedicated.decode + capacity.mixed.decode);
-    double joint = 0;
-    if (capacity.mixed.prefill > 0 && capacity.mixed.decode > 0) {
-        // Mixed engines give each kind the part of their time that evens out both utilisations.
-        const double work = demand.prefill / capacity.mixed.prefill + demand.decode / capacity.mixed.decode;
-        const double room = 1 + capacity.dedicated.prefill / capacity.mixed.prefill + capacity.dedicated.decode / capacity.mixed.decode;
-        joint = work / room;
-    }
-    return std::max({prefill, decode, joint});
+    return utilisationOf(capacityOf(engines, settings), demand);
 }
 
 std::optional<RoleChange>
@@ -161,32 +188,32 @@
     if (!pool.demand.started || !mayPlan(engines, pool, settings, now)) {
         return std::nullopt;
     }
-    const TokenDemand demand = plannedDemand(pool.demand, settings, now);
-    const double before = worstUtilisation(engines, demand, settings);
+    const TokenDemand demand = pool.demand.fast;
+    const Capacity capacity = capacityOf(engines, settings);
+    const double before = utilisationOf(capacity, demand);
     if (before < settings.busy) {
         return std::nullopt;
     }
-    std::vector<EngineView> trial(engines.begin(), engines.end());
+    const Duration stay = expectedStay(pool.demand, settings, now);
     std::optional<RoleChange> best;
     double bestGain = 0;
-    for (EngineView &engine : trial) {
+    for (const EngineView &engine : engines) {
         if (!mayChange(engine, busyDomains, settings, now)) {
             continue;
         }
-        const EngineRole current = engine.role;
-        engine.changing = true;
-        const double during = worstUtilisation(trial, demand, settings);
-        engine.changing = false;
+        Capacity without = capacity;
+        addEngine(without, engine, engine.role, -1, settings);
+        const double during = utilisationOf(without, demand);
         for (const EngineRole role : {EngineRole::Mixed, EngineRole::Prefill, EngineRole::Decode}) {
-            engine.role = role;
-            const double after = worstUtilisation(trial, demand, settings);
-            const double gain = netGain(before, during, after, settings);
-            if (role != current && gain > bestGain && std::min(before, infiniteUtilisation) - after >= settings.minGain) {
+            Capacity changed = without;
+            addEngine(changed, engine, role, 1, settings);
+            const double after = utilisationOf(changed, demand);
+            const double gain = netGain(before, during, after, stay, settings);
+            if (role != engine.role && gain > bestGain && std::min(before, infiniteUtilisation) - after >= settings.minGain) {
                 bestGain = gain;
                 best = RoleChange{engine.instance, role, before, after};
             }
         }
-        engine.role = current;
     }
     return best;
 }
--- a/src/serving/src/entry.cpp
+++ b/src/serving/src/entry.cpp
@@ -3,6 +3,7 @@
 #include "entrycontext.h"
 #include "entryrequest.h"
 #include "fleetplanner.h"
+#include "limitsharing.h"
 #include "processparts.h"
 #include "wireconvert.h"
 
@@ -12,6 +13,7 @@
 #include <process/log.h>
 #include <process/metrics.h>
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -27,6 +29,8 @@
 {
 
 constexpr milliseconds drainPoll{50};
+constexpr milliseconds snapshotInterval{5000};
+constexpr milliseconds snapshotBound{2000}; //!< of one append
 
 HttpServerLimits callerLimits(const CallersSettings &settings)
 {
@@ -112,7 +116,7 @@
             AttemptMessage delivered;
             delivered.frame = message.frame();
             if (!router.deliver(message.frame().attempt_id(), link.get(), std::move(delivered))) {
-                ++droppedFrames;
+                processMetrics().count(Counter::FramesDropped, {"no_attempt"});
             }
         } else if (message.has_resolved()) {
             AttemptMessage delivered;
@@ -133,6 +137,35 @@
         }
     }
 
+    /** Keeps live config records from ageing out, under the lease so that one entry does it. */
+    static asio::awaitable<void> appendSnapshots(Parts *parts)
+    {
+        asio::steady_timer timer(parts->executor);
+        while (!parts->draining) {
+            timer.expires_after(snapshotInterval);
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+            Reason reason;
+            if (!parts->control.leases().mayCall(scopes::snapshot, snapshotBound)) {
+                continue;
+            }
+            const bool done = co_await parts->config.appendSnapshotIfDue(reason);
+            if (!done) {
+                logEvent(Part::Config, Level::Warning, "snapshot not appended", reason);
+            }
+        }
+    }
+
+    void setGauges(Metrics &metrics)
+    {
+        setConfigGauges(metrics, config);
+        metrics.set(Gauge::Draining, {}, draining ? 1 : 0);
+        metrics.set(Gauge::RunningRequests, {}, static_cast<double>(callers.activeExchanges()));
+        for (const LeaseStatus &lease : control.leases().status()) {
+            metrics.set(Gauge::LeaseState, {lease.scope}, lease.believes ? 2 : (lease.holder.empty() ? 0 : 1));
+            metrics.set(Gauge::LeaseEpoch, {lease.scope}, static_cast<double>(lease.epoch));
+        }
+    }
+
     bool startAdmin(Reason &reason)
     {
         admin.addReadiness([this] {
@@ -141,6 +174,9 @@
         admin.addReadiness([this] {
             return config.ready() ? std::nullopt : std::optional<std::string>("no configuration yet");
         });
+        admin.addReadiness([this] {
+            return members.snapshot()->empty() ? std::optional<std::string>("no instance list yet") : std::nullopt;
+        });
         admin.addStatus("config", [this] {
             return config.status(Clock::now());
         });
@@ -150,6 +186,9 @@
         admin.addStatus("targets", [this] {
             return targetsStatus(targets.allViews(Clock::now()));
         });
+        processMetrics().onScrape([this](Metrics &metrics) {
+            setGauges(metrics);
+        });
         return admin.start(reason);
     }
 
@@ -166,7 +205,6 @@
     HttpServer callers;
     AdminServer admin;
     std::unique_ptr<LinkServer> linkServer;
-    std::atomic<std::uint64_t> droppedFrames{0}; //!< of attempts that have ended or were replaced
     std::atomic<bool> draining{false};
 };
 
@@ -199,6 +237,8 @@
     parts.members.start();
     parts.config.start();
     parts.control.start();
+    asio::co_spawn(asio::make_strand(parts.executor), shareLimits(&parts.context, parts.links.peerCall(), &parts.draining), asio::detached);
+    asio::co_spawn(asio::make_strand(parts.executor), Parts::appendSnapshots(&parts), asio::detached);
     return parts.callers.start(settings.callers.listen, reason);
 }
 
