--- a/src/process/include/process/configfollower.h
+++ b/src/process/include/process/configfollower.h
@@ -63,7 +63,7 @@
 class ConfigFollower
 {
 public:
-    ConfigFollower(ConfigFollowerOptions options, boost::asio::any_io_executor executor, PeerCall call);
+    ConfigFollower(ConfigFollowerOptions options, const boost::asio::any_io_executor &executor, PeerCall call);
     ~ConfigFollower();
 
     /** Tells of the other live processes; may be called at any time, as the instance list changes. */
--- a/src/process/include/process/intentwriter.h
+++ b/src/process/include/process/intentwriter.h
@@ -52,7 +52,7 @@
 class IntentWriter
 {
 public:
-    IntentWriter(IntentWriterOptions options, boost::asio::any_io_executor executor);
+    IntentWriter(IntentWriterOptions options, const boost::asio::any_io_executor &executor);
     ~IntentWriter();
 
     /**
--- a/src/process/src/configfollower.cpp
+++ b/src/process/src/configfollower.cpp
@@ -120,7 +120,7 @@
     return answer;
 }
 
-ConfigFollower::ConfigFollower(ConfigFollowerOptions options, asio::any_io_executor executor, PeerCall call)
+ConfigFollower::ConfigFollower(ConfigFollowerOptions options, const asio::any_io_executor &executor, PeerCall call)
     : m_state(std::make_shared<State>(std::move(options), executor, std::move(call)))
 {
 }
--- a/src/process/src/intentwriter.cpp
+++ b/src/process/src/intentwriter.cpp
@@ -261,7 +261,9 @@
     wakeWaiters();
 }
 
-IntentWriter::IntentWriter(IntentWriterOptions options, asio::any_io_executor executor) : m_state(std::make_shared<State>(std::move(options), executor)) { }
+IntentWriter::IntentWriter(IntentWriterOptions options, const asio::any_io_executor &executor) : m_state(std::make_shared<State>(std::move(options), executor))
+{
+}
 
 IntentWriter::~IntentWriter()
 {
--- a/src/request/include/request/intenttable.h
+++ b/src/request/include/request/intenttable.h
@@ -22,7 +22,7 @@
     std::string route;
     std::string key; //!< the caller's Idempotency-Key, or the request id
     friend bool operator==(const IntentKey &, const IntentKey &) = default;
-    friend auto operator<=>(const IntentKey &, const IntentKey &) = default;
+    friend auto operator<=>(const IntentKey &, const IntentKey &) = default; // NOLINT(modernize-use-nullptr) a false alarm on defaulted comparisons
 };
 
 /** Answer of a request that ran, as far as it fits into a record. */
--- a/src/version/include/version/recordparser.h
+++ b/src/version/include/version/recordparser.h
@@ -35,7 +35,7 @@
     RecordKind kind = RecordKind::Workspace;
     std::string name;
     friend bool operator==(const ObjectName &, const ObjectName &) = default;
-    friend auto operator<=>(const ObjectName &, const ObjectName &) = default;
+    friend auto operator<=>(const ObjectName &, const ObjectName &) = default; // NOLINT(modernize-use-nullptr) a false alarm on defaulted comparisons
 };
 
 /** What every schema version of a record has in common; never changes, so that old programs can read it. */
--- a/src/version/src/configapply.cpp
+++ b/src/version/src/configapply.cpp
@@ -130,7 +130,7 @@
 
 ApplyResult advanceMissed(ConfigFold &fold, Offset offset, const Json::Value &record)
 {
-    const ApplyResult missed{ApplyOutcome::Missed, {Step::Config, "", "earlier records are missing, waiting for a snapshot"}};
+    ApplyResult missed{ApplyOutcome::Missed, {Step::Config, "", "earlier records are missing, waiting for a snapshot"}};
     if (!isSnapshot(record)) {
         return missed;
     }
--- a/tests/process/configfollowertest.cpp
+++ b/tests/process/configfollowertest.cpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace snipehill;
@@ -75,7 +76,7 @@
         options.tellInterval = milliseconds(200);
         cut[linkOf(index)] = false;
         const auto call = [this](Endpoint peer, std::string method, Json::Value params, milliseconds, Reason &reason) {
-            return callPeer(peer, method, params, reason);
+            return callPeer(std::move(peer), std::move(method), std::move(params), reason);
         };
         followers.push_back(std::make_unique<ConfigFollower>(options, running.context.get_executor(), call));
         followers.back()->offerMethods(methods[linkOf(index)]);
@@ -89,7 +90,8 @@
             reason = {Step::Config, toString(peer), "no answer"};
             co_return std::nullopt;
         }
-        co_return methods[peer][method](params, reason);
+        const RpcMethod &handler = methods[peer][method];
+        co_return handler(params, reason);
     }
 
     void start()
--- a/tests/process/configsimulation.cpp
+++ b/tests/process/configsimulation.cpp
@@ -165,7 +165,7 @@
     }
 
     /** Runs the action now, or when the process goes on after a pause; not at all if it was restarted meanwhile. */
-    void deliver(std::size_t index, std::uint64_t incarnation, VirtualTime::Action action)
+    void deliver(std::size_t index, std::uint64_t incarnation, const VirtualTime::Action &action)
     {
         Process &process = m_processes[index];
         if (process.incarnation != incarnation) {
--- a/tests/process/intentsimulation.cpp
+++ b/tests/process/intentsimulation.cpp
@@ -117,7 +117,7 @@
     }
 
     /** Runs the action now or at the end of a pause, unless the process was restarted. */
-    void deliver(std::size_t index, std::uint64_t incarnation, VirtualTime::Action action)
+    void deliver(std::size_t index, std::uint64_t incarnation, const VirtualTime::Action &action)
     {
         Process &process = m_processes[index];
         if (process.incarnation != incarnation) {
--- a/tests/process/intentwritertest.cpp
+++ b/tests/process/intentwritertest.cpp
@@ -152,6 +152,7 @@
     IntentWriter writer(options, running.context.get_executor());
     writer.start();
     std::vector<std::future<IntentClaim>> answers;
+    answers.reserve(claims);
     for (int i = 0; i < claims; ++i) {
         answers.push_back(claimLater(running, writer, {"bureau", "fees", std::to_string(i)}));
     }
