--- a/src/process/include/process/usage.h
+++ b/src/process/include/process/usage.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace snipehill
@@ -46,7 +47,10 @@
     Incarnation sidecar;
     WindowNumber window = 0;
     friend bool operator==(const UsageSource &, const UsageSource &) = default;
-    friend auto operator<=>(const UsageSource &, const UsageSource &) = default;
+    friend bool operator<(const UsageSource &left, const UsageSource &right)
+    {
+        return std::tie(left.sidecar, left.window) < std::tie(right.sidecar, right.window);
+    }
 };
 
 using UsageRows = std::map<UsageSource, UsageByWorkspace>;
--- a/src/process/src/usage.cpp
+++ b/src/process/src/usage.cpp
@@ -131,6 +131,7 @@
         }
     }
     std::vector<ClosedWindow> records;
+    records.reserve(closed.size());
     for (auto &[window, record] : closed) {
         records.push_back(std::move(record));
     }
