--- a/bench/decisioncost.cpp
+++ b/bench/decisioncost.cpp
@@ -109,6 +109,7 @@
         }
     });
     std::vector<Workspace> workspaces;
+    workspaces.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         workspaces.push_back({"workspace-" + std::to_string(i), 1, 1000, 100000, 100});
     }
--- a/src/request/src/scaleplan.cpp
+++ b/src/request/src/scaleplan.cpp
@@ -94,7 +94,8 @@
     const auto forLoad = static_cast<std::uint32_t>(std::ceil(load / settings.targetUtilisation - rounding));
     std::uint32_t needed = std::max(forLoad, group.minTargets);
     const auto left = [&](std::uint32_t count) {
-        return (count - (count + domains - 1) / domains) * settings.lossUtilisation;
+        const std::uint32_t largest = (count + domains - 1) / domains;
+        return (count - largest) * settings.lossUtilisation;
     };
     while (domains > 1 && needed < group.maxTargets && left(needed) < load) {
         ++needed;
--- /dev/null
+++ b/tests/fakes/faketarget.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "random.h"
+#include "runtypes.h"
+#include "workload.h"
+
+#include <algorithm>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace snipehill::fakes
+{
+
+/** The load report that the sidecar of a target would send now. */
+inline LoadReport makeReport(const FakeTarget &target, const std::string &instance, std::span<const Arrival> arrivals, std::uint32_t slots)
+{
+    LoadReport report;
+    report.instance = instance;
+    report.accepting = !target.down;
+    report.slots = slots;
+    report.running = target.queue.running;
+    report.queued = static_cast<std::uint32_t>(waitingCount(target.queue));
+    report.queuedPrefillTokens = prefillLeft(target.engine);
+    report.queuedDecodeTokens = decodeLeft(target.engine);
+    for (const auto &[name, workspace] : target.queue.workspaces) {
+        for (const QueuedRequest &waiting : workspace.waiting) {
+            report.queuedPrefillTokens += arrivals[waiting.attempt].promptTokens;
+            report.queuedDecodeTokens += arrivals[waiting.attempt].outputTokens;
+        }
+    }
+    report.prefillTokensPerSecond = target.engine.prefillRate;
+    report.decodeTokensPerSecond = fullDecodeRate(target.engine.settings);
+    report.cacheEpoch = target.cacheEpoch;
+    return report;
+}
+
+/** Takes a request off the list of those that the engine runs. */
+inline QueuedRequest takeOnEngine(FakeTarget &target, std::uint64_t request)
+{
+    const auto found = std::find_if(target.onEngine.begin(), target.onEngine.end(), [request](const QueuedRequest &queued) {
+        return queued.attempt == request;
+    });
+    QueuedRequest queued = *found;
+    target.onEngine.erase(found);
+    return queued;
+}
+
+/** Forgets all requests of a target that died and returns them: those on the engine first, then those that waited. */
+inline std::vector<std::size_t> takeAllRequests(FakeTarget &target)
+{
+    std::vector<std::size_t> lost;
+    for (const QueuedRequest &queued : target.onEngine) {
+        lost.push_back(queued.attempt);
+    }
+    for (const auto &[name, workspace] : target.queue.workspaces) {
+        for (const QueuedRequest &waiting : workspace.waiting) {
+            lost.push_back(waiting.attempt);
+        }
+    }
+    for (const QueuedRequest &waiting : target.queue.aloneLine) {
+        lost.push_back(waiting.attempt);
+    }
+    target.onEngine.clear();
+    target.queue = {};
+    return lost;
+}
+
+/** Place of the target that a baseline policy picks among an entry's views. */
+inline std::optional<std::size_t> pickByBaseline(FakeEntry &entry, Policy policy, std::span<const std::string> tried, Random &random)
+{
+    std::vector<std::size_t> open;
+    for (std::size_t i = 0; i < entry.views.size(); ++i) {
+        if (isEligible(entry.views[i]) && std::find(tried.begin(), tried.end(), entry.views[i].instance) == tried.end()) {
+            open.push_back(i);
+        }
+    }
+    if (open.empty()) {
+        return std::nullopt;
+    }
+    if (policy == Policy::Random) {
+        return open[random.next() % open.size()];
+    }
+    const std::uint64_t start = entry.turn++;
+    std::size_t best = open[start % open.size()];
+    for (std::size_t i = 0; policy == Policy::LeastOutstanding && i < open.size(); ++i) {
+        const std::size_t place = open[(start + i) % open.size()];
+        best = entry.inFlight[place] < entry.inFlight[best] ? place : best;
+    }
+    return best;
+}
+
+/** Place of the target that the shipped choice picks among an entry's views. */
+inline std::optional<std::size_t>
+pickByPrediction(const FakeEntry &entry, const PlacementRequest &request, std::span<const std::string> tried, const ChoiceSettings &settings, Random &random)
+{
+    Reason reason;
+    const auto choice = chooseTarget(entry.views, request, tried, random.next(), settings, reason);
+    if (!choice) {
+        return std::nullopt;
+    }
+    const auto found = std::find_if(entry.views.begin(), entry.views.end(), [&](const TargetView &view) {
+        return view.instance == choice->instance;
+    });
+    return static_cast<std::size_t>(found - entry.views.begin());
+}
+
+} // namespace snipehill::fakes
--- a/tests/fakes/rolerun.h
+++ b/tests/fakes/rolerun.h
@@ -109,7 +109,7 @@
 class RoleRun
 {
 public:
-    RoleRun(RoleRunSettings settings, RoleScenario scenario) : m_settings(std::move(settings)), m_scenario(std::move(scenario)), m_random{m_settings.seed}
+    RoleRun(RoleRunSettings settings, RoleScenario scenario) : m_settings(settings), m_scenario(std::move(scenario)), m_random{m_settings.seed}
     {
         for (int i = 0; i < m_settings.engines; ++i) {
             const double speed = i < m_settings.slowEngines ? m_settings.slowSpeed : 1;
--- a/tests/fakes/routingrun.h
+++ b/tests/fakes/routingrun.h
@@ -1,18 +1,13 @@
 #pragma once
 
-#include "fakeengine.h"
-#include "stats.h"
+#include "faketarget.h"
+#include "random.h"
+#include "runtypes.h"
 #include "workload.h"
 
-#include <request/admission.h>
-#include <request/crashsuspects.h>
-#include <request/fairqueue.h>
-#include <request/prefixindex.h>
-#include <request/retrybudget.h>
-#include <request/targetchoice.h>
-
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <queue>
 #include <string>
@@ -21,79 +16,6 @@
 namespace snipehill::fakes
 {
 
-/** How an entry picks a target. */
-enum class Policy {
-    Random,
-    RoundRobin,
-    LeastOutstanding,
-    Predicted,
-};
-
-/** Settings of a run of entries and sidecars over fake engines. */
-struct RunSettings
-{
-    Policy policy = Policy::Predicted;
-    ChoiceSettings choice;
-    FairQueueSettings queue{.slots = 16};
-    FakeEngineSettings engine;
-    AdmissionSettings admission;
-    RetryBudgetSettings retries;
-    CrashSettings crashes;
-    Workspace limits; //!< of every workspace
-    std::vector<TargetMember> members; //!< empty: so many targets over so many failure domains
-    std::uint32_t targets = 10;
-    std::uint32_t domains = 4;
-    std::uint32_t slowTargets = 4; //!< old hardware
-    double slowSpeed = 0.6;
-    std::uint32_t entries = 4;
-    std::size_t subset = 64;
-    bool fairQueue = true; //!< false: first come, first served
-    bool prefixIndex = true;
-    bool deadlineAdmission = true;
-    bool piggybackReports = true; //!< false: only the platform's lagging report
-    double reportEvery = 2; //!< seconds between the platform's reports
-    double deadline = 30; //!< seconds from due
-    double restartSeconds = 20; //!< of a crashed engine
-    std::uint64_t seed = 1;
-};
-
-/** One target and the sidecar beside it. */
-struct FakeTarget
-{
-    FakeEngine engine;
-    FairQueue queue;
-    CrashSuspects suspects;
-    std::vector<QueuedRequest> onEngine;
-    StepResult pending;
-    bool stepping = false;
-    bool down = false;
-    std::uint64_t cacheEpoch = 0;
-};
-
-/** One entry. */
-struct FakeEntry
-{
-    std::vector<TargetView> views; //!< of its subset
-    std::vector<std::uint32_t> inFlight; //!< own requests for each view
-    PrefixIndex prefixes;
-    Admission admission;
-    RetryBudget retries;
-    CrashSuspects suspects;
-    std::uint64_t turn = 0;
-};
-
-/** Outcome of a run. */
-struct RunResult
-{
-    std::vector<RequestRecord> records; //!< one for each arrival, in order
-    std::uint64_t prefilledTokens = 0;
-    std::uint64_t cachedTokens = 0;
-    std::uint32_t targetsLost = 0;
-    double firstCrash = -1; //!< seconds, -1: none
-    std::uint32_t retriesRefused = 0; //!< by the retry budget
-    std::uint64_t attempts = 0;
-};
-
 /** The run itself: one event queue in virtual time. */
 class RoutingRun
 {
@@ -225,29 +147,6 @@
         }
     }
 
-    LoadReport makeReport(std::size_t position) const
-    {
-        const FakeTarget &target = m_targets[position];
-        LoadReport report;
-        report.instance = m_settings.members[position].instance;
-        report.accepting = !target.down;
-        report.slots = m_settings.queue.slots;
-        report.running = target.queue.running;
-        report.queued = static_cast<std::uint32_t>(waitingCount(target.queue));
-        report.queuedPrefillTokens = prefillLeft(target.engine);
-        report.queuedDecodeTokens = decodeLeft(target.engine);
-        for (const auto &[name, workspace] : target.queue.workspaces) {
-            for (const QueuedRequest &waiting : workspace.waiting) {
-                report.queuedPrefillTokens += m_arrivals[waiting.attempt].promptTokens;
-                report.queuedDecodeTokens += m_arrivals[waiting.attempt].outputTokens;
-            }
-        }
-        report.prefillTokensPerSecond = target.engine.prefillRate;
-        report.decodeTokensPerSecond = fullDecodeRate(target.engine.settings);
-        report.cacheEpoch = target.cacheEpoch;
-        return report;
-    }
-
     std::size_t viewOf(std::size_t entry, std::size_t target) const
     {
         const auto &positions = m_positions[entry];
@@ -258,7 +157,7 @@
     {
         const std::size_t place = viewOf(entry, target);
         TargetView &view = m_entries[entry].views[place];
-        view.report = makeReport(target);
+        view.report = makeReport(m_targets[target], view.instance, m_arrivals, m_settings.queue.slots);
         view.reported = true;
         view.outstanding = {};
         m_reportTimes[entry][place] = m_now;
@@ -328,37 +227,10 @@
     std::optional<std::size_t> pick(std::size_t request, bool alone)
     {
         FakeEntry &entry = m_entries[m_arrivals[request].entry];
-        const std::vector<std::string> &tried = m_tried[request];
         if (m_settings.policy == Policy::Predicted || alone) {
-            Reason reason;
-            const auto choice = chooseTarget(entry.views, placementOf(request, alone), tried, m_random.next(), m_settings.choice, reason);
-            if (!choice) {
-                return std::nullopt;
-            }
-            const auto same = [&](const TargetView &view) {
-                return view.instance == choice->instance;
-            };
-            return static_cast<std::size_t>(std::find_if(entry.views.begin(), entry.views.end(), same) - entry.views.begin());
-        }
-        std::vector<std::size_t> open;
-        for (std::size_t i = 0; i < entry.views.size(); ++i) {
-            if (isEligible(entry.views[i]) && std::find(tried.begin(), tried.end(), entry.views[i].instance) == tried.end()) {
-                open.push_back(i);
-            }
-        }
-        if (open.empty()) {
-            return std::nullopt;
-        }
-        if (m_settings.policy == Policy::Random) {
-            return open[m_random.next() % open.size()];
-        }
-        const std::uint64_t start = entry.turn++;
-        std::size_t best = open[start % open.size()];
-        for (std::size_t i = 0; m_settings.policy == Policy::LeastOutstanding && i < open.size(); ++i) {
-            const std::size_t place = open[(start + i) % open.size()];
-            best = entry.inFlight[place] < entry.inFlight[best] ? place : best;
+            return pickByPrediction(entry, placementOf(request, alone), m_tried[request], m_settings.choice, m_random);
         }
-        return best;
+        return pickByBaseline(entry, m_settings.policy, m_tried[request], m_random);
     }
 
     void dispatch(std::size_t request, std::optional<std::size_t> first = {})
@@ -468,16 +340,6 @@
         --m_entries[entry].inFlight[viewOf(entry, target)];
     }
 
-    QueuedRequest takeOnEngine(FakeTarget &target, std::uint64_t request)
-    {
-        const auto found = std::find_if(target.onEngine.begin(), target.onEngine.end(), [request](const QueuedRequest &queued) {
-            return queued.attempt == request;
-        });
-        QueuedRequest queued = *found;
-        target.onEngine.erase(found);
-        return queued;
-    }
-
     void endStep(std::size_t position)
     {
         FakeTarget &target = m_targets[position];
@@ -517,24 +379,13 @@
             m_generated[stream.id] += stream.generated;
         }
         crash(target.engine);
-        std::vector<std::uint64_t> fingerprints;
-        std::vector<std::size_t> lost;
         const bool alone = target.onEngine.size() == 1 && target.onEngine.front().alone;
+        std::vector<std::uint64_t> fingerprints;
         for (const QueuedRequest &queued : target.onEngine) {
             fingerprints.push_back(m_arrivals[queued.attempt].fingerprint);
-            lost.push_back(queued.attempt);
         }
         noteCrash(target.suspects, fingerprints, alone, m_settings.crashes, timePoint(m_now));
-        for (const auto &[name, workspace] : target.queue.workspaces) {
-            for (const QueuedRequest &waiting : workspace.waiting) {
-                lost.push_back(waiting.attempt);
-            }
-        }
-        for (const QueuedRequest &waiting : target.queue.aloneLine) {
-            lost.push_back(waiting.attempt);
-        }
-        target.onEngine.clear();
-        target.queue = {};
+        const std::vector<std::size_t> lost = takeAllRequests(target);
         schedule(m_now + m_settings.restartSeconds, Event::Kind::Restart, position);
         for (const std::size_t request : lost) {
             leave(request, position);
--- a/tests/fakes/scalerun.h
+++ b/tests/fakes/scalerun.h
@@ -53,6 +53,7 @@
     group.minTargets = settings.minTargets;
     group.maxTargets = settings.maxTargets;
     std::vector<std::string> domains;
+    domains.reserve(static_cast<std::size_t>(settings.domains));
     for (int i = 0; i < settings.domains; ++i) {
         domains.push_back("d" + std::to_string(i));
     }
--- a/tests/request/targetchoicetest.cpp
+++ b/tests/request/targetchoicetest.cpp
@@ -117,6 +117,7 @@
 TEST_CASE("The target with the best cover is always among the compared", "[request]")
 {
     std::vector<TargetView> targets;
+    targets.reserve(100);
     for (int i = 0; i < 50; ++i) {
         targets.push_back(engine("t" + std::to_string(i)));
     }
@@ -141,6 +142,7 @@
 TEST_CASE("Draws spread equal targets evenly", "[request]")
 {
     std::vector<TargetView> targets;
+    targets.reserve(100);
     for (int i = 0; i < 10; ++i) {
         targets.push_back(engine("t" + std::to_string(i)));
     }
@@ -171,6 +173,7 @@
 TEST_CASE("A subset is deterministic, spread over failure domains and stable", "[request]")
 {
     std::vector<TargetMember> members;
+    members.reserve(100);
     for (int i = 0; i < 60; ++i) {
         members.push_back({"t" + std::to_string(i), "d" + std::to_string(i % 4)});
     }
@@ -201,6 +204,7 @@
 TEST_CASE("Subsets of many entries load all targets", "[request]")
 {
     std::vector<TargetMember> members;
+    members.reserve(100);
     for (int i = 0; i < 100; ++i) {
         members.push_back({"t" + std::to_string(i), "d" + std::to_string(i % 4)});
     }
