--- a/bench/fairshare.cpp
+++ b/bench/fairshare.cpp
@@ -99,6 +99,39 @@
     report.table("seven workspaces beside one at ten times its share", rows);
 }
 
+/** One target whose slots a workspace fills with long outputs, and another one's short questions beside it. */
+void compareReservedSlots(const bench::Report &report)
+{
+    std::vector<bench::Row> rows;
+    for (const std::uint32_t reserved : {0U, 1U, 2U}) {
+        std::vector<RequestRecord> light;
+        std::vector<RequestRecord> heavy;
+        for (const std::uint64_t seed : seeds) {
+            RunSettings settings;
+            settings.seed = seed;
+            settings.targets = 1;
+            settings.slowTargets = 0;
+            settings.queue.slots = 8;
+            settings.queue.reservedSlots = reserved;
+            settings.deadlineAdmission = false;
+            TrafficSettings writers{.workspace = "heavy", .requestsPerSecond = 0.4, .until = 600, .longPart = 0, .shortOutput = 1500};
+            TrafficSettings askers{.workspace = "light", .requestsPerSecond = 0.2, .until = 600, .longPart = 0};
+            const auto arrivals = mergeTraffic(makeTraffic(writers, seed), makeTraffic(askers, seed + 1));
+            for (const RequestRecord &record : RoutingRun(settings, arrivals).run().records) {
+                (record.workspace == "heavy" ? heavy : light).push_back(record);
+            }
+        }
+        const Summary asked = summarise(light);
+        const Summary written = summarise(heavy);
+        rows.push_back({"reserved slots " + std::to_string(reserved),
+                        {{"light_good", asked.goodput},
+                         {"light_p95_s", asked.p95},
+                         {"heavy_good", written.goodput},
+                         {"heavy_end", 1 - static_cast<double>(written.refused) / static_cast<double>(written.requests)}}});
+    }
+    report.table("short questions beside long outputs on one target of 8 slots", rows);
+}
+
 /** Offers twice the limit to entries, so many of them in use, and returns the admitted part of the limit. */
 double admittedPart(std::uint32_t entries, std::uint32_t used, bool keeperAnswers)
 {
@@ -141,6 +174,7 @@
 {
     const bench::Report report("fairshare", argc, argv);
     compareParts(report);
+    compareReservedSlots(report);
     compareLimits(report);
     return 0;
 }
--- a/src/request/include/request/fairqueue.h
+++ b/src/request/include/request/fairqueue.h
@@ -41,7 +41,8 @@
 struct FairQueueSettings
 {
     std::uint32_t slots = 8; //!< requests that the target may run at once
-    std::uint32_t reservedSlots = 1; //!< slots that a workspace which holds more than its part of the target leaves free
+    std::uint32_t reservedSlots = 2; //!< slots that one workspace leaves free while others use the target too
+    std::uint32_t reserveMemory = 64; //!< dispatches for which another workspace counts as using the target
     std::uint32_t dispatchesBeforeAlone = 0; //!< others that may still start while a request waits to run alone
     std::size_t maxWaiting = 4096; //!< requests beyond this are refused at once
 };
@@ -60,6 +61,9 @@
     double virtualTime = 0;
     std::uint32_t running = 0;
     bool aloneRunning = false;
+    std::string lastWorkspace; //!< of the last request dispatched
+    std::uint64_t dispatches = 0;
+    std::uint64_t lastChange = 0; //!< dispatch at which the workspace last differed from the one before
     std::uint32_t sinceAlone = 0; //!< requests dispatched while one that must run alone waited
 };
 
--- a/src/request/src/fairqueue.cpp
+++ b/src/request/src/fairqueue.cpp
@@ -43,9 +43,17 @@
     }
 }
 
-bool mayTakeSlot(const WorkspaceQueue &workspace, const FairQueueSettings &settings)
+bool othersUseTarget(const FairQueue &queue, const std::string &name, const FairQueueSettings &settings)
 {
-    const bool reserves = settings.slots > 2 * settings.reservedSlots;
+    if (name != queue.lastWorkspace) {
+        return !queue.lastWorkspace.empty();
+    }
+    return queue.lastChange > 0 && queue.dispatches - queue.lastChange <= settings.reserveMemory;
+}
+
+bool mayTakeSlot(const FairQueue &queue, const std::string &name, const WorkspaceQueue &workspace, const FairQueueSettings &settings)
+{
+    const bool reserves = settings.slots > 2 * settings.reservedSlots && othersUseTarget(queue, name, settings);
     const std::uint32_t most = reserves ? settings.slots - settings.reservedSlots : settings.slots;
     return workspace.running < most;
 }
@@ -56,6 +64,11 @@
     workspace.finishTag = request.startTag + chargeOf(request, request.costTokens);
     ++workspace.running;
     ++queue.running;
+    ++queue.dispatches;
+    if (request.workspace != queue.lastWorkspace) {
+        queue.lastChange = queue.lastWorkspace.empty() ? 0 : queue.dispatches;
+        queue.lastWorkspace = request.workspace;
+    }
     queue.deadlines.erase({request.deadline, request.attempt});
     queue.owners.erase(request.attempt);
 }
@@ -76,7 +89,7 @@
 {
     for (const auto &[tag, name] : queue.backlogged) {
         WorkspaceQueue &workspace = queue.workspaces.at(name);
-        if (!mayTakeSlot(workspace, settings)) {
+        if (!mayTakeSlot(queue, name, workspace, settings)) {
             continue;
         }
         const std::string owner = name; // the set's element goes away below
