--- a/bench/hedging.cpp
+++ b/bench/hedging.cpp
@@ -28,12 +28,6 @@
     double hedgeBudget = 0.05; //!< part of the lookups that may be sent twice
 };
 
-struct Copy
-{
-    std::size_t lookup = 0;
-    double service = 0;
-};
-
 struct Server
 {
     std::vector<double> freeAt; //!< of each slot
@@ -66,12 +60,54 @@
     return *slot;
 }
 
-HedgeFigures run(const HedgeSettings &settings)
+/** Open loop of lookups, each sent to the server with the fewest outstanding ones. */
+class HedgeRun
 {
+public:
+    explicit HedgeRun(const HedgeSettings &settings)
+        : m_settings(settings)
+        , m_random{77}
+        , m_servers(settings.servers)
+        , m_rate(settings.utilisation * static_cast<double>(settings.servers) * settings.slots / settings.meanService)
+    {
+        for (Server &server : m_servers) {
+            server.freeAt.assign(static_cast<std::size_t>(settings.slots), 0);
+            server.nextPause = m_random.exponential(settings.pauseEvery);
+        }
+    }
+
+    HedgeFigures run()
+    {
+        m_events.push({m_random.exponential(1 / m_rate), Event::Kind::Arrival, 0, 0});
+        while (!m_events.empty()) {
+            const Event event = m_events.top();
+            m_events.pop();
+            switch (event.kind) {
+            case Event::Kind::Arrival:
+                arrive(event.time);
+                break;
+            case Event::Kind::HedgeTimer:
+                hedge(event);
+                break;
+            case Event::Kind::End:
+                end(event);
+                break;
+            }
+        }
+        const double extra = m_hedged / static_cast<double>(m_due.size());
+        return {percentile(m_latency, 0.5), percentile(m_latency, 0.99), percentile(m_latency, 0.999), extra};
+    }
+
+private:
     struct Event
     {
+        enum class Kind {
+            Arrival,
+            HedgeTimer,
+            End,
+        };
         double time = 0;
-        int kind = 0; // 0: arrival, 1: hedge timer, 2: end of a copy
+        Kind kind = Kind::Arrival;
         std::size_t lookup = 0;
         std::size_t server = 0;
         bool operator>(const Event &other) const
@@ -79,55 +115,63 @@
             return time > other.time;
         }
     };
-    Random random{77};
-    std::vector<Server> servers(settings.servers);
-    for (Server &server : servers) {
-        server.freeAt.assign(static_cast<std::size_t>(settings.slots), 0);
-        server.nextPause = random.exponential(settings.pauseEvery);
-    }
-    const double rate = settings.utilisation * static_cast<double>(settings.servers) * settings.slots / settings.meanService;
-    std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
-    std::vector<double> due;
-    std::vector<double> latency;
-    std::vector<std::size_t> firstServer;
-    double credit = 0;
-    double extra = 0;
-    const auto send = [&](double now, std::size_t lookup, std::size_t avoid) {
+
+    std::size_t send(double now, std::size_t lookup, std::size_t avoid)
+    {
         std::size_t best = avoid == 0 ? 1 : 0;
-        for (std::size_t i = 0; i < servers.size(); ++i) {
-            best = i != avoid && servers[i].outstanding < servers[best].outstanding ? i : best;
+        for (std::size_t i = 0; i < m_servers.size(); ++i) {
+            best = i != avoid && m_servers[i].outstanding < m_servers[best].outstanding ? i : best;
         }
-        ++servers[best].outstanding;
-        events.push({serve(servers[best], now, random.exponential(settings.meanService), random, settings), 2, lookup, best});
+        ++m_servers[best].outstanding;
+        const double service = m_random.exponential(m_settings.meanService);
+        m_events.push({serve(m_servers[best], now, service, m_random, m_settings), Event::Kind::End, lookup, best});
         return best;
-    };
-    events.push({random.exponential(1 / rate), 0, 0, 0});
-    while (!events.empty()) {
-        const Event event = events.top();
-        events.pop();
-        if (event.kind == 0) {
-            const std::size_t lookup = due.size();
-            due.push_back(event.time);
-            latency.push_back(-1);
-            firstServer.push_back(send(event.time, lookup, settings.servers));
-            credit = std::min(100.0, credit + settings.hedgeBudget);
-            if (settings.hedgeAfter > 0) {
-                events.push({event.time + settings.hedgeAfter, 1, lookup, 0});
-            }
-            if (event.time < 300) {
-                events.push({event.time + random.exponential(1 / rate), 0, 0, 0});
-            }
-        } else if (event.kind == 1 && latency[event.lookup] < 0 && credit >= 1) {
-            credit -= 1;
-            extra += 1;
-            send(event.time, event.lookup, firstServer[event.lookup]);
-        } else if (event.kind == 2) {
-            --servers[event.server].outstanding;
-            latency[event.lookup] = latency[event.lookup] < 0 ? event.time - due[event.lookup] : latency[event.lookup];
+    }
+
+    void arrive(double now)
+    {
+        constexpr double span = 300; // seconds
+        const std::size_t lookup = m_due.size();
+        m_due.push_back(now);
+        m_latency.push_back(-1);
+        m_firstServer.push_back(send(now, lookup, m_servers.size()));
+        m_credit = std::min(100.0, m_credit + m_settings.hedgeBudget);
+        if (m_settings.hedgeAfter > 0) {
+            m_events.push({now + m_settings.hedgeAfter, Event::Kind::HedgeTimer, lookup, 0});
+        }
+        if (now < span) {
+            m_events.push({now + m_random.exponential(1 / m_rate), Event::Kind::Arrival, 0, 0});
         }
     }
-    return {percentile(latency, 0.5), percentile(latency, 0.99), percentile(latency, 0.999), extra / static_cast<double>(due.size())};
-}
+
+    void hedge(const Event &event)
+    {
+        if (m_latency[event.lookup] >= 0 || m_credit < 1) {
+            return;
+        }
+        m_credit -= 1;
+        m_hedged += 1;
+        send(event.time, event.lookup, m_firstServer[event.lookup]);
+    }
+
+    void end(const Event &event)
+    {
+        --m_servers[event.server].outstanding;
+        double &latency = m_latency[event.lookup];
+        latency = latency < 0 ? event.time - m_due[event.lookup] : latency;
+    }
+
+    HedgeSettings m_settings;
+    Random m_random;
+    std::vector<Server> m_servers;
+    double m_rate = 0; //!< lookups a second
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+    std::vector<double> m_due;
+    std::vector<double> m_latency; //!< by lookup, -1 while it runs
+    std::vector<std::size_t> m_firstServer;
+    double m_credit = 0;
+    double m_hedged = 0;
+};
 
 } // namespace
 
@@ -142,7 +186,7 @@
                 settings.utilisation = utilisation;
                 settings.hedgeAfter = after;
                 settings.hedgeBudget = budget;
-                const HedgeFigures figures = run(settings);
+                const HedgeFigures figures = HedgeRun(settings).run();
                 const std::string label = after > 0
                     ? "second copy after " + std::to_string(static_cast<int>(after * 1000)) + " ms, budget " + std::to_string(budget).substr(0, 4)
                     : "one copy";
--- a/tests/fakes/scalerun.h
+++ b/tests/fakes/scalerun.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace snipehill::fakes
@@ -46,92 +47,141 @@
     int stops = 0;
 };
 
-/** Runs the plan second by second; no stop may leave too little for the loss of one domain, which the caller checks by the figures. */
-inline ScaleFigures runScale(const ScaleRunSettings &settings, const ScaleScenario &scenario)
+/** Runs the plan second by second over targets that take a while to start. */
+class ScaleRun
 {
-    TargetGroup group;
-    group.minTargets = settings.minTargets;
-    group.maxTargets = settings.maxTargets;
-    std::vector<std::string> domains;
-    domains.reserve(static_cast<std::size_t>(settings.domains));
-    for (int i = 0; i < settings.domains; ++i) {
-        domains.push_back("d" + std::to_string(i));
+public:
+    ScaleRun(const ScaleRunSettings &settings, ScaleScenario scenario) : m_settings(settings), m_scenario(std::move(scenario)), m_random{settings.seed}
+    {
+        m_group.minTargets = settings.minTargets;
+        m_group.maxTargets = settings.maxTargets;
+        m_domains.reserve(static_cast<std::size_t>(settings.domains));
+        for (int i = 0; i < settings.domains; ++i) {
+            m_domains.push_back("d" + std::to_string(i));
+        }
+        m_average = m_scenario.load(0);
+        const std::uint32_t first = targetsNeeded(m_average, static_cast<std::uint32_t>(settings.domains), m_group, settings.plan);
+        for (std::uint32_t i = 0; i < first; ++i) {
+            add(m_domains[i % m_domains.size()], -settings.startSeconds);
+        }
+    }
+
+    ScaleFigures run()
+    {
+        for (int second = 0; second < m_scenario.length; ++second) {
+            const double load = m_scenario.load(second) * (0.95 + 0.1 * m_random.uniform());
+            m_average += 0.1 * (load - m_average);
+            loseDomain(second);
+            finishStarts(second);
+            account(load, second);
+            control(second);
+        }
+        m_figures.served = m_served / m_offered;
+        m_figures.servedInLoss = m_offeredInLoss > 0 ? m_servedInLoss / m_offeredInLoss : 1;
+        return m_figures;
     }
+
+private:
     struct Running
     {
         ScaleTarget target;
         int readyAt = 0;
     };
-    std::vector<Running> running;
-    Random random{settings.seed};
-    const std::uint32_t first = targetsNeeded(scenario.load(0), static_cast<std::uint32_t>(settings.domains), group, settings.plan);
-    int next = 0;
-    for (; next < static_cast<int>(first); ++next) {
-        running.push_back({{"t" + std::to_string(next), domains[static_cast<std::size_t>(next % settings.domains)], true, false, false}, 0});
+
+    static bool holds(const std::optional<std::pair<int, int>> &span, int second)
+    {
+        return span && second >= span->first && second < span->second;
     }
-    ScaleState state;
-    ScaleFigures figures;
-    double offered = 0;
-    double served = 0;
-    double offeredInLoss = 0;
-    double servedInLoss = 0;
-    double average = scenario.load(0);
-    std::string lostDomain;
-    for (int second = 0; second < scenario.length; ++second) {
-        const double load = scenario.load(second) * (0.95 + 0.1 * random.uniform());
-        average += 0.1 * (load - average);
-        const bool lost = scenario.domainLoss && second >= scenario.domainLoss->first && second < scenario.domainLoss->second;
-        if (lost && lostDomain.empty()) {
-            lostDomain = domains.front();
-            std::erase_if(running, [&](const Running &item) {
-                return item.target.failureDomain == lostDomain;
-            });
-        }
-        std::vector<std::string> open;
-        for (const std::string &domain : domains) {
-            if (!lost || domain != lostDomain) {
-                open.push_back(domain);
-            }
+
+    void add(const std::string &domain, int orderedAt)
+    {
+        m_running.push_back({{"t" + std::to_string(m_next++), domain, false, true, false}, orderedAt + m_settings.startSeconds});
+    }
+
+    void loseDomain(int second)
+    {
+        m_open = m_domains;
+        if (!holds(m_scenario.domainLoss, second)) {
+            return;
         }
-        std::vector<ScaleTarget> targets;
-        double capacity = 0;
-        for (Running &item : running) {
+        const std::string lost = m_domains.front();
+        std::erase(m_open, lost);
+        std::erase_if(m_running, [&](const Running &item) {
+            return item.target.failureDomain == lost;
+        });
+    }
+
+    void finishStarts(int second)
+    {
+        for (Running &item : m_running) {
             if (item.target.starting && second >= item.readyAt) {
                 item.target.starting = false;
                 item.target.serving = true;
             }
-            capacity += item.target.serving ? 1 : 0;
-            targets.push_back(item.target);
         }
-        figures.targetSeconds += static_cast<double>(running.size());
-        const auto domainCount = static_cast<std::uint32_t>(open.size());
-        figures.leastSeconds += std::max<double>(settings.minTargets, std::ceil(load / settings.plan.targetUtilisation));
-        figures.leastSafeSeconds += targetsNeeded(load, domainCount, group, settings.plan);
-        offered += load;
-        served += std::min(load, capacity);
-        if (lost && second < scenario.domainLoss->first + 60) {
-            offeredInLoss += load;
-            servedInLoss += std::min(load, capacity);
+    }
+
+    void account(double load, int second)
+    {
+        const auto serving = std::count_if(m_running.begin(), m_running.end(), [](const Running &item) {
+            return item.target.serving;
+        });
+        const double served = std::min(load, static_cast<double>(serving));
+        m_figures.targetSeconds += static_cast<double>(m_running.size());
+        m_figures.leastSeconds += std::max<double>(m_settings.minTargets, std::ceil(load / m_settings.plan.targetUtilisation));
+        m_figures.leastSafeSeconds += targetsNeeded(load, static_cast<std::uint32_t>(m_open.size()), m_group, m_settings.plan);
+        m_offered += load;
+        m_served += served;
+        if (holds(m_scenario.domainLoss, second) && second < m_scenario.domainLoss->first + 60) {
+            m_offeredInLoss += load;
+            m_servedInLoss += served;
+        }
+    }
+
+    void control(int second)
+    {
+        std::vector<ScaleTarget> targets;
+        targets.reserve(m_running.size());
+        for (const Running &item : m_running) {
+            targets.push_back(item.target);
         }
-        const bool missing = scenario.reportsMissing && second >= scenario.reportsMissing->first && second < scenario.reportsMissing->second;
-        const auto order
-            = planScale(state, targets, open, missing ? std::nullopt : std::optional(average), group, settings.plan, TimePoint{} + seconds(1000 + second));
+        const std::optional<double> load = holds(m_scenario.reportsMissing, second) ? std::nullopt : std::optional(m_average);
+        const auto order = planScale(m_state, targets, m_open, load, m_group, m_settings.plan, TimePoint{} + seconds(1000 + second));
         if (!order) {
-            continue;
+            return;
         }
         if (order->kind == ScaleOrder::Kind::Start) {
-            running.push_back({{"t" + std::to_string(next++), order->failureDomain, false, true, false}, second + settings.startSeconds});
-            ++figures.starts;
-        } else {
-            std::erase_if(running, [&](const Running &item) {
-                return item.target.instance == order->instance;
-            });
-            ++figures.stops;
+            add(order->failureDomain, second);
+            ++m_figures.starts;
+            return;
         }
+        std::erase_if(m_running, [&](const Running &item) {
+            return item.target.instance == order->instance;
+        });
+        ++m_figures.stops;
     }
-    figures.served = served / offered;
-    figures.servedInLoss = offeredInLoss > 0 ? servedInLoss / offeredInLoss : 1;
-    return figures;
+
+    ScaleRunSettings m_settings;
+    ScaleScenario m_scenario;
+    Random m_random;
+    TargetGroup m_group;
+    std::vector<std::string> m_domains;
+    std::vector<std::string> m_open; //!< domains that are not lost
+    std::vector<Running> m_running;
+    ScaleState m_state;
+    ScaleFigures m_figures;
+    double m_average = 0; //!< of the load, as reported
+    double m_offered = 0;
+    double m_served = 0;
+    double m_offeredInLoss = 0;
+    double m_servedInLoss = 0;
+    int m_next = 0;
+};
+
+/** Figures of one run. */
+inline ScaleFigures runScale(const ScaleRunSettings &settings, const ScaleScenario &scenario)
+{
+    return ScaleRun(settings, scenario).run();
 }
 
 inline std::vector<ScaleScenario> scaleScenarios()
