--- a/src/process/include/process/metrics.h
+++ b/src/process/include/process/metrics.h
@@ -41,7 +41,7 @@
     ConfigVersion,
     ConfigAgeSeconds,
     LeaseState, //!< scope; 0 free, 1 held by another, 2 held by this process
-    LeaseEpoch, //!< scope
+    LeaseEpoch, //!< scope; of the own lease
     GrantState, //!< 0 none, 1 in force
     GrantFence,
     UsageWindows, //!< state
--- a/src/process/src/metrics.cpp
+++ b/src/process/src/metrics.cpp
@@ -62,7 +62,7 @@
         {GaugeType, "snipehill_config_version", "Offset of the configuration in force.", {}},
         {GaugeType, "snipehill_config_age_seconds", "Time since the configuration was last known to be current.", {}},
         {GaugeType, "snipehill_lease_state", "0 free, 1 held by another process, 2 held by this one.", {"scope"}},
-        {GaugeType, "snipehill_lease_epoch", "Epoch of the latest lease.", {"scope"}},
+        {GaugeType, "snipehill_lease_epoch", "Epoch of this process's lease, -1 while it has none.", {"scope"}},
         {GaugeType, "snipehill_grant_state", "0 no grant, 1 a grant is in force at this sidecar.", {}},
         {GaugeType, "snipehill_grant_fence", "Highest fencing number seen by this sidecar.", {}},
         {GaugeType, "snipehill_usage_windows", "Usage windows that this process keeps.", {"state"}},
