Give up a target's connection that went silent, prove freshness at entries, read instance lists item by item

Cause: a proof held a stream for its whole deadline when the connection to the engine went silent; the sidecar had no bound on the gap between two pieces. A cut entry took 7.8 s to learn of a change because the follower was not told that it serves keyed routes. One bad item hid the whole instance list. Ruled out: TCP keep-alive (the peer's kernel may answer for a process that doesn't), a bound below the deadline for requests that run once (it would turn slow answers into unknown outcomes).

--- a/src/process/include/process/members.h
+++ b/src/process/include/process/members.h
@@ -31,7 +31,7 @@
 
 using MemberList = std::shared_ptr<const std::vector<Member>>;
 
-/** Parses the answer of the instance list; entries that lack a field are an error. */
+/** Parses the answer of the instance list; entries that lack a field are left out and logged. */
 std::optional<std::vector<Member>> parseInstanceList(std::string_view text, Reason &reason);
 
 /**
--- a/src/process/src/members.cpp
+++ b/src/process/src/members.cpp
@@ -1,6 +1,7 @@
 #include <process/members.h>
 
 #include <connection/httpclient.h>
+#include <process/log.h>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -26,7 +27,7 @@
 
 std::optional<Member> parseMember(const Json::Value &value, Reason &reason)
 {
-    for (const char *field : {"instance", "role", "link", "admin", "region", "failureDomain", "targetGroup", "state"}) {
+    for (const char *field : {"instance", "role", "link", "admin", "region", "failureDomain", "state"}) {
         if (!value.isObject() || !value[field].isString()) {
             reason = {Step::Parse, {}, std::string("instance list: field \"") + field + "\" is missing or no string"};
             return std::nullopt;
@@ -44,7 +45,11 @@
     member.admin = *admin;
     member.region = value["region"].asString();
     member.failureDomain = value["failureDomain"].asString();
-    member.targetGroup = value["targetGroup"].asString();
+    if (member.role == "sidecar" && !value["targetGroup"].isString()) {
+        reason = {Step::Parse, {}, "instance list: a sidecar without \"targetGroup\""};
+        return std::nullopt;
+    }
+    member.targetGroup = value["targetGroup"].isString() ? value["targetGroup"].asString() : std::string();
     member.leaving = value["state"].asString() == "leaving";
     return member;
 }
@@ -64,7 +69,8 @@
     for (const Json::Value &entry : value["instances"]) {
         auto member = parseMember(entry, reason);
         if (!member) {
-            return std::nullopt;
+            logEvent(Part::Members, Level::Warning, "instance left out", reason);
+            continue;
         }
         members.push_back(std::move(*member));
     }
--- a/src/serving/src/processparts.cpp
+++ b/src/serving/src/processparts.cpp
@@ -8,6 +8,7 @@
     ConfigFollowerOptions options;
     options.instance = settings.instance;
     options.region = settings.region;
+    options.keyed = settings.role == ProcessRole::Entry;
     options.log = settings.platform.log;
     options.seeds = settings.peers;
     options.freshness = settings.timings.freshness;
--- a/src/serving/src/targetexchange.cpp
+++ b/src/serving/src/targetexchange.cpp
@@ -21,6 +21,7 @@
 {
 
 constexpr milliseconds connectTimeout{1000};
+constexpr milliseconds streamGapTimeout{5000}; //!< far above the gap between two tokens; a connection silent for so long is dead
 constexpr std::size_t maxUsageBodyBytes = 4U << 20U;
 constexpr std::array<std::string_view, 7>
     fieldsOfOneConnection{"connection", "keep-alive", "proxy-connection", "transfer-encoding", "content-length", "upgrade", "trailer"};
@@ -30,6 +31,18 @@
     return std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(attempt.deadline() - Clock::now()));
 }
 
+/** Wait for the head of an answer: a request that may be repeated keeps half of its time for another attempt. */
+milliseconds headTimeout(const SidecarAttempt &attempt)
+{
+    return attempt.run().idempotent() ? remaining(attempt) / 2 + milliseconds(1) : remaining(attempt);
+}
+
+/** Wait for the next piece of a body. */
+milliseconds pieceTimeout(const SidecarAttempt &attempt, bool stream)
+{
+    return stream ? std::min(remaining(attempt), streamGapTimeout) : remaining(attempt);
+}
+
 HttpRequest buildRequest(const wire::Run &run, const ExchangeTarget &target)
 {
     HttpRequest request;
@@ -134,7 +147,7 @@
         if (!sent) {
             co_return;
         }
-        const bool answered = co_await connection.readHead(remaining(*m_attempt), m_result.reason);
+        const bool answered = co_await connection.readHead(headTimeout(*m_attempt), m_result.reason);
         if (!answered || !belongsToRequest(connection.head())) {
             co_return;
         }
@@ -166,7 +179,7 @@
                 m_result.reason = {Step::Answer, {}, "cancelled, or the deadline has passed"};
                 co_return;
             }
-            auto piece = co_await connection.readSome(remaining(*m_attempt), m_result.reason);
+            auto piece = co_await connection.readSome(pieceTimeout(*m_attempt, m_stream), m_result.reason);
             if (!piece) {
                 co_return;
             }
