Tell the config follower which members are entries

Cause: followers of entries asked their peers only when their contact was 3 s old, which is also the freshness, so that keyed routes would be refused for a moment at the start of each outage. As keyed members they ask from 2 s on. Leaving members no longer count towards the majority.

--- a/src/serving/src/processparts.cpp
+++ b/src/serving/src/processparts.cpp
@@ -8,6 +8,7 @@
     ConfigFollowerOptions options;
     options.instance = settings.instance;
     options.region = settings.region;
+    options.keyed = settings.role == ProcessRole::Entry;
     options.log = settings.platform.log;
     options.seeds = settings.peers;
     options.freshness = settings.timings.freshness;
@@ -88,8 +89,8 @@
 {
     std::vector<ConfigPeer> peers;
     for (const Member &member : members) {
-        if (member.instance != self) {
-            peers.push_back({member.instance, member.region, member.link});
+        if (member.instance != self && !member.leaving) {
+            peers.push_back({member.instance, member.region, member.link, member.role == "entry"});
         }
     }
     return peers;
