--- a/src/version/include/version/configapply.h
+++ b/src/version/include/version/configapply.h
@@ -27,7 +27,7 @@
 struct ApplyResult
 {
     ApplyOutcome outcome = ApplyOutcome::Rejected;
-    Reason reason; //!< set unless effective; also set if a snapshot told something else than was remembered
+    Reason reason; //!< set unless effective
 };
 
 /**
