Call no outage while the log is still being read

Cause: a test under the thread sanitizer saw 'outage' where it expected 'fresh': between the first page with records and the empty one that proves contact, a process that reaches a majority without contact (or is alone) called it an outage and would have served a configuration that it had not read to its end. It is stale until then.

--- a/src/process/include/process/configholding.h
+++ b/src/process/include/process/configholding.h
@@ -28,6 +28,7 @@
     ConfigFold fold;
     std::deque<LogRecord> recent; //!< last records applied, for peers that are a little behind
     std::optional<TimePoint> contactAt; //!< see FreshnessView
+    std::optional<TimePoint> unfinishedAt; //!< see FreshnessView
     std::optional<TimePoint> snapshotSeenAt; //!< when the last snapshot was seen being appended
     Offset highestHeard = noOffset; //!< highest offset that the log or any peer told of
     std::map<std::string, MemberContact> contacts; //!< by instance
--- a/src/process/src/configholding.cpp
+++ b/src/process/src/configholding.cpp
@@ -119,6 +119,7 @@
             holding.snapshotSeenAt = now;
         }
     }
+    holding.unfinishedAt = page.records.empty() ? std::nullopt : std::optional(now);
     // Only an empty page tells that nothing follows.
     if (page.records.empty() && holding.fold.complete && page.next <= holding.fold.nextRead) {
         holding.contactAt = holding.contactAt ? std::max(*holding.contactAt, sentAt) : sentAt;
@@ -175,7 +176,12 @@
 
 FreshnessView freshnessView(const ConfigHolding &holding, const std::vector<std::string> &members)
 {
-    FreshnessView view{holding.fold.complete, holding.contactAt, holding.fold.config.offset, holding.highestHeard, {}};
+    FreshnessView view{.complete = holding.fold.complete,
+                       .contactAt = holding.contactAt,
+                       .unfinishedAt = holding.unfinishedAt,
+                       .offset = holding.fold.config.offset,
+                       .highestHeard = holding.highestHeard,
+                       .members = {}};
     for (const std::string &member : members) {
         const auto contact = holding.contacts.find(member);
         view.members.push_back(contact == holding.contacts.end() ? MemberContact{member, std::nullopt, noOffset} : contact->second);
--- a/src/process/src/freshness.cpp
+++ b/src/process/src/freshness.cpp
@@ -20,6 +20,9 @@
     if (view.contactAt && now - *view.contactAt <= freshness) {
         return Freshness::Fresh;
     }
+    if (view.unfinishedAt && now - *view.unfinishedAt <= freshness) {
+        return Freshness::Stale;
+    }
     const auto reached = std::count_if(view.members.begin(), view.members.end(), [&](const MemberContact &member) {
         return member.heardAt && now - *member.heardAt <= freshness;
     });
--- /dev/null
+++ b/tests/process/freshnesstest.cpp
@@ -0,0 +1,64 @@
+#include <process/freshness.h>
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace snipehill;
+
+namespace
+{
+
+constexpr seconds freshness{3};
+const TimePoint now(seconds(1000));
+
+std::optional<TimePoint> ago(int age)
+{
+    return now - milliseconds(age);
+}
+
+std::vector<MemberContact> members(std::size_t reached, std::size_t silent)
+{
+    std::vector<MemberContact> list;
+    for (std::size_t i = 0; i < reached; ++i) {
+        list.push_back({"r" + std::to_string(i), ago(2000), 7});
+    }
+    for (std::size_t i = 0; i < silent; ++i) {
+        list.push_back({"s" + std::to_string(i), i % 2 == 0 ? std::nullopt : ago(3001), 7});
+    }
+    return list;
+}
+
+} // namespace
+
+TEST_CASE("keyed routes are served only while the configuration is provably fresh", "[config][key-isolation]")
+{
+    struct Case
+    {
+        const char *what;
+        FreshnessView view;
+        Freshness expected;
+    };
+    const Case cases[] = {
+        {"contact at the bound", {true, ago(3000), std::nullopt, 7, 7, members(0, 3)}, Freshness::Fresh},
+        {"contact past the bound, cut off", {true, ago(3001), std::nullopt, 7, 7, members(0, 3)}, Freshness::Stale},
+        {"no contact yet, cut off", {true, std::nullopt, std::nullopt, 7, 7, members(0, 1)}, Freshness::Stale},
+        {"contact, but a peer knows more", {true, ago(100), std::nullopt, 7, 8, members(3, 0)}, Freshness::Stale},
+        {"contact, but records are missing", {false, ago(100), std::nullopt, 7, 7, members(3, 0)}, Freshness::Stale},
+        {"outage, all reached", {true, ago(60000), std::nullopt, 7, 7, members(3, 0)}, Freshness::Outage},
+        {"outage, two of four with this one", {true, ago(60000), std::nullopt, 7, 7, members(1, 2)}, Freshness::Stale},
+        {"outage, three of four with this one", {true, ago(60000), std::nullopt, 7, 7, members(2, 1)}, Freshness::Outage},
+        {"outage, three of five with this one", {true, ago(60000), std::nullopt, 7, 7, members(2, 2)}, Freshness::Outage},
+        {"outage, a peer knows more", {true, ago(60000), std::nullopt, 7, 8, members(3, 0)}, Freshness::Stale},
+        {"outage, nothing held", {false, std::nullopt, std::nullopt, noOffset, noOffset, members(3, 0)}, Freshness::Stale},
+        {"alone in an outage", {true, ago(60000), std::nullopt, 7, 7, {}}, Freshness::Outage},
+        {"alone, the log is being read", {true, std::nullopt, ago(10), 7, 7, {}}, Freshness::Stale},
+        {"the log went away in mid-read", {true, std::nullopt, ago(3001), 7, 7, members(3, 0)}, Freshness::Outage},
+    };
+    for (const Case &c : cases) {
+        INFO(c.what);
+        REQUIRE(judgeFreshness(c.view, freshness, now) == c.expected);
+    }
+}
