Prove usage reports with separate processes and fit calls into short leases

Red first: with a lease of 2 s no usage was reported at all, since a call of 2 s never fits into what is left of belief; the bound of a call now follows from the lease. Also found: the wait for a member that does not answer was measured against the newest window, so with short windows it never ended; windows that ended long enough ago are now closed without it.

--- a/src/process/include/process/controlplane.h
+++ b/src/process/include/process/controlplane.h
@@ -62,7 +62,7 @@
     milliseconds usageWindow{60000};
     milliseconds usageGrace{5000}; //!< after a window's end, before it is closed
     milliseconds usageWait{30000}; //!< longest wait for a live sidecar that does not answer; its bookings then go into a later window
-    milliseconds callBound{2000}; //!< for one call to the platform
+    milliseconds callBound{2000}; //!< for one call to the platform; lowered where the lease is too short for it
     milliseconds planInterval{1000};
     std::vector<std::string> failureDomains; //!< that targets can be started in; those of the members are added
 };
--- a/src/process/include/process/leaseholder.h
+++ b/src/process/include/process/leaseholder.h
@@ -15,6 +15,9 @@
     milliseconds margin{1000}; //!< covers the drift of two clocks over one duration
 };
 
+/** A holder renews this often in the duration of a lease. */
+constexpr int renewalsPerLease = 3;
+
 /** Last instant at which the sender of an effective record may believe in its lease. */
 TimePoint beliefEnd(TimePoint sent, const LeaseSettings &settings) noexcept;
 
--- a/src/process/src/controlplane.cpp
+++ b/src/process/src/controlplane.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <utility>
 
@@ -21,14 +22,27 @@
 
 constexpr int grantRoundsPerDuration = 3;
 
+// Between two renewals belief falls to its lowest; a call must still fit in then, with time to spare.
+milliseconds fittingCallBound(const ControlSettings &settings)
+{
+    const milliseconds leastBelief = settings.lease.duration - settings.lease.margin - settings.lease.duration / renewalsPerLease;
+    return std::min(settings.callBound, leastBelief / 2);
+}
+
+ControlSettings withFittingBound(ControlSettings settings)
+{
+    settings.callBound = fittingCallBound(settings);
+    return settings;
 }
 
+} // namespace
+
 /** Shared by the coroutines of all roles, which keep it alive. */
 struct ControlPlane::State
 {
     State(asio::any_io_executor ioExecutor, ControlSettings controlSettings, ControlHooks controlHooks, PeerCall peerCall)
         : executor(ioExecutor)
-        , settings(std::move(controlSettings))
+        , settings(withFittingBound(std::move(controlSettings)))
         , hooks(std::move(controlHooks))
         , call(std::move(peerCall))
         , leases(std::move(ioExecutor), settings.log, settings.self, settings.lease)
--- a/src/process/src/leaseholder.cpp
+++ b/src/process/src/leaseholder.cpp
@@ -16,7 +16,6 @@
 namespace
 {
 
-constexpr int renewalsPerDuration = 3;
 constexpr std::size_t maxUnresolved = 64;
 
 struct CaughtUp
@@ -170,7 +169,7 @@
 std::optional<LeaseRecord> LeaseHolder::nextRecord(const LeaseTable &table, TimePoint now, std::uint64_t nonce)
 {
     const LeasePhase current = phase();
-    const bool retryDue = now - m_lastSent >= m_settings.duration / renewalsPerDuration;
+    const bool retryDue = now - m_lastSent >= m_settings.duration / renewalsPerLease;
     if (m_releasing || current == LeasePhase::Unread || !mayBeClaimed(table, m_scope) || (!retryDue && m_lastSent != TimePoint{})) {
         return std::nullopt;
     }
--- a/src/process/src/peercalls.cpp
+++ b/src/process/src/peercalls.cpp
@@ -1,5 +1,7 @@
 #include "peercalls.h"
 
+#include <process/log.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/concurrent_channel.hpp>
@@ -31,6 +33,9 @@
     auto answer = std::make_shared<PeerAnswer>();
     answer->index = index;
     answer->value = co_await call(request.peer, request.method, request.params, timeout, reason);
+    if (!answer->value) {
+        logEvent(Part::Link, Level::Debug, "control call has no result", reason, {{"method", request.method}});
+    }
     answers->try_send(boost::system::error_code(), std::move(answer));
 }
 
--- a/src/process/src/usagereporter.cpp
+++ b/src/process/src/usagereporter.cpp
@@ -140,16 +140,17 @@
         co_return;
     }
     Collection collection = co_await collect(through);
-    const bool waited = now >= endOfWindow(through, m_settings.usageWindow) + m_settings.usageWait;
-    if (!collection.complete && !waited) {
-        co_return;
-    }
+    // Windows that ended long enough ago are closed without those that do not answer.
+    const WindowNumber waitedThrough = newestEndedWindow(now, m_settings.usageWait, m_settings.usageWindow);
+    const WindowNumber closable = collection.complete ? through : waitedThrough;
     std::vector<Json::Value> records;
-    for (const ClosedWindow &closed : closeWindows(m_ledger, through, collection.usage)) {
+    for (const ClosedWindow &closed : closeWindows(m_ledger, closable, collection.usage)) {
         records.push_back(toJson(closed));
     }
     m_told = std::move(collection.told);
-    m_collectedThrough = through;
+    if (collection.complete) {
+        m_collectedThrough = through;
+    }
     if (records.empty()) {
         co_return;
     }
--- /dev/null
+++ b/tests/proofs/usageproof.cpp
@@ -0,0 +1,138 @@
+#include "support/checkers.h"
+#include "support/cluster.h"
+#include "support/wait.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace snipehill;
+using namespace snipehill::support;
+
+namespace
+{
+
+constexpr milliseconds leaseDuration{2000};
+constexpr milliseconds longBound{60000};
+
+ClusterOptions usageCluster()
+{
+    ClusterOptions options;
+    options.targets = {{.kind = "service", .group = "licences"}, {.kind = "service", .group = "licences"}};
+    options.settings
+        = R"({"timings": {"leaseMs": 2000, "leaseMarginMs": 300, "grantMs": 1000, "usageWindowMs": 1000}, "link": {"heartbeatMs": 500}})";
+    return options;
+}
+
+bool holdsUsage(const Cluster &cluster, const Daemon &entry)
+{
+    const Json::Value leases = cluster.statusOf(entry)["leases"];
+    for (const Json::Value &lease : leases) {
+        if (lease["scope"] == "usage" && lease["held"].asBool()) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/** Index of the entry that holds the lease, once there is one. */
+std::optional<std::size_t> usageHolder(const Cluster &cluster)
+{
+    std::optional<std::size_t> holder;
+    waitUntil([&cluster, &holder] {
+        for (std::size_t i = 0; i < cluster.entries.size(); ++i) {
+            if (holdsUsage(cluster, cluster.entries[i])) {
+                holder = i;
+            }
+        }
+        return holder.has_value();
+    });
+    return holder;
+}
+
+/** Sends look-ups through one entry; the number of whole answers. */
+std::uint64_t lookUp(const Daemon &entry, int count)
+{
+    std::uint64_t answered = 0;
+    Client client(entry.callers);
+    for (int i = 0; i < count; ++i) {
+        Call call{.target = "/status/7"};
+        std::string credential = "Bearer ";
+        credential.append(bureauSecret);
+        call.headers["Authorization"] = credential;
+        const Answer answer = client.call(call);
+        answered += answer.whole && answer.status == 200 ? 1 : 0;
+    }
+    return answered;
+}
+
+std::uint64_t reportedRequests(const Journal &platform)
+{
+    std::uint64_t sum = 0;
+    std::set<std::int64_t> seen;
+    for (const Json::Value &report : eventsOf(platform, "usage")) {
+        if (report["workspace"] == "bureau" && seen.insert(report["window"].asInt64()).second) {
+            sum += report["requests"].asUInt64();
+        }
+    }
+    return sum;
+}
+
+} // namespace
+
+TEST_CASE("usage is reported once while holders are paused, cut off and killed", "[usage-once]")
+{
+    Cluster cluster(usageCluster());
+    REQUIRE(cluster.start(usualRecords()));
+    std::uint64_t answered = lookUp(cluster.entries[0], 20) + lookUp(cluster.entries[1], 20);
+    REQUIRE(answered == 40);
+    REQUIRE(waitUntil(
+        [&cluster] {
+            return reportedRequests(cluster.journalOf(cluster.platform)) > 0;
+        },
+        longBound));
+
+    cluster.setFaults(cluster.platform, R"({"usage.answerLost": 2})");
+    cluster.setFaults(cluster.log, R"({"usage.answerLost": 2, "leases.answerLost": 2})");
+    answered += lookUp(cluster.entries[0], 20);
+
+    // Paused past its lease, resumed after another has taken over.
+    const auto first = usageHolder(cluster);
+    REQUIRE(first);
+    const std::size_t other = 1 - *first;
+    cluster.entries[*first].process->pause();
+    answered += lookUp(cluster.entries[other], 20);
+    REQUIRE(waitUntil(
+        [&cluster, other] {
+            return holdsUsage(cluster, cluster.entries[other]);
+        },
+        longBound));
+    cluster.entries[*first].process->resume();
+    answered += lookUp(cluster.entries[other], 20);
+
+    // The next holder is cut off from log and platform, then killed.
+    const auto second = usageHolder(cluster);
+    REQUIRE(second);
+    const std::size_t last = 1 - *second;
+    cluster.entries[*second].logRelay->cut(true);
+    letPass(leaseDuration);
+    cluster.entries[*second].process->kill();
+    answered += lookUp(cluster.entries[last], 20);
+    cluster.setFaults(cluster.log, R"({"outage": true})");
+    letPass(leaseDuration);
+    cluster.setFaults(cluster.log, R"({"outage": null})");
+    cluster.entries[*second].logRelay->cut(false);
+    cluster.startDaemon(cluster.entries[*second]);
+
+    const bool complete = waitUntil(
+        [&cluster, answered] {
+            return reportedRequests(cluster.journalOf(cluster.platform)) >= answered;
+        },
+        longBound);
+    const Journal platform = cluster.journalOf(cluster.platform);
+    const std::uint64_t runs = eventsOf(cluster.targetJournal(), "run").size();
+    INFO("answered " << answered << ", ran " << runs << ", reported " << reportedRequests(platform));
+    REQUIRE(complete);
+    REQUIRE(reportedRequests(platform) <= runs);
+    REQUIRE(usageOncePerWindow(platform) == Violations{});
+}
