--- a/src/process/src/sidecarauthority.cpp
+++ b/src/process/src/sidecarauthority.cpp
@@ -290,11 +290,15 @@
     if (!order) {
         return std::nullopt;
     }
-    const std::lock_guard lock(state->mutex);
-    const auto decision = acceptOrder(state->grants, *order, Clock::now(), state->settings.grant, reason);
+    std::optional<OrderDecision> decision;
+    {
+        const std::lock_guard lock(state->mutex);
+        decision = acceptOrder(state->grants, *order, Clock::now(), state->settings.grant, reason);
+    }
     if (!decision) {
         return std::nullopt;
     }
+    // Without the lock: the coroutine may start to run right here, and it takes the lock.
     if (decision->run) {
         asio::co_spawn(state->executor, runOrder(state, *order, decision->progress.fence), asio::detached);
     }
