--- a/bench/fairshare.cpp
+++ b/bench/fairshare.cpp
@@ -40,7 +40,7 @@
     std::vector<RequestRecord> heavy;
 };
 
-bench::Row measure(const std::string &label, RunSettings settings, double heavy)
+bench::Row measure(const std::string &label, RunSettings settings, double heavy, double from = 0, double to = 120)
 {
     Outcome outcome;
     std::vector<std::vector<RequestRecord>> byWorkspace(7);
@@ -55,17 +55,17 @@
     }
     double worst = 1;
     for (const auto &records : byWorkspace) {
-        worst = std::min(worst, summarise(records).goodput);
+        worst = std::min(worst, summarise(records, {}, from, to).goodput);
     }
-    const Summary light = summarise(outcome.light);
-    const Summary heavySummary = summarise(outcome.heavy);
+    const Summary light = summarise(outcome.light, {}, from, to);
+    const Summary heavySummary = summarise(outcome.heavy, {}, from, to);
     return {label,
             {{"others", light.goodput},
              {"worst", worst},
              {"p95_s", light.p95},
              {"refused", static_cast<double>(light.refused) / static_cast<double>(light.requests)},
              {"heavy_good", heavySummary.goodput},
-             {"good_per_s", static_cast<double>(light.good + heavySummary.good) / (120.0 * std::size(seeds))}}};
+             {"good_per_s", static_cast<double>(light.good + heavySummary.good) / ((to - from) * std::size(seeds))}}};
 }
 
 void compareParts(const bench::Report &report)
@@ -74,6 +74,9 @@
     const RunSettings base;
     rows.push_back(measure("seven alone", base, 0));
     rows.push_back(measure("with one at ten times its share", base, heavyRate));
+    rows.push_back(measure("  its first 30 s, caches cold", base, heavyRate, 0, 30));
+    rows.push_back(measure("  from 30 s on", base, heavyRate, 30, 120));
+    rows.push_back(measure("  seven alone, first 30 s", base, 0, 0, 30));
     RunSettings changed = base;
     changed.fairQueue = false;
     rows.push_back(measure("first come, first served at sidecars", changed, heavyRate));
@@ -96,6 +99,39 @@
     report.table("seven workspaces beside one at ten times its share", rows);
 }
 
+/** One target whose slots a workspace fills with long outputs, and another one's short questions beside it. */
+void compareReservedSlots(const bench::Report &report)
+{
+    std::vector<bench::Row> rows;
+    for (const std::uint32_t reserved : {0U, 1U, 2U}) {
+        std::vector<RequestRecord> light;
+        std::vector<RequestRecord> heavy;
+        for (const std::uint64_t seed : seeds) {
+            RunSettings settings;
+            settings.seed = seed;
+            settings.targets = 1;
+            settings.slowTargets = 0;
+            settings.queue.slots = 8;
+            settings.queue.reservedSlots = reserved;
+            settings.deadlineAdmission = false;
+            TrafficSettings writers{.workspace = "heavy", .requestsPerSecond = 0.4, .until = 600, .longPart = 0, .shortOutput = 1500};
+            TrafficSettings askers{.workspace = "light", .requestsPerSecond = 0.2, .until = 600, .longPart = 0};
+            const auto arrivals = mergeTraffic(makeTraffic(writers, seed), makeTraffic(askers, seed + 1));
+            for (const RequestRecord &record : RoutingRun(settings, arrivals).run().records) {
+                (record.workspace == "heavy" ? heavy : light).push_back(record);
+            }
+        }
+        const Summary asked = summarise(light);
+        const Summary written = summarise(heavy);
+        rows.push_back({"reserved slots " + std::to_string(reserved),
+                        {{"light_good", asked.goodput},
+                         {"light_p95_s", asked.p95},
+                         {"heavy_good", written.goodput},
+                         {"heavy_end", 1 - static_cast<double>(written.refused) / static_cast<double>(written.requests)}}});
+    }
+    report.table("short questions beside long outputs on one target of 8 slots", rows);
+}
+
 /** Offers twice the limit to entries, so many of them in use, and returns the admitted part of the limit. */
 double admittedPart(std::uint32_t entries, std::uint32_t used, bool keeperAnswers)
 {
@@ -138,6 +174,7 @@
 {
     const bench::Report report("fairshare", argc, argv);
     compareParts(report);
+    compareReservedSlots(report);
     compareLimits(report);
     return 0;
 }
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -26,6 +26,8 @@
 {
     int entries = 2;
     std::vector<TargetOptions> targets;
+    bool relays = true; //!< false: processes reach each other directly, for measurements
+    bool sharedTarget = false; //!< true: one stand-in is the target of all sidecars
     std::string settings = "{}"; //!< JSON merged into each process's settings, member by member
 };
 
@@ -78,6 +80,8 @@
     /** GET /readyz answers 200. */
     static bool ready(const Daemon &daemon);
     static bool waitReady(const Daemon &daemon);
+    /** The entry knows this sidecar and it accepts, or, with false, it does not. */
+    bool waitAccepting(const Daemon &entry, const Daemon &sidecar, bool accepting = true) const;
 
     /** Appends config records straight to the log; the offset of the first. */
     std::int64_t publish(const std::vector<Json::Value> &records);
