--- a/bench/crashes.cpp
+++ b/bench/crashes.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::uint64_t seeds[] = {41, 42, 43, 44, 45};
 
-void compare(const bench::Report &report, const RunSettings &settings)
+void compare(const bench::Report &report, const std::string &title, const RunSettings &settings)
 {
     std::vector<bench::Row> rows;
     for (const CrashCase &crashCase : crashCases()) {
@@ -35,7 +35,7 @@
                          {"goodput", figures.goodput},
                          {"without", figures.goodputWithout}}});
     }
-    report.table("targets and bystanders lost, " + std::to_string(settings.queue.dispatchesBeforeAlone) + " dispatches before one alone", rows);
+    report.table("targets and bystanders lost, " + title, rows);
 }
 
 } // namespace
@@ -46,7 +46,10 @@
     for (const std::uint32_t before : {0U, 4U, 16U}) {
         RunSettings settings;
         settings.queue.dispatchesBeforeAlone = before;
-        compare(report, settings);
+        compare(report, std::to_string(before) + " dispatches before one alone", settings);
     }
+    RunSettings apart;
+    apart.joinCopies = false;
+    compare(report, "copies go anywhere", apart);
     return 0;
 }
--- a/src/request/include/request/targetchoice.h
+++ b/src/request/include/request/targetchoice.h
@@ -44,6 +44,7 @@
     std::uint64_t promptTokens = 0;
     std::uint64_t outputTokens = 0;
     bool alone = false; //!< must run with nothing else on the target
+    std::string companion; //!< instance that the request has to join if it is eligible, see companionOf(); empty if none
     std::uint64_t fingerprint = 0; //!< decides the target of a request that must run alone
     TargetKind kind = TargetKind::Engine; //!< plain services have no token rates
 };
--- a/src/request/src/targetchoice.cpp
+++ b/src/request/src/targetchoice.cpp
@@ -181,6 +181,11 @@
         const TargetView &target = targets[aloneTarget(positions, targets, request.fingerprint)];
         return TargetChoice{target.instance, predictCost(target, request, settings)};
     }
+    for (const std::size_t position : positions) {
+        if (!request.companion.empty() && targets[position].instance == request.companion) {
+            return TargetChoice{request.companion, predictCost(targets[position], request, settings)};
+        }
+    }
     drawCandidates(positions, targets, draw, settings.choices);
     std::optional<TargetChoice> choice;
     for (const std::size_t position : positions) {
--- a/tests/fakes/crashrun.h
+++ b/tests/fakes/crashrun.h
@@ -36,6 +36,7 @@
         {"one request, sent 20 times, 5 s apart", 1, 20},
         {"one request, sent 20 times, 0.5 s apart", 1, 20, 0.5},
         {"one request, sent 20 times at once", 1, 20, 0.001},
+        {"one request, 20 times at once to one entry", 1, 20, 0.001, true, false},
         {"three requests, each sent 10 times", 3, 10},
         {"no judgement, one request sent once", 1, 1, 5, false},
         {"no judgement, one request sent 20 times", 1, 20, 5, false},
--- a/tests/fakes/runtypes.h
+++ b/tests/fakes/runtypes.h
@@ -4,6 +4,7 @@
 #include "stats.h"
 
 #include <request/admission.h>
+#include <request/copies.h>
 #include <request/crashsuspects.h>
 #include <request/fairqueue.h>
 #include <request/prefixindex.h>
@@ -46,6 +47,7 @@
     bool fairQueue = true; //!< false: first come, first served
     bool prefixIndex = true;
     bool deadlineAdmission = true;
+    bool joinCopies = true; //!< a copy of a request in flight goes where that one is
     bool piggybackReports = true; //!< false: only the platform's lagging report
     double reportEvery = 2; //!< seconds between the platform's reports
     double deadline = 30; //!< seconds from due
@@ -75,6 +77,7 @@
     Admission admission;
     RetryBudget retries;
     CrashSuspects suspects;
+    RequestCopies copies;
     std::uint64_t turn = 0;
 };
 
--- a/tests/request/targetchoicetest.cpp
+++ b/tests/request/targetchoicetest.cpp
@@ -139,6 +139,18 @@
     CHECK(reason.detail == "the target group has no live target");
 }
 
+TEST_CASE("A copy joins the request that it repeats while that target is eligible", "[request]")
+{
+    std::vector<TargetView> targets{engine("a"), engine("b"), engine("c")};
+    targets[1].report.queuedPrefillTokens = 90000;
+    PlacementRequest request{100, 10};
+    request.companion = "b";
+    CHECK(chosen(targets, request) == "b");
+    CHECK(chosen(targets, request, {"b"}) != "b");
+    targets[1].silent = true;
+    CHECK(chosen(targets, request) != "b");
+}
+
 TEST_CASE("Draws spread equal targets evenly", "[request]")
 {
     std::vector<TargetView> targets;
