Count what operators are told to watch

Metrics that nothing set are set where the event happens: appends by answer, lease records as the log tells them, grants and orders at the sidecar, role changes, usage reports and open windows, records without effect. Those for which there is no source (link connections, control bytes, spread of the configuration, targets by state) are gone until there is one. Leases taken and released are logged once the reader has caught up, so a start does not replay history.

--- a/src/process/include/process/metrics.h
+++ b/src/process/include/process/metrics.h
@@ -26,13 +26,11 @@
     FramesDropped, //!< reason
     LogAppends, //!< stream, result
     ConfigRecordsRejected,
-    LeaseChanges, //!< scope, change
+    LeaseChanges, //!< scope, change; as read from the log, whoever made it
     GrantChanges, //!< change
     Orders, //!< kind, result
-    RoleChanges, //!< from, to, result
+    RoleChanges, //!< to, result
     UsageReports, //!< result
-    LinkConnections, //!< change
-    ControlBytes, //!< direction
     Count,
 };
 
@@ -44,9 +42,8 @@
     LeaseEpoch, //!< scope; of the own lease
     GrantState, //!< 0 none, 1 in force
     GrantFence,
-    UsageWindows, //!< state
-    Targets, //!< group, state
-    QueuedRequests, //!< workspace
+    UsageWindows, //!< that no closed record includes yet
+    QueuedRequests,
     RunningRequests,
     Draining, //!< 1 while the process drains
     Count,
@@ -59,7 +56,6 @@
     BetweenTokens, //!< workspace
     QueueWait, //!< workspace
     LogAppend, //!< stream
-    ConfigSpread, //!< from a record's arrival at the first to its arrival at this process
     Count,
 };
 
--- a/src/process/src/leasekeeper.cpp
+++ b/src/process/src/leasekeeper.cpp
@@ -2,7 +2,9 @@
 
 #include "pause.h"
 
+#include <process/log.h>
 #include <process/logclient.h>
+#include <process/metrics.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -66,6 +68,22 @@
     TimePoint callsUntil{}; //!< end of the last call that was allowed
 };
 
+namespace
+{
+
+void noteChange(Offset offset, const LeaseRecord &record)
+{
+    if (record.action == LeaseAction::Renew) {
+        processMetrics().count(Counter::LeaseChanges, {record.scope, "renewed"});
+        return;
+    }
+    const char *change = record.action == LeaseAction::Claim ? "claimed" : "released";
+    processMetrics().count(Counter::LeaseChanges, {record.scope, change});
+    logEvent(Part::Lease, Level::Info, change, {{"scope", record.scope}, {"holder", record.holder.instance}, {"offset", offset}});
+}
+
+} // namespace
+
 void LeaseKeeper::State::applyEntry(const LogRecord &entry, TimePoint received)
 {
     Reason reason;
@@ -74,6 +92,10 @@
         return;
     }
     const LeaseEffect effect = applyLeaseRecord(table, entry.offset, *record);
+    // History that is read at the start is no news.
+    if (caughtUp && effect == LeaseEffect::Effective) {
+        noteChange(entry.offset, *record);
+    }
     const auto holder = holders.find(record->scope);
     if (holder != holders.end()) {
         holder->second.onRecord(table, effect, *record, received);
--- a/src/process/src/logclient.cpp
+++ b/src/process/src/logclient.cpp
@@ -1,6 +1,7 @@
 #include <process/logclient.h>
 
 #include <connection/httpclient.h>
+#include <process/metrics.h>
 
 #include <json/reader.h>
 #include <json/writer.h>
@@ -63,10 +64,8 @@
     call.target = "/streams/" + stream + "/records";
     call.body = Json::writeString(writer, body);
     const auto response = co_await httpCall(std::move(call), reason);
-    if (!response) {
-        co_return std::nullopt;
-    }
-    const auto answer = parseAnswer(*response, log, Step::LogAppend, reason);
+    const auto answer = response ? parseAnswer(*response, log, Step::LogAppend, reason) : std::nullopt;
+    processMetrics().count(Counter::LogAppends, {stream, answer ? "answered" : "not_answered"});
     if (!answer) {
         co_return std::nullopt;
     }
--- a/src/process/src/rolecontrol.cpp
+++ b/src/process/src/rolecontrol.cpp
@@ -1,6 +1,7 @@
 #include "rolecontrol.h"
 
 #include <process/log.h>
+#include <process/metrics.h>
 
 #include <algorithm>
 #include <utility>
@@ -171,6 +172,9 @@
 void RoleControl::endOrder(const std::string &state, const std::string &detail)
 {
     logEvent(Part::Roles, Level::Info, "order ended", {{"instance", m_active->planned.instance}, {"state", state}, {"detail", detail}});
+    if (m_active->planned.kind == EngineOrder::Kind::Role) {
+        processMetrics().count(Counter::RoleChanges, {toString(m_active->planned.role), state});
+    }
     m_busy.remove(m_active->failureDomain);
     m_active.reset();
 }
--- a/src/process/src/sidecarauthority.cpp
+++ b/src/process/src/sidecarauthority.cpp
@@ -9,6 +9,7 @@
 #include <process/leasekeeper.h>
 #include <process/log.h>
 #include <process/logclient.h>
+#include <process/metrics.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -257,6 +258,7 @@
         state->hooks.resumeAccepting();
     }
     noteProgress(state, order, change);
+    processMetrics().count(Counter::Orders, {order.kind == EngineOrder::Kind::Role ? "role" : "load", toString(change.state())});
     logEvent(Part::Orders, Level::Info, "order ended", {{"order", order.orderId}, {"state", toString(change.state())}, {"detail", change.detail()}});
 }
 
@@ -269,6 +271,7 @@
     const std::lock_guard lock(state->mutex);
     const TimePoint now = Clock::now();
     const auto grant = requestGrant(state->grants, request->holder, request->fence, randomId(), now, state->settings.grant, reason);
+    processMetrics().count(Counter::GrantChanges, {grant ? "given" : "refused"});
     return grant ? std::optional(toJson(*grant, now)) : std::nullopt;
 }
 
@@ -281,6 +284,7 @@
     const std::lock_guard lock(state->mutex);
     const TimePoint now = Clock::now();
     const auto grant = renewGrant(state->grants, params["grant"].asUInt64(), now, state->settings.grant, reason);
+    processMetrics().count(Counter::GrantChanges, {grant ? "renewed" : "renewal_refused"});
     return grant ? std::optional(toJson(*grant, now)) : std::nullopt;
 }
 
@@ -349,6 +353,18 @@
     };
 }
 
+void setGauges(SidecarAuthority::State &state, Metrics &metrics)
+{
+    metrics.set(Gauge::UsageWindows, {}, static_cast<double>(state.usage.windows()));
+    if (!state.settings.engine) {
+        return;
+    }
+    const std::lock_guard lock(state.mutex);
+    const auto &grant = state.grants.current;
+    metrics.set(Gauge::GrantState, {}, grant && grant->expires > Clock::now() ? 1 : 0);
+    metrics.set(Gauge::GrantFence, {}, static_cast<double>(state.grants.highestFence));
+}
+
 } // namespace
 
 SidecarAuthority::SidecarAuthority(asio::any_io_executor executor,
@@ -388,6 +404,11 @@
 
 void SidecarAuthority::start()
 {
+    processMetrics().onScrape([weak = std::weak_ptr(m_state)](Metrics &metrics) {
+        if (const auto state = weak.lock()) {
+            setGauges(*state, metrics);
+        }
+    });
     if (m_state->settings.engine) {
         asio::co_spawn(m_state->executor, watch(m_state), asio::detached);
     }
--- a/src/process/src/targetcontrol.cpp
+++ b/src/process/src/targetcontrol.cpp
@@ -2,6 +2,7 @@
 
 #include <process/log.h>
 #include <process/logclient.h>
+#include <process/metrics.h>
 
 #include <utility>
 
@@ -89,6 +90,7 @@
         }
         Reason reason;
         const auto answer = co_await callPlatform(m_leases, std::move(call), reason);
+        processMetrics().count(Counter::Orders, {order.start ? "start" : "stop", answer ? "done" : "not_answered"});
         if (!answer) {
             logFailure("target order has no answer yet", reason);
             co_return;
--- a/src/process/src/usagereporter.cpp
+++ b/src/process/src/usagereporter.cpp
@@ -2,6 +2,7 @@
 
 #include <process/log.h>
 #include <process/logclient.h>
+#include <process/metrics.h>
 
 #include <utility>
 
@@ -116,6 +117,7 @@
         call.body["outputTokens"] = Json::UInt64(used.outputTokens);
         Reason reason;
         const auto answer = co_await callPlatform(m_leases, std::move(call), reason);
+        processMetrics().count(Counter::UsageReports, {answer ? "acknowledged" : "not_answered"});
         if (!answer) {
             logEvent(Part::Usage, Level::Warning, "usage report has no answer yet", reason, {{"workspace", workspace}, {"window", window}});
             break;
--- a/src/serving/src/processparts.cpp
+++ b/src/serving/src/processparts.cpp
@@ -1,5 +1,7 @@
 #include "processparts.h"
 
+#include <process/log.h>
+
 namespace snipehill
 {
 
@@ -51,6 +53,14 @@
     }
 }
 
+void noteApplied(Offset offset, const ApplyResult &result)
+{
+    if (result.outcome == ApplyOutcome::Rejected) {
+        processMetrics().count(Counter::ConfigRecordsRejected);
+        logEvent(Part::Config, Level::Warning, "record without effect", result.reason, {{"offset", offset}});
+    }
+}
+
 Json::Value leasesStatus(const std::vector<LeaseStatus> &leases)
 {
     Json::Value list(Json::arrayValue);
--- a/src/serving/src/processparts.h
+++ b/src/serving/src/processparts.h
@@ -29,6 +29,9 @@
 /** Version and age of the configuration. */
 void setConfigGauges(Metrics &metrics, const ConfigFollower &config);
 
+/** Counts configuration records without effect and logs why. */
+void noteApplied(Offset offset, const ApplyResult &result);
+
 /** Leases as /status shows them. */
 Json::Value leasesStatus(const std::vector<LeaseStatus> &leases);
 
--- a/src/serving/src/sidecar.cpp
+++ b/src/serving/src/sidecar.cpp
@@ -267,6 +267,9 @@
             setConfigGauges(metrics, config);
             metrics.set(Gauge::Draining, {}, context.leaving ? 1 : 0);
             metrics.set(Gauge::RunningRequests, {}, static_cast<double>(context.queue.busy()));
+            LoadReport report;
+            context.queue.describe(report);
+            metrics.set(Gauge::QueuedRequests, {}, report.queued);
         });
         return admin.start(reason);
     }
@@ -309,6 +312,7 @@
     const Settings &settings = parts.context.settings;
     RpcMethods methods;
     parts.config.offerMethods(methods);
+    parts.config.onApply(noteApplied);
     methods.merge(parts.authority.methods());
     parts.limits.offerMethods(methods);
     parts.context.bookUsage = [&parts](const std::string &workspace, const wire::Usage &usage) {
