--- a/src/process/src/settingstable.cpp
+++ b/src/process/src/settingstable.cpp
@@ -115,301 +115,93 @@
     return text;
 }
 
+/** Reference to a member of Settings, or of one of its sections. */
+template<auto Member> auto &member(Settings &settings)
+{
+    return settings.*Member;
+}
+
+template<auto Section, auto Member> auto &member(Settings &settings)
+{
+    return settings.*Section.*Member;
+}
+
+/** Field whose names stand in the order of its enumerators. */
+template<auto... Path> Choice choice(std::vector<std::string> names)
+{
+    return {std::move(names),
+            [](Settings &settings, std::size_t index) {
+                auto &field = member<Path...>(settings);
+                field = static_cast<std::remove_reference_t<decltype(field)>>(index);
+            },
+            [](const Settings &settings) {
+                Settings copy = settings;
+                return static_cast<std::size_t>(member<Path...>(copy));
+            }};
+}
+
 std::vector<TableField> generalFields()
 {
-    using S = Settings;
     return {
         {"schemaVersion", Fixed{1}},
-        {"role",
-         Choice{{"entry", "sidecar"},
-                [](S &s, std::size_t index) {
-                    s.role = static_cast<ProcessRole>(index);
-                },
-                [](const S &s) {
-                    return static_cast<std::size_t>(s.role);
-                }},
-         true},
-        {"instance",
-         +[](S &s) -> std::string & {
-             return s.instance;
-         },
-         true,
-         {},
-         1},
-        {"region",
-         +[](S &s) -> std::string & {
-             return s.region;
-         },
-         false,
-         {},
-         1},
-        {"failureDomain",
-         +[](S &s) -> std::string & {
-             return s.failureDomain;
-         },
-         false,
-         {},
-         1},
-        {"threads",
-         +[](S &s) -> std::uint32_t & {
-             return s.threads;
-         },
-         false,
-         {},
-         1,
-         256},
-        {"link.listen",
-         +[](S &s) -> Endpoint & {
-             return s.link.listen;
-         },
-         true},
-        {"link.heartbeatMs",
-         +[](S &s) -> milliseconds & {
-             return s.link.heartbeat;
-         },
-         false,
-         {},
-         10,
-         60000},
-        {"admin.listen",
-         +[](S &s) -> Endpoint & {
-             return s.admin.listen;
-         },
-         true},
-        {"admin.allowRemote",
-         +[](S &s) -> bool & {
-             return s.admin.allowRemote;
-         }},
-        {"platform.log",
-         +[](S &s) -> Endpoint & {
-             return s.platform.log;
-         },
-         true},
-        {"platform.instances",
-         +[](S &s) -> Endpoint & {
-             return s.platform.instances;
-         },
-         true},
-        {"platform.targets",
-         +[](S &s) -> Endpoint & {
-             return s.platform.targets;
-         },
-         true,
-         ProcessRole::Entry},
-        {"platform.usage",
-         +[](S &s) -> Endpoint & {
-             return s.platform.usage;
-         },
-         true,
-         ProcessRole::Entry},
-        {"peers",
-         +[](S &s) -> std::vector<Endpoint> & {
-             return s.peers;
-         }},
+        {"role", choice<&Settings::role>({"entry", "sidecar"}), true},
+        {"instance", &member<&Settings::instance>, true, {}, 1},
+        {"region", &member<&Settings::region>, false, {}, 1},
+        {"failureDomain", &member<&Settings::failureDomain>, false, {}, 1},
+        {"threads", &member<&Settings::threads>, false, {}, 1, 256},
+        {"link.listen", &member<&Settings::link, &LinkSettings::listen>, true},
+        {"link.heartbeatMs", &member<&Settings::link, &LinkSettings::heartbeat>, false, {}, 10, 60000},
+        {"admin.listen", &member<&Settings::admin, &AdminSettings::listen>, true},
+        {"admin.allowRemote", &member<&Settings::admin, &AdminSettings::allowRemote>},
+        {"platform.log", &member<&Settings::platform, &PlatformSettings::log>, true},
+        {"platform.instances", &member<&Settings::platform, &PlatformSettings::instances>, true},
+        {"platform.targets", &member<&Settings::platform, &PlatformSettings::targets>, true, ProcessRole::Entry},
+        {"platform.usage", &member<&Settings::platform, &PlatformSettings::usage>, true, ProcessRole::Entry},
+        {"peers", &member<&Settings::peers>},
     };
 }
 
 std::vector<TableField> roleFields()
 {
-    using S = Settings;
     constexpr auto entry = ProcessRole::Entry;
     constexpr auto sidecar = ProcessRole::Sidecar;
     return {
-        {"callers.listen",
-         +[](S &s) -> Endpoint & {
-             return s.callers.listen;
-         },
-         true,
-         entry},
-        {"callers.headerBytes",
-         +[](S &s) -> std::uint32_t & {
-             return s.callers.headerBytes;
-         },
-         false,
-         entry,
-         1024,
-         megabyte},
-        {"callers.bodyBytes",
-         +[](S &s) -> std::uint64_t & {
-             return s.callers.bodyBytes;
-         },
-         false,
-         entry,
-         1024,
-         1024 * megabyte},
-        {"callers.headerCount",
-         +[](S &s) -> std::uint32_t & {
-             return s.callers.headerCount;
-         },
-         false,
-         entry,
-         8,
-         1000},
-        {"callers.jsonDepth",
-         +[](S &s) -> std::uint32_t & {
-             return s.callers.jsonDepth;
-         },
-         false,
-         entry,
-         4,
-         500},
-        {"callers.idleTimeoutMs",
-         +[](S &s) -> milliseconds & {
-             return s.callers.idleTimeout;
-         },
-         false,
-         entry,
-         100,
-         hourMs},
-        {"callers.requestTimeoutMs",
-         +[](S &s) -> milliseconds & {
-             return s.callers.requestTimeout;
-         },
-         false,
-         entry,
-         100,
-         hourMs},
-        {"target.address",
-         +[](S &s) -> Endpoint & {
-             return s.target.address;
-         },
-         true,
-         sidecar},
-        {"target.group",
-         +[](S &s) -> std::string & {
-             return s.target.group;
-         },
-         true,
-         sidecar,
-         1},
-        {"target.kind",
-         Choice{{"engine", "service"},
-                [](S &s, std::size_t index) {
-                    s.target.kind = static_cast<TargetKind>(index);
-                },
-                [](const S &s) {
-                    return static_cast<std::size_t>(s.target.kind);
-                }},
-         true,
-         sidecar},
-        {"target.slots",
-         +[](S &s) -> std::uint32_t & {
-             return s.target.slots;
-         },
-         false,
-         sidecar,
-         1,
-         10000},
+        {"callers.listen", &member<&Settings::callers, &CallersSettings::listen>, true, entry},
+        {"callers.headerBytes", &member<&Settings::callers, &CallersSettings::headerBytes>, false, entry, 1024, megabyte},
+        {"callers.bodyBytes", &member<&Settings::callers, &CallersSettings::bodyBytes>, false, entry, 1024, 1024 * megabyte},
+        {"callers.headerCount", &member<&Settings::callers, &CallersSettings::headerCount>, false, entry, 8, 1000},
+        {"callers.jsonDepth", &member<&Settings::callers, &CallersSettings::jsonDepth>, false, entry, 4, 500},
+        {"callers.idleTimeoutMs", &member<&Settings::callers, &CallersSettings::idleTimeout>, false, entry, 100, hourMs},
+        {"callers.requestTimeoutMs", &member<&Settings::callers, &CallersSettings::requestTimeout>, false, entry, 100, hourMs},
+        {"target.address", &member<&Settings::target, &TargetSettings::address>, true, sidecar},
+        {"target.group", &member<&Settings::target, &TargetSettings::group>, true, sidecar, 1},
+        {"target.kind", choice<&Settings::target, &TargetSettings::kind>({"engine", "service"}), true, sidecar},
+        {"target.slots", &member<&Settings::target, &TargetSettings::slots>, false, sidecar, 1, 10000},
     };
 }
 
 std::vector<TableField> outputFields()
 {
-    using S = Settings;
     return {
-        {"logging.level",
-         Choice{{"debug", "info", "warning", "error"},
-                [](S &s, std::size_t index) {
-                    s.logging.level = static_cast<Level>(index);
-                },
-                [](const S &s) {
-                    return static_cast<std::size_t>(s.logging.level);
-                }}},
-        {"logging.format",
-         Choice{{"text", "json"},
-                [](S &s, std::size_t index) {
-                    s.logging.format = static_cast<LogFormat>(index);
-                },
-                [](const S &s) {
-                    return static_cast<std::size_t>(s.logging.format);
-                }}},
-        {"logging.repeatWindowMs",
-         +[](S &s) -> milliseconds & {
-             return s.logging.repeatWindow;
-         },
-         false,
-         {},
-         0,
-         hourMs},
-        {"traces.enabled",
-         +[](S &s) -> bool & {
-             return s.traces.enabled;
-         }},
-        {"traces.file",
-         +[](S &s) -> std::string & {
-             return s.traces.file;
-         }},
+        {"logging.level", choice<&Settings::logging, &LoggingSettings::level>({"debug", "info", "warning", "error"})},
+        {"logging.format", choice<&Settings::logging, &LoggingSettings::format>({"text", "json"})},
+        {"logging.repeatWindowMs", &member<&Settings::logging, &LoggingSettings::repeatWindow>, false, {}, 0, hourMs},
+        {"traces.enabled", &member<&Settings::traces, &TracesSettings::enabled>},
+        {"traces.file", &member<&Settings::traces, &TracesSettings::file>},
     };
 }
 
 std::vector<TableField> timeFields()
 {
-    using S = Settings;
     return {
-        {"drain.balancerDelayMs",
-         +[](S &s) -> milliseconds & {
-             return s.drain.balancerDelay;
-         },
-         false,
-         {},
-         0,
-         hourMs},
-        {"drain.boundMs",
-         +[](S &s) -> milliseconds & {
-             return s.drain.bound;
-         },
-         false,
-         {},
-         0,
-         hourMs},
-        {"timings.leaseMs",
-         +[](S &s) -> milliseconds & {
-             return s.timings.lease;
-         },
-         false,
-         {},
-         300,
-         hourMs},
-        {"timings.leaseMarginMs",
-         +[](S &s) -> milliseconds & {
-             return s.timings.leaseMargin;
-         },
-         false,
-         {},
-         10,
-         hourMs},
-        {"timings.grantMs",
-         +[](S &s) -> milliseconds & {
-             return s.timings.grant;
-         },
-         false,
-         {},
-         100,
-         hourMs},
-        {"timings.freshnessMs",
-         +[](S &s) -> milliseconds & {
-             return s.timings.freshness;
-         },
-         false,
-         {},
-         100,
-         60000},
-        {"timings.instancesPollMs",
-         +[](S &s) -> milliseconds & {
-             return s.timings.instancesPoll;
-         },
-         false,
-         {},
-         50,
-         60000},
-        {"timings.usageWindowMs",
-         +[](S &s) -> milliseconds & {
-             return s.timings.usageWindow;
-         },
-         false,
-         {},
-         500,
-         24 * hourMs},
+        {"drain.balancerDelayMs", &member<&Settings::drain, &DrainSettings::balancerDelay>, false, {}, 0, hourMs},
+        {"drain.boundMs", &member<&Settings::drain, &DrainSettings::bound>, false, {}, 0, hourMs},
+        {"timings.leaseMs", &member<&Settings::timings, &TimingSettings::lease>, false, {}, 300, hourMs},
+        {"timings.leaseMarginMs", &member<&Settings::timings, &TimingSettings::leaseMargin>, false, {}, 10, hourMs},
+        {"timings.grantMs", &member<&Settings::timings, &TimingSettings::grant>, false, {}, 100, hourMs},
+        {"timings.freshnessMs", &member<&Settings::timings, &TimingSettings::freshness>, false, {}, 100, 60000},
+        {"timings.instancesPollMs", &member<&Settings::timings, &TimingSettings::instancesPoll>, false, {}, 50, 60000},
+        {"timings.usageWindowMs", &member<&Settings::timings, &TimingSettings::usageWindow>, false, {}, 500, 24 * hourMs},
     };
 }
 
