--- a/src/serving/src/processparts.cpp
+++ b/src/serving/src/processparts.cpp
@@ -99,8 +99,8 @@
 {
     std::vector<ConfigPeer> peers;
     for (const Member &member : members) {
-        if (member.instance != self) {
-            peers.push_back({member.instance, member.region, member.link});
+        if (member.instance != self && !member.leaving) {
+            peers.push_back({member.instance, member.region, member.link, member.role == "entry"});
         }
     }
     return peers;
