--- a/src/connection/include/connection/httpclient.h
+++ b/src/connection/include/connection/httpclient.h
@@ -55,6 +55,8 @@
     explicit HttpConnection(boost::asio::any_io_executor executor);
 
     boost::asio::awaitable<bool> connect(Endpoint peer, milliseconds timeout, Reason &reason);
+    /** Whether the peer keeps the new connection for the given time, on which nothing is sent. */
+    boost::asio::awaitable<bool> staysOpen(milliseconds time);
     /** Sends the request; false means that the target may have got it in part or whole. */
     boost::asio::awaitable<bool> send(const HttpRequest &request, milliseconds timeout, Reason &reason);
     /** Reads status line and headers. */
--- a/src/connection/src/httpclient.cpp
+++ b/src/connection/src/httpclient.cpp
@@ -108,6 +108,15 @@
     co_return true;
 }
 
+asio::awaitable<bool> HttpConnection::staysOpen(milliseconds time)
+{
+    m_clean = false;
+    m_stream.expires_after(time);
+    std::array<char, 1> byte{};
+    auto [error, read] = co_await m_stream.async_read_some(asio::buffer(byte), useTuple);
+    co_return !error || error == boost::beast::error::timeout;
+}
+
 asio::awaitable<bool> HttpConnection::send(const HttpRequest &request, milliseconds timeout, Reason &reason)
 {
     m_clean = false;
--- a/src/serving/src/sidecarrun.cpp
+++ b/src/serving/src/sidecarrun.cpp
@@ -120,7 +120,8 @@
 
     void noteSuccessAlone()
     {
-        if (m_dispatched.request.alone) {
+        // A resumed run skipped the part that may have been the cause.
+        if (m_dispatched.request.alone && m_run.resume_tokens() == 0) {
             const std::lock_guard lock(m_context.suspects.lock);
             noteAloneSuccess(m_context.suspects.suspects, m_run.fingerprint(), Clock::now());
         }
--- a/src/serving/src/targethealth.cpp
+++ b/src/serving/src/targethealth.cpp
@@ -19,6 +19,7 @@
 {
 
 constexpr milliseconds probeTimeout{500};
+constexpr milliseconds probeHold{50}; //!< a connection that is kept for so long has a target behind it
 constexpr milliseconds probeRetryDelay{20};
 constexpr int probesAfterFailure = 3; //!< a dying process may accept for a moment
 constexpr milliseconds watchInterval{100};
@@ -73,9 +74,13 @@
 {
     HttpConnection connection(co_await asio::this_coro::executor);
     Reason reason;
-    const bool connected = co_await connection.connect(state->target, probeTimeout, reason);
+    bool alive = co_await connection.connect(state->target, probeTimeout, reason);
+    if (alive) {
+        // What stands between may accept for a target that is gone, and then closes at once.
+        alive = co_await connection.staysOpen(probeHold);
+    }
     connection.abort();
-    co_return connected;
+    co_return alive;
 }
 
 asio::awaitable<FailureFinding> TargetHealth::judgeFailure(AttemptId attempt)
