--- a/src/process/src/sidecarauthority.cpp
+++ b/src/process/src/sidecarauthority.cpp
@@ -290,8 +290,9 @@
     if (!order) {
         return std::nullopt;
     }
-    const std::lock_guard lock(state->mutex);
+    std::unique_lock lock(state->mutex);
     const auto decision = acceptOrder(state->grants, *order, Clock::now(), state->settings.grant, reason);
+    lock.unlock();
     if (!decision) {
         return std::nullopt;
     }
--- a/tests/proofs/configinforcetest.cpp
+++ b/tests/proofs/configinforcetest.cpp
@@ -63,6 +63,11 @@
     };
     const std::vector<Case> cases{
         {"no fault", [](Cluster &) {}},
+        {"an entry and a sidecar cut from the log",
+         [](Cluster &cluster) {
+             cluster.entries[0].logRelay->cut(true);
+             cluster.sidecars[1].logRelay->cut(true);
+         }},
         {"connections to the log silent",
          [](Cluster &cluster) {
              for (std::vector<Daemon> *daemons : {&cluster.entries, &cluster.sidecars}) {
--- /dev/null
+++ b/tests/proofs/notruntest.cpp
@@ -0,0 +1,117 @@
+#include "support/callers.h"
+#include "support/cluster.h"
+#include "support/wait.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <random>
+
+using namespace snipehill;
+using namespace snipehill::support;
+
+namespace
+{
+
+constexpr int faultsInjected = 24;
+
+ClusterOptions mixedFleet()
+{
+    ClusterOptions options;
+    Json::Value rates;
+    rates["decodeRate"] = 200;
+    options.targets = {{.kind = "service", .group = "licences"},
+                       {.kind = "service", .group = "licences", .failureDomain = "fd-b"},
+                       {.faults = rates},
+                       {.failureDomain = "fd-b", .faults = rates}};
+    options.settings = R"({"timings": {"instancesPollMs": 200}, "link": {"heartbeatMs": 300}})";
+    return options;
+}
+
+SteadyCallers::Planned anyCall(const Cluster &cluster, unsigned seed, int caller, int round)
+{
+    std::minstd_rand random(seed + static_cast<unsigned>(caller * 100000 + round));
+    const std::string id = std::to_string(caller) + "-" + std::to_string(round);
+    const Endpoint entry = cluster.entries[random() % 2].callers;
+    switch (caller % 3) {
+    case 0:
+        return {entry, "bureau", chatCall("file " + id, 30 + static_cast<int>(random() % 60))};
+    case 1:
+        return {entry, "kaspiy", postingCall("/fees/" + id + "?lateMs=" + std::to_string(random() % 150), "fee-" + id, "{}")};
+    default:
+        return {entry, "bureau", lookupCall("/status/" + id + "?lateMs=" + std::to_string(random() % 50))};
+    }
+}
+
+/** Breaks one thing for a moment. */
+void breakSomething(Cluster &cluster, unsigned kind, std::size_t number)
+{
+    Daemon &sidecar = cluster.sidecars[number];
+    switch (kind) {
+    case 0:
+        sidecar.linkRelay->dropConnections();
+        break;
+    case 1:
+        sidecar.linkRelay->silenceConnections();
+        break;
+    case 2:
+        sidecar.targetRelay->dropConnections();
+        break;
+    case 3:
+        sidecar.process->kill();
+        cluster.startDaemon(sidecar);
+        break;
+    case 4:
+        cluster.targets[number].process->kill();
+        cluster.startStandIn(cluster.targets[number]);
+        break;
+    case 5:
+        sidecar.process->pause();
+        letPass(milliseconds(1000));
+        sidecar.process->resume();
+        break;
+    case 6:
+        cluster.setFaults(cluster.log, R"({"outage": true})");
+        letPass(milliseconds(800));
+        cluster.setFaults(cluster.log, R"({"outage": false})");
+        break;
+    default:
+        cluster.setFaults(cluster.log, R"({"intents.answerLost": 2})");
+        break;
+    }
+}
+
+} // namespace
+
+TEST_CASE("Refusals are true, postings run once and answers are whole under a storm of faults", "[not-run][at-most-once][whole-answer]")
+{
+    constexpr unsigned seed = 4711;
+    INFO("seed " << seed);
+    Cluster cluster(mixedFleet());
+    REQUIRE(cluster.start(usualRecords()));
+    SteadyCallers callers(9, [&](int caller, int round) {
+        return anyCall(cluster, seed, caller, round);
+    });
+    std::minstd_rand random(seed);
+    for (int fault = 0; fault < faultsInjected; ++fault) {
+        letPass(milliseconds(300));
+        const unsigned kind = static_cast<unsigned>(random() % 8);
+        breakSomething(cluster, kind, random() % cluster.sidecars.size());
+    }
+    letPass(milliseconds(1000));
+    const std::vector<CallerRecord> records = callers.stop();
+    std::map<std::string, int> outcomes;
+    for (const CallerRecord &record : records) {
+        const std::string outcome = outcomeOf(record.answer);
+        ++outcomes[outcome.empty() ? std::to_string(record.answer.status) : outcome];
+    }
+    for (const auto &[outcome, count] : outcomes) {
+        WARN(outcome << ": " << count);
+    }
+    const Journal journal = cluster.targetJournal();
+    CHECK(refusalsNotRunAreTrue(records, journal) == Violations{});
+    CHECK(noRequestRunTwice(journal, "/fees") == Violations{});
+    CHECK(wholeAnswer(records) == Violations{});
+    CHECK(keysIsolated(records, journal, {bureauSecret, kaspiySecret}) == Violations{});
+    CHECK(outcomes["200"] > 0);
+}
--- a/tests/proofs/wholeanswertest.cpp
+++ b/tests/proofs/wholeanswertest.cpp
@@ -65,6 +65,10 @@
      [](Cluster &cluster, std::size_t number) {
          cluster.sidecars[number].targetRelay->dropConnections();
      }},
+    {"connection to the engine silent",
+     [](Cluster &cluster, std::size_t number) {
+         cluster.sidecars[number].targetRelay->silenceConnections();
+     }},
     {"sidecar cut off for good",
      [](Cluster &cluster, std::size_t number) {
          cluster.sidecars[number].linkRelay->cut(true);
--- a/tests/support/callers.cpp
+++ b/tests/support/callers.cpp
@@ -101,7 +101,7 @@
                 Planned planned = next(caller, round);
                 Client &client = clients.try_emplace(planned.entry, planned.entry).first->second;
                 CallerRecord record = send(client, planned.workspace, std::move(planned.call));
-                if (!record.answer.whole) {
+                if (record.answer.status != 200) {
                     letPass(milliseconds(20));
                 }
                 ++state->answered;
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -12,13 +12,29 @@
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
-#include <set>
 #include <stdexcept>
 #include <utility>
 
 namespace snipehill::support
 {
 
+namespace
+{
+
+bool canBind(std::uint16_t port)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const bool bound = bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0;
+    close(descriptor);
+    return bound;
+}
+
+} // namespace
+
 ChildProcess::ChildProcess(std::string program, std::vector<std::string> arguments, const std::string &outputFile)
 {
     std::vector<char *> argv{program.data()};
@@ -124,24 +140,19 @@
 
 std::uint16_t freePort()
 {
-    static std::set<std::uint16_t> given;
-    for (;;) {
-        const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t length = sizeof(address);
-        auto *const raw = reinterpret_cast<sockaddr *>(&address);
-        const bool bound = bind(descriptor, raw, length) == 0 && getsockname(descriptor, raw, &length) == 0;
-        close(descriptor);
-        if (!bound) {
-            throw std::runtime_error("no free port");
-        }
-        const std::uint16_t port = ntohs(address.sin_port);
-        if (given.insert(port).second) {
+    // Below the ephemeral range, so that no connection takes a port before its process listens.
+    constexpr int firstPort = 20000;
+    constexpr int ports = 12000;
+    constexpr int spread = 97; // test programs side by side start apart
+    static int next = getpid() * spread % ports;
+    for (int tried = 0; tried < ports; ++tried) {
+        const auto port = static_cast<std::uint16_t>(firstPort + next);
+        next = (next + 1) % ports;
+        if (canBind(port)) {
             return port;
         }
     }
+    throw std::runtime_error("no free port");
 }
 
 TemporaryFolder::TemporaryFolder()
