--- a/src/serving/src/processparts.cpp
+++ b/src/serving/src/processparts.cpp
@@ -1,5 +1,7 @@
 #include "processparts.h"
 
+#include <process/log.h>
+
 namespace snipehill
 {
 
@@ -52,6 +54,14 @@
     }
 }
 
+void noteApplied(Offset offset, const ApplyResult &result)
+{
+    if (result.outcome == ApplyOutcome::Rejected) {
+        processMetrics().count(Counter::ConfigRecordsRejected);
+        logEvent(Part::Config, Level::Warning, "record without effect", result.reason, {{"offset", offset}});
+    }
+}
+
 Json::Value leasesStatus(const std::vector<LeaseStatus> &leases)
 {
     Json::Value list(Json::arrayValue);
@@ -89,8 +99,8 @@
 {
     std::vector<ConfigPeer> peers;
     for (const Member &member : members) {
-        if (member.instance != self) {
-            peers.push_back({member.instance, member.region, member.link});
+        if (member.instance != self && !member.leaving) {
+            peers.push_back({member.instance, member.region, member.link, member.role == "entry"});
         }
     }
     return peers;
