Take a malformed page of the intents stream for no answer

Cause: readLog may throw on a malformed answer; the writer's loop caught it, lookUp did not and passed it to its caller.

--- a/src/process/src/intentwriter.cpp
+++ b/src/process/src/intentwriter.cpp
@@ -144,7 +144,12 @@
 asio::awaitable<bool> IntentWriter::State::readUpTo(Offset last, TimePoint deadline, Reason &reason)
 {
     while (book.table.next <= last && Clock::now() < deadline) {
-        const auto page = co_await readLog(options.log, options.stream, book.table.next, milliseconds(0), reason);
+        std::optional<LogPage> page;
+        try {
+            page = co_await readLog(options.log, options.stream, book.table.next, milliseconds(0), reason);
+        } catch (const std::exception &error) {
+            reason = {Step::LogRead, toString(options.log), error.what()};
+        }
         if (!page) {
             co_return false;
         }
