--- a/tests/process/configsimulation.cpp
+++ b/tests/process/configsimulation.cpp
@@ -1,5 +1,8 @@
 #include "configsimulation.h"
 
+#include "configessence.h"
+#include "configrecords.h"
+
 #include <process/configholding.h>
 #include <version/configsnapshot.h>
 
@@ -23,40 +26,6 @@
 constexpr std::size_t processCount = 4;
 constexpr std::size_t pageRecords = 8;
 
-/**
- * What processes have to agree on; a record is known by its offset. Not what they keep aside: a copy from a program
- * that understands such records carries fewer of them, which only shows in snapshots, from which all go on alike.
- */
-struct Essence
-{
-    std::vector<std::pair<Offset, int>> entries;
-    friend bool operator==(const Essence &, const Essence &) = default;
-};
-
-template<typename T> void addView(Essence &essence, const T &view)
-{
-    for (const auto &[name, versioned] : view) {
-        essence.entries.emplace_back(versioned.offset, versioned.schemaVersion);
-    }
-    essence.entries.emplace_back(noOffset, 0);
-}
-
-Essence essenceOf(const ConfigVersion &config)
-{
-    Essence essence;
-    for (const auto &[object, versions] : config.variants) {
-        for (const auto &[version, variant] : versions) {
-            essence.entries.emplace_back(variant.offset, variant.withdrawn ? -version : version);
-        }
-    }
-    addView(essence, config.workspaces);
-    addView(essence, config.keys);
-    addView(essence, config.targetGroups);
-    addView(essence, config.routes);
-    essence.entries.emplace_back(config.snapshotOffset, static_cast<int>(config.keyNameByHash.size()));
-    return essence;
-}
-
 struct Process
 {
     std::string name;
@@ -308,28 +277,6 @@
         hearPeer(process.holding, told, sentAt, {});
     }
 
-    std::string name(const char *prefix)
-    {
-        return prefix + std::to_string(m_choices.between(0, 2));
-    }
-
-    Json::Value randomSpec(const std::string &kind)
-    {
-        Json::Value spec(Json::objectValue);
-        if (kind == "workspace") {
-            spec["weight"] = Json::Int64(m_choices.between(m_choices.percent(5) ? 0 : 1, 5));
-        } else if (kind == "key") {
-            spec["workspace"] = name("workspace");
-            spec["sha256"] = std::string(64, static_cast<char>('a' + m_choices.between(0, 5)));
-        } else if (kind == "targetGroup") {
-            spec["kind"] = "service";
-        } else {
-            spec["prefix"] = "/" + name("p");
-            spec["targetGroup"] = name("targetGroup");
-        }
-        return spec;
-    }
-
     Json::Value randomRecord()
     {
         static constexpr std::array kinds{"workspace", "key", "targetGroup", "route"};
@@ -337,7 +284,7 @@
         const auto kind = static_cast<std::size_t>(m_choices.between(0, 3));
         Json::Value record(Json::objectValue);
         record["kind"] = kinds[kind];
-        record["name"] = name(kinds[kind]);
+        record["name"] = randomName(m_choices, kinds[kind]);
         const int version = m_choices.percent(25) ? 2 : 1;
         record["schemaVersion"] = version;
         // An operator looks at what some process has in force, which may be old.
@@ -347,7 +294,7 @@
         if (replaces && m_choices.percent(30)) {
             record["withdrawn"] = true;
         } else {
-            record["spec"] = randomSpec(kinds[kind]);
+            record["spec"] = randomSpec(m_choices, kinds[kind]);
         }
         return record;
     }
--- a/tests/process/intentsimulation.cpp
+++ b/tests/process/intentsimulation.cpp
@@ -1,5 +1,7 @@
 #include "intentsimulation.h"
 
+#include "intentprocess.h"
+
 #include <process/intentbook.h>
 
 #include <array>
@@ -24,27 +26,6 @@
 constexpr std::size_t processCount = 3;
 constexpr std::size_t pageRecords = 8;
 
-struct Process
-{
-    std::uint64_t incarnation = 1;
-    IntentBook book;
-    Duration pausedUntil{};
-    bool busy = false; //!< a call to the log is under way
-    std::uint64_t call = 0; //!< number of the call, to tell late answers
-    std::optional<IntentBatch> batch; //!< of an append under way
-    bool lost = false; //!< the last append had no answer
-    bool readNeeded = false;
-    std::map<std::uint64_t, IntentKey> acknowledged; //!< claims in answered appends, for a mutation
-};
-
-/** One request that reached a target. */
-struct Landing
-{
-    IntentKey key;
-    std::uint64_t claim = 0;
-    Duration at{};
-};
-
 class Simulation
 {
 public:
@@ -78,7 +59,7 @@
         m_time.run(faultsEnd);
         m_faults = {.usualDelay = milliseconds(30)};
         m_outageUntil = {};
-        for (Process &process : m_processes) {
+        for (IntentProcess &process : m_processes) {
             process.pausedUntil = {};
         }
         m_time.run(runEnd - seconds(4));
@@ -119,7 +100,7 @@
     /** Runs the action now or at the end of a pause, unless the process was restarted. */
     void deliver(std::size_t index, std::uint64_t incarnation, const VirtualTime::Action &action)
     {
-        Process &process = m_processes[index];
+        IntentProcess &process = m_processes[index];
         if (process.incarnation != incarnation) {
             return;
         }
@@ -162,7 +143,7 @@
         m_time.after(tick, [this, index] {
             processTick(index);
         });
-        Process &process = m_processes[index];
+        IntentProcess &process = m_processes[index];
         if (m_time.now() < process.pausedUntil) {
             return;
         }
@@ -179,9 +160,9 @@
     }
 
     /** Starts a call that ends with its answer or after its time; late answers are not heard. */
-    std::uint64_t beginCall(std::size_t index, const std::function<void(Process &)> &lost)
+    std::uint64_t beginCall(std::size_t index, const std::function<void(IntentProcess &)> &lost)
     {
-        Process &process = m_processes[index];
+        IntentProcess &process = m_processes[index];
         process.busy = true;
         const std::uint64_t call = ++process.call;
         const std::uint64_t incarnation = process.incarnation;
@@ -196,10 +177,10 @@
         return call;
     }
 
-    void endCall(std::size_t index, std::uint64_t incarnation, std::uint64_t call, const std::function<void(Process &)> &answered)
+    void endCall(std::size_t index, std::uint64_t incarnation, std::uint64_t call, const std::function<void(IntentProcess &)> &answered)
     {
         deliver(index, incarnation, [=, this] {
-            Process &process = m_processes[index];
+            IntentProcess &process = m_processes[index];
             if (process.busy && process.call == call) {
                 process.busy = false;
                 answered(process);
@@ -210,11 +191,11 @@
 
     void append(std::size_t index)
     {
-        Process &process = m_processes[index];
+        IntentProcess &process = m_processes[index];
         process.batch = takeBatch(process.book);
         const auto record = std::make_shared<const Json::Value>(writeIntentRecord(process.batch->record));
         const std::uint64_t incarnation = process.incarnation;
-        const std::uint64_t call = beginCall(index, [](Process &own) {
+        const std::uint64_t call = beginCall(index, [](IntentProcess &own) {
             noteAppend(own.book, *own.batch, false);
             own.lost = true;
         });
@@ -226,7 +207,7 @@
             m_appendedAt.push_back(m_time.now());
             noteRecorded(*record);
             sendMessage(m_time, m_choices, m_faults, [=, this] {
-                endCall(index, incarnation, call, [](Process &own) {
+                endCall(index, incarnation, call, [](IntentProcess &own) {
                     for (const IntentEntry &entry : own.batch->record.entries) {
                         own.acknowledged[entry.claim] = entry.key;
                     }
@@ -252,7 +233,7 @@
     {
         const Offset from = m_processes[index].book.table.next;
         const std::uint64_t incarnation = m_processes[index].incarnation;
-        const std::uint64_t call = beginCall(index, [](Process &) {});
+        const std::uint64_t call = beginCall(index, [](IntentProcess &) {});
         sendMessage(m_time, m_choices, m_faults, [=, this] {
             if (outage()) {
                 return;
@@ -263,14 +244,14 @@
                 page->emplace_back(offset, *m_records[static_cast<std::size_t>(offset)]);
             }
             sendMessage(m_time, m_choices, m_faults, [=, this] {
-                endCall(index, incarnation, call, [=, this](Process &own) {
+                endCall(index, incarnation, call, [=, this](IntentProcess &own) {
                     takePage(own, first, *page);
                 });
             });
         });
     }
 
-    void takePage(Process &process, Offset first, const std::vector<std::pair<Offset, Json::Value>> &page)
+    void takePage(IntentProcess &process, Offset first, const std::vector<std::pair<Offset, Json::Value>> &page)
     {
         takeIntentPage(process.book, first, page);
         if (m_mutation == IntentMutation::LaterClaimsDropped) {
@@ -285,7 +266,7 @@
 
     void decideAll(std::size_t index)
     {
-        Process &process = m_processes[index];
+        IntentProcess &process = m_processes[index];
         std::vector<std::pair<std::uint64_t, OpenClaim>> open(process.book.open.begin(), process.book.open.end());
         for (const auto &[claim, details] : open) {
             if (m_mutation == IntentMutation::AcknowledgedMeansOwned && process.acknowledged.contains(claim)) {
@@ -356,7 +337,7 @@
             faultTick();
         });
         ++m_run.faults;
-        Process &process = m_processes[static_cast<std::size_t>(m_choices.between(0, processCount - 1))];
+        IntentProcess &process = m_processes[static_cast<std::size_t>(m_choices.between(0, processCount - 1))];
         switch (m_choices.between(0, 2)) {
         case 0:
             process.pausedUntil = m_time.now() + m_choices.time(50, longestPause.count());
@@ -369,7 +350,7 @@
         }
     }
 
-    void restart(Process &process)
+    void restart(IntentProcess &process)
     {
         const Incarnation self{process.book.self.instance, process.incarnation + 1};
         process = m_blank;
@@ -380,7 +361,7 @@
     void checkLandings()
     {
         std::map<IntentKey, Duration> last;
-        for (const Landing &landing : m_landings) {
+        for (const IntentLanding &landing : m_landings) {
             const auto before = last.find(landing.key);
             // The horizon: retention less the longest time between a claim and its run.
             if (before != last.end() && landing.at - before->second < m_retention - longestPause - claimTimeout) {
@@ -422,7 +403,7 @@
         if (notRun != m_notRun.end() && notRun->second < first) {
             return;
         }
-        for (const Process &process : m_processes) {
+        for (const IntentProcess &process : m_processes) {
             if (process.book.self == state.owner && !m_owned.contains(state.claim)) {
                 violate("key " + key.key + " is held by a claim that will never run");
             }
@@ -437,10 +418,10 @@
     Duration m_outageUntil{};
     std::vector<std::shared_ptr<const Json::Value>> m_records;
     std::vector<Duration> m_appendedAt;
-    std::array<Process, processCount> m_processes;
-    Process m_blank; //!< of a process that starts
+    std::array<IntentProcess, processCount> m_processes;
+    IntentProcess m_blank; //!< of a process that starts
     std::array<std::uint64_t, processCount> m_lastClaims{};
-    std::vector<Landing> m_landings;
+    std::vector<IntentLanding> m_landings;
     std::map<std::uint64_t, Offset> m_notRun; //!< claims recorded as not run, and the last record that says so
     std::set<std::uint64_t> m_owned;
     IntentRun m_run;
