Compare shares among all workspaces of an entry

The header said that the owner shards by workspace, which was wrong. Tests pin the patience and who is refused under pressure.

--- a/src/request/include/request/admission.h
+++ b/src/request/include/request/admission.h
@@ -35,7 +35,7 @@
     TimePoint shareUntil{}; //!< end of the grant
 };
 
-/** Admission state of one entry. Not thread safe; the owner shards by workspace and locks. */
+/** Admission state of all workspaces of one entry, which are compared with each other. Not thread safe; the owner locks. */
 struct Admission
 {
     std::map<std::string, WorkspaceUse, std::less<>> workspaces;
--- a/src/serving/src/entrycontext.h
+++ b/src/serving/src/entrycontext.h
@@ -21,7 +21,7 @@
 namespace snipehill
 {
 
-/** Admission state of the workspaces, in shards by name. */
+/** Admission state of the workspaces; a single shard, because shares are compared among all workspaces of the entry. */
 struct AdmissionShards
 {
     struct Shard
@@ -29,7 +29,7 @@
         std::mutex lock;
         Admission admission;
     };
-    static constexpr std::size_t count = 16;
+    static constexpr std::size_t count = 1;
     std::array<Shard, count> shards;
 
     Shard &of(std::string_view workspace)
--- a/tests/request/admissiontest.cpp
+++ b/tests/request/admissiontest.cpp
@@ -100,6 +100,66 @@
     CHECK_FALSE(admit(admission, workspace, requestOf(100), 1, {}, start + seconds(9)));
 }
 
+TEST_CASE("Patience shrinks above a workspace's share and grows below it", "[request]")
+{
+    struct Case
+    {
+        const char *name;
+        int ownRequests;
+        double ownWeight;
+        int otherRequests; //!< of each of three other workspaces
+        double least;
+        double most;
+    };
+    const AdmissionSettings settings;
+    for (const Case &c : {
+             Case{"alone", 50, 1, 0, 1, 1},
+             Case{"equal", 20, 1, 20, 1, 1},
+             Case{"somewhat above", 35, 1, 20, 1, 1},
+             Case{"far above", 200, 1, 10, 0.3, 0.31},
+             Case{"far above, with the weight for it", 60, 6, 10, 1, 1},
+             Case{"below", 5, 1, 20, 2, 3},
+             Case{"new", 0, 1, 20, 3, 3},
+         }) {
+        INFO(c.name);
+        Admission admission;
+        Workspace own{"own", c.ownWeight};
+        for (int i = 0; i < c.ownRequests; ++i) {
+            admit(admission, own, requestOf(1000), 1, settings, start);
+        }
+        for (const char *name : {"a", "b", "c"}) {
+            for (int i = 0; i < c.otherRequests; ++i) {
+                admit(admission, Workspace{name}, requestOf(1000), 1, settings, start);
+            }
+        }
+        const double patience = patienceFor(admission, own, settings, start);
+        CHECK(patience >= c.least);
+        CHECK(patience <= c.most);
+        // What was done long ago does not count.
+        if (c.otherRequests > 0) {
+            CHECK(patienceFor(admission, own, settings, start + std::chrono::minutes(10)) == settings.maxPatience);
+        }
+    }
+}
+
+TEST_CASE("Under pressure the workspace above its share is refused and the others are not", "[request]")
+{
+    Admission admission;
+    for (int i = 0; i < 200; ++i) {
+        admit(admission, Workspace{"heavy"}, requestOf(1000), 1, {}, start);
+    }
+    for (const char *name : {"a", "b", "c"}) {
+        admit(admission, Workspace{name}, requestOf(1000), 1, {}, start);
+    }
+    AdmissionRequest request = requestOf(1000);
+    request.forecast->interference = milliseconds(900);
+    CHECK_FALSE(admit(admission, Workspace{"a"}, request, 1, {}, start));
+    const auto refusal = admit(admission, Workspace{"heavy"}, request, 1, {}, start);
+    REQUIRE(refusal);
+    CHECK(refusal->status == 503);
+    CHECK(refusal->outcome == Outcome::NotRun);
+}
+
 TEST_CASE("Concurrent requests are counted until their release", "[request]")
 {
     Workspace workspace{"w"};
