Write counts of repeated log events each second

Held-back events were written only by the next one of their kind, and kinds seen were never forgotten, so a long-lived process would have ended up unfiltered.

--- a/src/daemon/run.cpp
+++ b/src/daemon/run.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <csignal>
 #include <functional>
@@ -39,6 +40,20 @@
     });
 }
 
+constexpr seconds logFlushInterval{1};
+
+/** Writes the counts of repeated events while the process runs. */
+void flushLogRegularly(asio::steady_timer &timer)
+{
+    timer.expires_after(logFlushInterval);
+    timer.async_wait([&timer](const boost::system::error_code &error) {
+        if (!error) {
+            flushLog(Clock::now());
+            flushLogRegularly(timer);
+        }
+    });
+}
+
 template<typename Role> int run(const Settings &settings)
 {
     asio::io_context context(static_cast<int>(settings.threads));
@@ -50,6 +65,8 @@
     }
     asio::signal_set signals(context, SIGTERM, SIGINT);
     waitForSignal(signals, context, role, false);
+    asio::steady_timer flushTimer(context);
+    flushLogRegularly(flushTimer);
     logEvent(Part::Process, Level::Info, "started", {{"instance", settings.instance}, {"role", toString(settings.role)}});
     std::vector<std::thread> threads;
     for (std::uint32_t i = 1; i < settings.threads; ++i) {
@@ -62,7 +79,6 @@
         thread.join();
     }
     logEvent(Part::Process, Level::Info, "ended");
-    flushLog(Clock::now());
     return 0;
 }
 
