--- a/bench/path.cpp
+++ b/bench/path.cpp
@@ -140,6 +140,7 @@
     std::atomic<int> taken{0};
     std::vector<std::vector<double>> results(loadClients);
     std::vector<std::thread> clients;
+    clients.reserve(loadClients);
     for (int c = 0; c < loadClients; ++c) {
         clients.emplace_back([&, c] {
             Client client(server);
--- a/src/connection/include/connection/endpoint.h
+++ b/src/connection/include/connection/endpoint.h
@@ -16,7 +16,7 @@
     std::string address;
     std::uint16_t port = 0;
     friend bool operator==(const Endpoint &, const Endpoint &) = default;
-    friend auto operator<=>(const Endpoint &, const Endpoint &) = default;
+    friend auto operator<=>(const Endpoint &, const Endpoint &) = default; // NOLINT(modernize-use-nullptr) misread by clang-tidy 14
 };
 
 /** Parses "127.0.0.1:8080" or "[::1]:8080"; names are not resolved. */
--- a/src/core/include/core/ids.h
+++ b/src/core/include/core/ids.h
@@ -21,7 +21,7 @@
     std::string instance;
     std::uint64_t number = 0;
     friend bool operator==(const Incarnation &, const Incarnation &) = default;
-    friend auto operator<=>(const Incarnation &, const Incarnation &) = default;
+    friend auto operator<=>(const Incarnation &, const Incarnation &) = default; // NOLINT(modernize-use-nullptr) misread by clang-tidy 14
 };
 
 /** Random 64-bit number from the operating system's generator. */
--- a/src/process/src/members.cpp
+++ b/src/process/src/members.cpp
@@ -80,7 +80,7 @@
 struct Members::State
 {
     State(Endpoint listEndpoint, milliseconds pollInterval, asio::any_io_executor executor)
-        : list(std::move(listEndpoint)), poll(pollInterval), strand(asio::make_strand(std::move(executor)))
+        : list(std::move(listEndpoint)), poll(pollInterval), strand(asio::make_strand(executor))
     {
     }
     Endpoint list;
--- a/src/serving/src/callerrequest.cpp
+++ b/src/serving/src/callerrequest.cpp
@@ -18,7 +18,6 @@
 using Request = http::request<http::string_body>;
 
 constexpr std::size_t maxIdempotencyKeyBytes = 255;
-constexpr std::size_t maxRequestIdBytes = 128;
 constexpr std::string_view bearer = "Bearer ";
 
 // Credentials stop here; the others concern one connection only or are set anew for the target.
--- a/src/serving/src/fleetplanner.cpp
+++ b/src/serving/src/fleetplanner.cpp
@@ -73,6 +73,7 @@
     Group &group = m_groups[name];
     measureDemand(group, views, now);
     std::vector<EngineView> engines;
+    engines.reserve(views.size());
     for (const TargetView &view : views) {
         const Engine &known = group.engines[view.instance];
         EngineView engine;
@@ -107,6 +108,7 @@
 std::vector<ScaleTarget> FleetPlanner::scaleTargets(Group &group, const std::vector<TargetView> &views, TimePoint now) const
 {
     std::vector<ScaleTarget> targets;
+    targets.reserve(views.size());
     for (const TargetView &view : views) {
         targets.push_back({view.instance, view.failureDomain, view.reported && !view.silent, !view.reported, view.leaving});
     }
--- a/src/serving/src/inbox.cpp
+++ b/src/serving/src/inbox.cpp
@@ -11,7 +11,7 @@
 
 namespace asio = boost::asio;
 
-AttemptInbox::AttemptInbox(asio::any_io_executor strand) : m_wakeUp(std::move(strand)) { }
+AttemptInbox::AttemptInbox(asio::any_io_executor strand) : m_wakeUp(strand) { }
 
 void AttemptInbox::post(AttemptMessage message)
 {
--- a/src/serving/src/keyedruns.cpp
+++ b/src/serving/src/keyedruns.cpp
@@ -10,7 +10,6 @@
 
 constexpr std::size_t maxEndedRuns = 4096; //!< answers kept for repeats
 constexpr std::size_t maxKeptBodyBytes = 64U << 10U;
-constexpr unsigned mismatchStatus = 422;
 
 wire::RefusalMessage tooLarge()
 {
--- a/tests/proofs/wholeanswertest.cpp
+++ b/tests/proofs/wholeanswertest.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <csignal>
 #include <random>
 
 using namespace snipehill;
