--- a/tests/process/grantsimulation.h
+++ b/tests/process/grantsimulation.h
@@ -10,6 +10,9 @@
 namespace snipehill::test
 {
 
+/** Bound of one call to the engine in the simulation. */
+constexpr milliseconds simulatedOrderBound{500};
+
 /** A rule left out on purpose, to show that the checker sees it. */
 enum class GrantMutation {
     None,
