Keep one failure to one exchange, share the listener, judge suspects again when they leave the queue

What a handler throws left the exchange counted, the link half alive or the lane lost; a request that ran somewhere and was then refused as not run by another sidecar could have been answered not_run; listening stood twice, in the HTTP server and in the link server.

--- a/src/connection/src/httpserver.cpp
+++ b/src/connection/src/httpserver.cpp
@@ -1,5 +1,7 @@
 #include <connection/httpserver.h>
 
+#include "listener.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -32,7 +34,6 @@
 {
 
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
-constexpr milliseconds acceptRetryDelay{50};
 constexpr unsigned unprocessable = 400;
 
 } // namespace
@@ -42,7 +43,7 @@
     asio::any_io_executor executor;
     HttpServerLimits limits;
     HttpHandler handler;
-    std::unique_ptr<Tcp::acceptor> acceptor;
+    AcceptorPointer acceptor;
     std::uint16_t port = 0;
     std::atomic<bool> closing{false};
     std::atomic<bool> stopped{false};
@@ -235,6 +236,26 @@
     co_return !error;
 }
 
+/** Runs the handler; what it throws costs this exchange only. */
+asio::awaitable<void> handle(const StatePointer &state, Exchange &exchange)
+{
+    ++state->active;
+    bool failed = false;
+    try {
+        co_await state->handler(exchange);
+    } catch (const std::exception &) {
+        failed = true;
+    }
+    if (failed && exchange.begun()) {
+        exchange.abort();
+    } else if (failed) {
+        HeaderList headers;
+        headers.emplace_back("Content-Type", "text/plain");
+        co_await exchange.respond(500, std::move(headers), "internal error");
+    }
+    --state->active;
+}
+
 asio::awaitable<void> serve(StatePointer state, std::shared_ptr<Stream> stream, std::string client)
 {
     boost::beast::flat_buffer buffer;
@@ -256,9 +277,7 @@
             co_return;
         }
         Exchange exchange(*stream, *state, parser.release(), client);
-        ++state->active;
-        co_await state->handler(exchange);
-        --state->active;
+        co_await handle(state, exchange);
         if (!exchange.keepsConnection()) {
             boost::system::error_code ignored;
             stream->socket().shutdown(Tcp::socket::shutdown_send, ignored);
@@ -267,29 +286,6 @@
     }
 }
 
-asio::awaitable<void> acceptLoop(StatePointer state)
-{
-    while (!state->stopped) {
-        const auto strand = asio::make_strand(state->executor);
-        Tcp::socket socket(strand);
-        auto [error] = co_await state->acceptor->async_accept(socket, useTuple);
-        if (error == asio::error::operation_aborted) {
-            co_return;
-        }
-        if (error) {
-            // Out of descriptors, most likely: wait for some to be freed instead of spinning.
-            asio::steady_timer timer(co_await asio::this_coro::executor, acceptRetryDelay);
-            co_await timer.async_wait(useTuple);
-            continue;
-        }
-        boost::system::error_code ignored;
-        socket.set_option(Tcp::no_delay(true), ignored);
-        const auto remote = socket.remote_endpoint(ignored);
-        auto stream = std::make_shared<Stream>(std::move(socket));
-        asio::co_spawn(strand, serve(state, std::move(stream), remote.address().to_string()), asio::detached);
-    }
-}
-
 } // namespace
 
 HttpServer::HttpServer(asio::any_io_executor executor, HttpServerLimits limits, HttpHandler handler) : m_state(std::make_shared<State>())
@@ -303,26 +299,19 @@
 
 bool HttpServer::start(const Endpoint &endpoint, Reason &reason)
 {
-    boost::system::error_code error;
-    const Tcp::endpoint local(asio::ip::make_address(endpoint.address, error), endpoint.port);
-    auto acceptor = std::make_unique<Tcp::acceptor>(asio::make_strand(m_state->executor));
-    if (!error) {
-        acceptor->open(local.protocol(), error);
-    }
-    if (!error) {
-        acceptor->set_option(asio::socket_base::reuse_address(true), error);
-        acceptor->bind(local, error);
-    }
-    if (!error) {
-        acceptor->listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-        reason = {Step::Settings, toString(endpoint), "listen: " + error.message()};
+    m_state->acceptor = openListener(m_state->executor, endpoint, reason);
+    if (!m_state->acceptor) {
         return false;
     }
-    m_state->port = acceptor->local_endpoint().port();
-    m_state->acceptor = std::move(acceptor);
-    asio::co_spawn(m_state->acceptor->get_executor(), acceptLoop(m_state), asio::detached);
+    m_state->port = m_state->acceptor->local_endpoint().port();
+    const auto accepted = [state = m_state](Tcp::socket socket) {
+        boost::system::error_code ignored;
+        const auto remote = socket.remote_endpoint(ignored);
+        auto stream = std::make_shared<Stream>(std::move(socket));
+        const auto strand = stream->get_executor();
+        asio::co_spawn(strand, serve(state, std::move(stream), remote.address().to_string()), asio::detached);
+    };
+    asio::co_spawn(m_state->acceptor->get_executor(), acceptConnections(m_state->acceptor, m_state->executor, accepted), asio::detached);
     return true;
 }
 
@@ -339,12 +328,7 @@
 void HttpServer::stopAccepting()
 {
     m_state->stopped = true;
-    if (m_state->acceptor) {
-        asio::post(m_state->acceptor->get_executor(), [state = m_state] {
-            boost::system::error_code ignored;
-            state->acceptor->close(ignored);
-        });
-    }
+    closeListener(m_state->acceptor);
     const std::lock_guard lock(m_state->idleLock);
     for (const auto &[number, weak] : m_state->idle) {
         if (const auto stream = weak.lock()) {
--- a/src/connection/src/link.cpp
+++ b/src/connection/src/link.cpp
@@ -1,5 +1,6 @@
 #include <connection/link.h>
 
+#include "listener.h"
 #include "rpccodec.h"
 #include <link.pb.h>
 
@@ -36,7 +37,6 @@
 constexpr std::size_t maxMessageBytes = 32U << 20U;
 constexpr std::size_t maxQueuedBytes = 64U << 20U;
 constexpr milliseconds acceptHandshakeTimeout{2000};
-constexpr milliseconds acceptRetryDelay{50};
 
 using AnswerChannel = asio::experimental::concurrent_channel<void(boost::system::error_code, std::string)>;
 
@@ -155,10 +155,9 @@
         while (true) {
             auto [error, read] = co_await m_socket.async_read(m_buffer, useTuple);
             wire::LinkMessage message;
-            if (error || !parse(message)) {
+            if (error || !parse(message) || !dispatch(self, message)) {
                 break;
             }
-            dispatch(self, message);
         }
         m_open = false;
         boost::beast::get_lowest_layer(m_socket).close();
@@ -184,7 +183,18 @@
         return good;
     }
 
-    void dispatch(const LinkPointer &self, const wire::LinkMessage &message)
+    /** False when a handler can't cope with the message; the link is then closed rather than left half alive. */
+    bool dispatch(const LinkPointer &self, const wire::LinkMessage &message)
+    {
+        try {
+            handOver(self, message);
+        } catch (const std::exception &) {
+            return false;
+        }
+        return true;
+    }
+
+    void handOver(const LinkPointer &self, const wire::LinkMessage &message)
     {
         if (message.has_rpc_answer()) {
             const auto call = m_calls.find(message.rpc_answer().id());
@@ -306,8 +316,7 @@
     asio::any_io_executor executor;
     LinkIdentity identity;
     LinkHandlers handlers;
-    std::unique_ptr<Tcp::acceptor> acceptor;
-    std::atomic<bool> stopped{false};
+    AcceptorPointer acceptor;
     mutable std::mutex lock;
     std::map<const Link *, std::weak_ptr<Link>> links;
 };
@@ -321,7 +330,6 @@
     const auto remote = raw.remote_endpoint(ignored);
     const std::string address = remote.address().to_string() + ":" + std::to_string(remote.port());
     Socket socket(std::move(raw));
-    setNoDelay(socket);
     socket.set_option(websocket::stream_base::timeout{acceptHandshakeTimeout, websocket::stream_base::none(), false});
     auto [error] = co_await socket.async_accept(useTuple);
     if (error) {
@@ -342,24 +350,6 @@
     state->links.erase(link.get());
 }
 
-asio::awaitable<void> acceptLinks(std::shared_ptr<LinkServer::State> state)
-{
-    while (!state->stopped) {
-        const auto strand = asio::make_strand(state->executor);
-        Tcp::socket socket(strand);
-        auto [error] = co_await state->acceptor->async_accept(socket, useTuple);
-        if (error == asio::error::operation_aborted) {
-            co_return;
-        }
-        if (error) {
-            asio::steady_timer timer(co_await asio::this_coro::executor, acceptRetryDelay);
-            co_await timer.async_wait(useTuple);
-            continue;
-        }
-        asio::co_spawn(strand, acceptLink(state, std::move(socket)), asio::detached);
-    }
-}
-
 } // namespace
 
 LinkServer::LinkServer(asio::any_io_executor executor, LinkIdentity identity, LinkHandlers handlers) : m_state(std::make_shared<State>())
@@ -373,37 +363,21 @@
 
 bool LinkServer::start(const Endpoint &endpoint, Reason &reason)
 {
-    boost::system::error_code error;
-    const Tcp::endpoint local(asio::ip::make_address(endpoint.address, error), endpoint.port);
-    auto acceptor = std::make_unique<Tcp::acceptor>(asio::make_strand(m_state->executor));
-    if (!error) {
-        acceptor->open(local.protocol(), error);
-    }
-    if (!error) {
-        acceptor->set_option(asio::socket_base::reuse_address(true), error);
-        acceptor->bind(local, error);
-    }
-    if (!error) {
-        acceptor->listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-        reason = {Step::Settings, toString(endpoint), "listen: " + error.message()};
+    m_state->acceptor = openListener(m_state->executor, endpoint, reason);
+    if (!m_state->acceptor) {
         return false;
     }
-    m_state->acceptor = std::move(acceptor);
-    asio::co_spawn(m_state->acceptor->get_executor(), acceptLinks(m_state), asio::detached);
+    const auto accepted = [state = m_state](Tcp::socket socket) {
+        const auto strand = socket.get_executor();
+        asio::co_spawn(strand, acceptLink(state, std::move(socket)), asio::detached);
+    };
+    asio::co_spawn(m_state->acceptor->get_executor(), acceptConnections(m_state->acceptor, m_state->executor, accepted), asio::detached);
     return true;
 }
 
 void LinkServer::stop()
 {
-    m_state->stopped = true;
-    if (m_state->acceptor) {
-        asio::post(m_state->acceptor->get_executor(), [state = m_state] {
-            boost::system::error_code ignored;
-            state->acceptor->close(ignored);
-        });
-    }
+    closeListener(m_state->acceptor);
 }
 
 std::vector<LinkPointer> LinkServer::links() const
--- a/src/connection/src/rpc.cpp
+++ b/src/connection/src/rpc.cpp
@@ -28,7 +28,12 @@
 {
     const rpccodec::Invoke invoke = [this](const std::string &method, const Json::Value &params) {
         Reason reason{Step::Parse, {}, "no reason given"};
-        auto result = m_implementation->methods.at(method)(params, reason);
+        std::optional<Json::Value> result;
+        try {
+            result = m_implementation->methods.at(method)(params, reason);
+        } catch (const std::exception &error) {
+            reason.detail = error.what(); // values of a wrong type, most likely
+        }
         return rpccodec::CallResult{result.has_value(), std::move(result).value_or(Json::Value()), toString(reason)};
     };
     return rpccodec::handleRequest(m_implementation->names, invoke, request);
--- a/src/serving/src/entrycontext.h
+++ b/src/serving/src/entrycontext.h
@@ -8,6 +8,7 @@
 #include <process/members.h>
 #include <process/settings.h>
 #include <request/admission.h>
+#include <request/copies.h>
 #include <request/crashsuspects.h>
 #include <request/retrybudget.h>
 #include <serving/linktable.h>
@@ -53,6 +54,13 @@
     CrashSettings settings;
 };
 
+/** Copies of the same request in flight at this entry. */
+struct SharedCopies
+{
+    std::mutex lock;
+    RequestCopies copies;
+};
+
 /** Everything that requests of an entry share. Made once by Entry, outlives all requests. */
 struct EntryContext
 {
@@ -65,6 +73,7 @@
     AdmissionShards admission;
     RetryBudgets retries;
     SharedSuspects suspects;
+    SharedCopies copies;
     std::function<void(const std::string &workspace, const Incarnation &sidecar, const wire::Usage &usage)> countUsage; //!< second copy
 };
 
--- a/src/serving/src/entryrequest.cpp
+++ b/src/serving/src/entryrequest.cpp
@@ -52,25 +52,53 @@
 public:
     Request(EntryContext &context, CallerRequest request, CallerAnswer &answer) : m_context(context), m_request(std::move(request)), m_answer(answer) { }
 
+    ~Request()
+    {
+        if (m_admitted) {
+            releaseNow();
+        }
+    }
+    Request(const Request &) = delete;
+    Request &operator=(const Request &) = delete;
+
     asio::awaitable<void> run()
     {
         if (auto refusal = admitNow()) {
             co_await m_answer.refuse(std::move(*refusal));
             co_return;
         }
+        m_admitted = true;
         auto refusal = co_await runAttempts();
         if (refusal) {
             co_await m_answer.refuse(std::move(*refusal));
         }
-        releaseNow();
     }
 
 private:
+    void noteSent(const std::string &instance)
+    {
+        const std::lock_guard lock(m_context.copies.lock);
+        noteCopySent(m_context.copies.copies, m_request.fingerprint, instance);
+    }
+
+    void noteEnded(const std::string &instance, bool answered)
+    {
+        const std::lock_guard lock(m_context.copies.lock);
+        noteCopyEnded(m_context.copies.copies, m_request.fingerprint, instance, answered);
+    }
+
+    std::string companion() const
+    {
+        const std::lock_guard lock(m_context.copies.lock);
+        return companionOf(m_context.copies.copies, m_request.fingerprint);
+    }
+
     PlacementRequest placement() const
     {
         return {.promptTokens = m_request.cost.promptTokens,
                 .outputTokens = m_request.cost.outputTokens,
                 .alone = m_alone,
+                .companion = companion(),
                 .fingerprint = m_request.fingerprint,
                 .kind = m_request.kind};
     }
@@ -127,7 +155,9 @@
                 }
                 continue;
             }
+            noteSent(target->instance);
             const AttemptResult result = co_await runAttempt(m_context, m_request, *target, m_answer);
+            noteEnded(target->instance, result.end == AttemptEnd::Complete);
             processMetrics().count(Counter::Attempts, {nameOf(result.end)});
             if (result.end == AttemptEnd::Complete || result.end == AttemptEnd::CallerGone) {
                 co_return std::nullopt;
@@ -136,7 +166,7 @@
                 co_return final;
             }
         }
-        co_return m_last;
+        co_return finalRefusal(*m_last);
     }
 
     /** How the request may run now; a refusal if it may not run at all. */
@@ -208,7 +238,7 @@
             return {Outcome::OutcomeUnknown, 504, std::move(reason), std::nullopt};
         }
         if (m_last && (m_mayHaveRun || m_last->outcome == Outcome::NotRun)) {
-            return *m_last;
+            return finalRefusal(*m_last);
         }
         return {Outcome::NotRun, 503, std::move(reason), seconds(1)};
     }
@@ -292,6 +322,7 @@
     std::optional<Incarnation> m_owner; //!< of the idempotency key, which alone can answer
     std::optional<Refusal> m_last;
     std::optional<TargetChoice> m_first; //!< choice that admission was based on, until it is used
+    bool m_admitted = false; //!< counted against the workspace until the request ends
     bool m_mayHaveRun = false;
     bool m_alone = false;
 };
--- a/src/serving/src/sidecarrun.cpp
+++ b/src/serving/src/sidecarrun.cpp
@@ -29,6 +29,11 @@
     return {Outcome::NotRun, status, {step, std::move(peer), std::move(detail)}, seconds(1)};
 }
 
+Refusal blockedRefusal()
+{
+    return {Outcome::Rejected, 422, {Step::Queue, {}, "this request crashed the targets that ran it"}, std::nullopt};
+}
+
 wire::RefusalMessage toWire(const Refusal &refusal)
 {
     wire::RefusalMessage message;
@@ -57,6 +62,14 @@
 
     asio::awaitable<void> run()
     {
+        // A request may have become a suspect while it waited.
+        const Judgement judgement = judgeAgain();
+        if (judgement != Judgement::Clear && !m_dispatched.request.alone) {
+            m_context.queue.done(m_dispatched, 0);
+            judgement == Judgement::Blocked ? refuseBlocked() : queueAlone();
+            pump(m_context);
+            co_return;
+        }
         processMetrics().observe(Timing::QueueWait, {m_run.workspace()}, m_attempt->endWait(Clock::now()));
         if (m_run.idempotent()) {
             co_await runIdempotent();
@@ -68,6 +81,24 @@
     }
 
 private:
+    Judgement judgeAgain()
+    {
+        const std::lock_guard lock(m_context.suspects.lock);
+        return judge(m_context.suspects.suspects, m_run.fingerprint(), m_context.suspects.settings, Clock::now());
+    }
+
+    void refuseBlocked()
+    {
+        refuseWaiting(m_context, m_attempt, blockedRefusal());
+    }
+
+    void queueAlone()
+    {
+        if (!m_context.queue.add(m_attempt, true)) {
+            refuseWaiting(m_context, m_attempt, notRun(Step::Queue, m_context.settings.instance, "the queue is full", queueFullStatus));
+        }
+    }
+
     ExchangeTarget target(const Span &span) const
     {
         return {m_context.settings.target.address, m_context.settings.target.kind == TargetKind::Engine, m_dispatched.priority, span.traceparent()};
@@ -278,10 +309,34 @@
     FailureFinding m_finding;
 };
 
+/** Ends an attempt that the target may have run. */
+void failRun(SidecarContext &context, const AttemptPointer &attempt, const Refusal &refusal)
+{
+    if (attempt->run().idempotent()) {
+        emitRefusalWithLoad(context, *attempt, toWire(refusal));
+    } else {
+        context.keyed.fail(keyOf(attempt->run()), toWire(refusal), true);
+    }
+}
+
 asio::awaitable<void> runDispatched(SidecarContext &context, DispatchedAttempt dispatched)
 {
-    Runner runner(context, std::move(dispatched));
-    co_await runner.run();
+    const DispatchedAttempt kept = dispatched;
+    std::string failure;
+    try {
+        Runner runner(context, std::move(dispatched));
+        co_await runner.run();
+    } catch (const std::exception &error) {
+        failure = error.what();
+    }
+    if (!failure.empty()) {
+        // The lane must not be lost with the attempt.
+        const Reason reason{Step::RunOnTarget, context.settings.instance, failure};
+        logEvent(Part::Sidecar, Level::Error, "attempt failed inside", reason);
+        context.queue.done(kept, 0);
+        failRun(context, kept.attempt, {Outcome::OutcomeUnknown, 500, reason, std::nullopt});
+        pump(context);
+    }
 }
 
 /** How the attempt may run here; what this process knows and what its entry knew both count. */
@@ -321,8 +376,7 @@
     }
     const Judgement judgement = judgeRun(context, run);
     if (judgement == Judgement::Blocked) {
-        const Refusal blocked{Outcome::Rejected, 422, {Step::Queue, {}, "this request crashed the targets that ran it"}, std::nullopt};
-        emitRefusalWithLoad(context, *attempt, toWire(blocked));
+        emitRefusalWithLoad(context, *attempt, toWire(blockedRefusal()));
         return;
     }
     // A repeat of a key that is known here gets its answer even while nothing new is taken.
