--- a/tests/support/checkers.cpp
+++ b/tests/support/checkers.cpp
@@ -235,7 +235,9 @@
         figures += event["outputTokens"].asString() + " tokens";
         const auto [known, added] = reported.emplace(window, figures);
         if (known->second != figures) {
-            violations.push_back(window + " reported as " + known->second + " and as " + figures);
+            std::string violation = window;
+            violation.append(" reported as ").append(known->second).append(" and as ").append(figures);
+            violations.push_back(std::move(violation));
         }
     }
     return violations;
