--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	cmake --preset $(PRESET) >/dev/null
 	cmake --build $(BUILD)
 
-test: build
+test: install build
 	sh cmake/run-tests.sh $(BUILD)
 
 unit: build
--- a/src/connection/src/httpserver.cpp
+++ b/src/connection/src/httpserver.cpp
@@ -256,6 +256,29 @@
     --state->active;
 }
 
+/**
+ * Reads one request in the given time. The stream's own timeout would close the connection, which then
+ * could not tell the client why.
+ */
+asio::awaitable<boost::system::error_code>
+readRequest(std::shared_ptr<Stream> stream, boost::beast::flat_buffer &buffer, http::request_parser<http::string_body> &parser, milliseconds timeout)
+{
+    const auto done = std::make_shared<bool>(false);
+    stream->expires_never();
+    asio::steady_timer timer(stream->get_executor(), timeout);
+    timer.async_wait([stream, done](const boost::system::error_code &error) {
+        if (!error && !*done) {
+            stream->cancel();
+        }
+    });
+    auto [error, read] = co_await http::async_read(*stream, buffer, parser, useTuple);
+    *done = true;
+    if (error == asio::error::operation_aborted) {
+        co_return boost::beast::error::timeout;
+    }
+    co_return error;
+}
+
 asio::awaitable<void> serve(StatePointer state, std::shared_ptr<Stream> stream, std::string client)
 {
     boost::beast::flat_buffer buffer;
@@ -263,8 +286,7 @@
         http::request_parser<http::string_body> parser;
         parser.header_limit(state->limits.headerBytes);
         parser.body_limit(state->limits.bodyBytes);
-        stream->expires_after(state->limits.requestTimeout);
-        auto [error, read] = co_await http::async_read(*stream, buffer, parser, useTuple);
+        const boost::system::error_code error = co_await readRequest(stream, buffer, parser, state->limits.requestTimeout);
         if (error) {
             if (error != http::error::end_of_stream && error != asio::error::connection_reset) {
                 co_await refuse(*stream, statusFor(error), error.message());
--- /dev/null
+++ b/tests/serving/eventstest.cpp
@@ -0,0 +1,72 @@
+#include <serving/src/calleranswer.h>
+#include <serving/src/eventsplitter.h>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace snipehill;
+
+namespace
+{
+
+std::string chunk(const std::string &content)
+{
+    return R"(data: {"choices":[{"delta":{"content":")" + content + "\"}}]}\n\n";
+}
+
+} // namespace
+
+TEST_CASE("events are passed on whole, however the bytes were cut", "[events]")
+{
+    const std::string usage = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":7,\"completion_tokens\":2}}\n\n";
+    const std::string stream = chunk("a ") + chunk("b ") + usage + "data: [DONE]\n\n";
+    for (std::size_t piece = 1; piece <= stream.size(); ++piece) {
+        EventSplitter splitter;
+        std::string passed;
+        for (std::size_t at = 0; at < stream.size(); at += piece) {
+            const std::string whole = splitter.take(std::string_view(stream).substr(at, piece));
+            passed += whole;
+            REQUIRE((whole.empty() || whole.ends_with("\n\n")));
+        }
+        REQUIRE(passed == stream);
+        REQUIRE(splitter.progress().done);
+        REQUIRE(splitter.progress().usageSeen);
+        REQUIRE(splitter.progress().promptTokens == 7);
+        REQUIRE(splitter.progress().outputTokens == 2);
+    }
+}
+
+TEST_CASE("a stream without its last event is not done", "[events]")
+{
+    EventSplitter splitter;
+    CHECK(splitter.take(chunk("a ") + "data: [DONE]") == chunk("a "));
+    CHECK_FALSE(splitter.progress().done);
+    CHECK(splitter.progress().dataEvents == 1);
+}
+
+TEST_CASE("delivered output is read from the events passed on", "[events]")
+{
+    struct Case
+    {
+        std::string events;
+        std::string text;
+        std::uint32_t tokens;
+    };
+    const std::vector<Case> cases{
+        {"", "", 0},
+        {chunk("a ") + chunk("b "), "a b ", 2},
+        {chunk("") + chunk("b "), "b ", 1},
+        {": comment\n\n" + chunk("a"), "a", 1},
+        {"data: no json\n\n" + chunk("a"), "a", 1},
+        {"data: {\"choices\":[]}\n\n" + chunk("a") + "data: [DONE]\n\n", "a", 1},
+        {chunk("\\u00fc\\n"), "\xc3\xbc\n", 1},
+    };
+    for (const Case &c : cases) {
+        INFO(c.events);
+        const DeliveredOutput output = readOutput(c.events);
+        CHECK(output.text == c.text);
+        CHECK(output.tokens == c.tokens);
+    }
+}
