Believe "never seen" only from the very run of the sidecar that got the attempt

Cause: reading the resolve: a sidecar that was killed and restarted has truly never seen the attempt of its earlier run, so the entry called a request not run that its target had run. The new proof showed it for a lookup and a posting. The entry now remembers which run of the sidecar it sent to; another one ends the resolve as lost contact (a posting is then offered to another sidecar, where the claim decides). Ruled out: asking the target (plain services can't tell).

--- a/src/serving/src/entry.cpp
+++ b/src/serving/src/entry.cpp
@@ -263,6 +263,9 @@
             timer.expires_after(drainPoll);
             co_await timer.async_wait(asio::use_awaitable);
         }
+        if (parts->callers.activeExchanges() > 0) {
+            logEvent(Part::Entry, Level::Warning, "drain bound passed", {{"cut", parts->callers.activeExchanges()}});
+        }
         co_await parts->control.stop();
         finished();
     };
--- a/src/serving/src/entryattempt.cpp
+++ b/src/serving/src/entryattempt.cpp
@@ -23,6 +23,7 @@
 constexpr milliseconds connectTimeout{1000};
 constexpr milliseconds resolveBound{4000}; //!< after which a sidecar that can't be reached is given up
 constexpr milliseconds resolveRetryDelay{100};
+constexpr int maxOpenFailures = 6; //!< in a row; a sidecar whose address refuses connections is given up sooner
 constexpr std::uint32_t framesPerAck = 32; //!< an acknowledgement costs as much as a frame
 constexpr std::size_t bytesPerAck = 64U << 10U; //!< a quarter of the sidecar's window
 constexpr std::size_t maxSuspectNews = 8; //!< in one message
@@ -115,6 +116,7 @@
             result.refusal = {Outcome::NotRun, 503, reason, seconds(1)};
             co_return result;
         }
+        m_sentTo = m_link->peer();
         m_context.router.add(m_id, m_inbox, m_link.get());
         m_link->send(buildRun(m_context, m_request, m_id, m_target, m_answer, m_span.traceparent()));
         m_context.targets.noteSent(m_request.route.targetGroup, m_target.instance, m_request.cost);
@@ -208,9 +210,14 @@
         Span span = startSpan(spans::resolve, m_span.traceparent());
         const TimePoint giveUp = std::min(m_request.deadline, Clock::now() + resolveBound);
         Reason reason{Step::Resolve, m_target.instance, "contact lost"};
-        while (Clock::now() < giveUp) {
+        for (int failures = 0; failures < maxOpenFailures && Clock::now() < giveUp; ++failures) {
             const LinkPointer link = co_await m_context.links.open(m_target.link, connectTimeout, reason);
+            if (link && link->peer() != m_sentTo) {
+                reason = {Step::Resolve, m_target.instance, "the sidecar was restarted"};
+                break; // the new run of it has never seen the attempt, which says nothing about the old one
+            }
             if (link) {
+                failures = 0;
                 auto outcome = co_await askOver(link, giveUp);
                 if (outcome) {
                     processMetrics().count(Counter::Resolves, {*outcome ? "never_seen" : "goes_on"});
@@ -298,6 +305,7 @@
     AttemptId m_id;
     std::shared_ptr<AttemptInbox> m_inbox;
     LinkPointer m_link;
+    Incarnation m_sentTo; //!< the only run of the sidecar that can tell what became of the attempt
     Span m_span;
     std::uint32_t m_lastSequence = 0;
     std::uint32_t m_acknowledged = 0;
--- a/src/serving/src/sidecar.cpp
+++ b/src/serving/src/sidecar.cpp
@@ -242,6 +242,10 @@
             timer.expires_after(drainPoll);
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         }
+        if (parts->unsettled() > 0 || !parts->context.intents.idle()) {
+            const LogFields cut{{"unsettled", parts->unsettled()}, {"intentsAppended", parts->context.intents.idle() ? "yes" : "no"}};
+            logEvent(Part::Sidecar, Level::Warning, "drain bound passed", cut);
+        }
         parts->stopped = true;
         finished();
     }
--- a/tests/proofs/wholeanswertest.cpp
+++ b/tests/proofs/wholeanswertest.cpp
@@ -54,6 +54,11 @@
      [](Cluster &cluster, std::size_t number) {
          cluster.sidecars[number].process->signal(SIGKILL);
      }},
+    {"sidecar killed and restarted",
+     [](Cluster &cluster, std::size_t number) {
+         cluster.sidecars[number].process->kill();
+         cluster.startDaemon(cluster.sidecars[number]);
+     }},
     {"link dropped",
      [](Cluster &cluster, std::size_t number) {
          cluster.sidecars[number].linkRelay->dropConnections();
