Look a target up in one place, drop a parameter that was always true

Cause: last read of the change: TargetTable found group and target, locked and checked in four functions alike, and noteSilent() took a flag that no caller ever set to false. Ruled out: joining the start of Entry and Sidecar (alike in shape, each wires other parts) and the settings copies in processparts (field lists of different structs).

--- a/src/serving/src/entryattempt.cpp
+++ b/src/serving/src/entryattempt.cpp
@@ -110,7 +110,7 @@
         Reason reason;
         m_link = co_await m_context.links.open(m_target.link, std::min(connectTimeout, untilDeadline(m_request)), reason);
         if (!m_link) {
-            m_context.targets.noteSilent(m_request.route.targetGroup, m_target.instance, true);
+            m_context.targets.noteSilent(m_request.route.targetGroup, m_target.instance);
             AttemptResult result;
             result.end = AttemptEnd::Refused;
             result.refusal = {Outcome::NotRun, 503, reason, seconds(1)};
@@ -227,7 +227,7 @@
             asio::steady_timer timer(co_await asio::this_coro::executor, resolveRetryDelay);
             co_await timer.async_wait(asio::use_awaitable);
         }
-        m_context.targets.noteSilent(m_request.route.targetGroup, m_target.instance, true);
+        m_context.targets.noteSilent(m_request.route.targetGroup, m_target.instance);
         reason.step = Step::Resolve;
         span.setError(reason);
         processMetrics().count(Counter::Resolves, {"no_contact"});
--- a/src/serving/src/targettable.cpp
+++ b/src/serving/src/targettable.cpp
@@ -100,69 +100,54 @@
     return m_failureDomains;
 }
 
-void TargetTable::noteLoad(const LoadReport &report, TimePoint now)
+template<typename Action> void TargetTable::withTarget(const std::string &groupName, const std::string &instance, Action action)
 {
-    Group *group = find(report.targetGroup);
+    Group *group = find(groupName);
     if (!group) {
         return;
     }
     const std::lock_guard lock(group->lock);
-    const auto found = group->targets.find(report.instance);
-    if (found == group->targets.end()) {
-        return;
+    const auto found = group->targets.find(instance);
+    if (found != group->targets.end()) {
+        action(found->second, group->prefixes);
     }
-    Target &target = found->second;
-    target.report = report;
-    target.reported = true;
-    target.reportedAt = now;
-    target.outstanding = {};
-    target.silent = false;
-    noteCacheEpoch(group->prefixes, report.instance, report.incarnation, report.cacheEpoch);
 }
 
-void TargetTable::noteSent(const std::string &groupName, const std::string &instance, const CostEstimate &cost)
+void TargetTable::noteLoad(const LoadReport &report, TimePoint now)
 {
-    Group *group = find(groupName);
-    if (!group) {
-        return;
-    }
-    const std::lock_guard lock(group->lock);
-    const auto found = group->targets.find(instance);
-    if (found == group->targets.end()) {
-        return;
-    }
-    OutstandingWork &work = found->second.outstanding;
-    ++work.requests;
-    work.prefillTokens += cost.promptTokens;
-    work.decodeTokens += cost.outputTokens;
-    noteRouted(group->prefixes, instance, cost.prefixHashes);
+    withTarget(report.targetGroup, report.instance, [&report, now](Target &target, PrefixIndex &prefixes) {
+        target.report = report;
+        target.reported = true;
+        target.reportedAt = now;
+        target.outstanding = {};
+        target.silent = false;
+        noteCacheEpoch(prefixes, report.instance, report.incarnation, report.cacheEpoch);
+    });
 }
 
-void TargetTable::noteCrash(const std::string &groupName, const std::string &instance, TimePoint now)
+void TargetTable::noteSent(const std::string &group, const std::string &instance, const CostEstimate &cost)
 {
-    Group *group = find(groupName);
-    if (!group) {
-        return;
-    }
-    const std::lock_guard lock(group->lock);
-    const auto found = group->targets.find(instance);
-    if (found != group->targets.end()) {
-        found->second.suspectUntil = now + crashSuspicion;
-    }
-    forgetTarget(group->prefixes, instance);
+    withTarget(group, instance, [&instance, &cost](Target &target, PrefixIndex &prefixes) {
+        ++target.outstanding.requests;
+        target.outstanding.prefillTokens += cost.promptTokens;
+        target.outstanding.decodeTokens += cost.outputTokens;
+        noteRouted(prefixes, instance, cost.prefixHashes);
+    });
 }
 
-void TargetTable::noteSilent(const std::string &groupName, const std::string &instance, bool silent)
+void TargetTable::noteCrash(const std::string &group, const std::string &instance, TimePoint now)
 {
-    Group *group = find(groupName);
-    if (!group) {
-        return;
-    }
-    const std::lock_guard lock(group->lock);
-    const auto found = group->targets.find(instance);
-    if (found != group->targets.end()) {
-        found->second.silent = silent;
-    }
+    withTarget(group, instance, [&instance, now](Target &target, PrefixIndex &prefixes) {
+        target.suspectUntil = now + crashSuspicion;
+        forgetTarget(prefixes, instance);
+    });
+}
+
+void TargetTable::noteSilent(const std::string &group, const std::string &instance)
+{
+    withTarget(group, instance, [](Target &target, PrefixIndex &) {
+        target.silent = true;
+    });
 }
 
 TargetView TargetTable::viewOf(const Target &target, TimePoint now)
--- a/src/serving/src/targettable.h
+++ b/src/serving/src/targettable.h
@@ -37,7 +37,8 @@
     void noteLoad(const LoadReport &report, TimePoint now);
     void noteSent(const std::string &group, const std::string &instance, const CostEstimate &cost);
     void noteCrash(const std::string &group, const std::string &instance, TimePoint now);
-    void noteSilent(const std::string &group, const std::string &instance, bool silent);
+    /** The sidecar can't be reached; holds until it reports again. */
+    void noteSilent(const std::string &group, const std::string &instance);
 
     /** Views of the group's subset for a request with these prefix hashes. */
     std::vector<TargetView> views(const std::string &group, const std::vector<std::uint64_t> &prefixHashes, TimePoint now) const;
@@ -63,6 +64,8 @@
         std::unordered_map<std::string, Target> targets; //!< of the subset
         PrefixIndex prefixes;
     };
+    /** Runs the action on a target of the subset and its group's prefixes, under the group's lock. */
+    template<typename Action> void withTarget(const std::string &group, const std::string &instance, Action action);
     Group *find(const std::string &group) const;
     static TargetView viewOf(const Target &target, TimePoint now);
 
