--- a/cmake/install-packages.sh
+++ b/cmake/install-packages.sh
@@ -6,4 +6,4 @@
 apt-get install -y -qq --no-install-recommends \
     ca-certificates ccache clang-format clang-tidy cmake curl g++ git make ninja-build pkg-config \
     catch2 libboost1.81-dev libjsoncpp-dev libjsonrpccpp-dev libopentracing-dev \
-    libpopt-dev libprotobuf-dev libspdlog-dev libssl-dev >/dev/null
+    libpopt-dev libprotobuf-dev libspdlog-dev libssl-dev libtomlplusplus-dev >/dev/null
--- a/src/connection/include/connection/httpclient.h
+++ b/src/connection/include/connection/httpclient.h
@@ -16,6 +16,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace snipehill
 {
@@ -30,6 +32,7 @@
     boost::beast::http::verb method = boost::beast::http::verb::get;
     std::string target = "/"; //!< path and query
     std::string body; //!< JSON, or empty
+    std::vector<std::pair<std::string, std::string>> headers; //!< beside those that every call has
     milliseconds timeout{2000}; //!< for the whole call; the connection is aborted at its end
     std::size_t bodyLimit = 16U << 20U; //!< bytes of answer accepted
     Step step = Step::RunOnTarget; //!< stands in the reason of a failure
@@ -67,6 +70,8 @@
     const boost::beast::http::response_header<> &head() const;
     /** The whole answer was read and the peer keeps the connection. */
     bool reusable() const noexcept;
+    /** Open and without a byte to read, so that what arrives next belongs to the next request. */
+    bool isQuiet();
     /** Closes at once; operations in flight end with an error. */
     void abort();
     const Endpoint &peer() const noexcept;
--- a/src/connection/include/connection/httpserver.h
+++ b/src/connection/include/connection/httpserver.h
@@ -24,6 +24,7 @@
     std::uint32_t headerBytes = 16384;
     std::uint64_t bodyBytes = 8U << 20U;
     std::uint32_t headerCount = 100;
+    milliseconds headTimeout{10000}; //!< from the first byte of a request to the end of its head
     milliseconds idleTimeout{60000}; //!< between requests
     milliseconds requestTimeout{10000}; //!< from the first byte of a request to its last
     milliseconds writeTimeout{30000}; //!< for one write to make progress
@@ -51,6 +52,12 @@
     virtual void abort() = 0;
     /** Some answer was begun. */
     virtual bool begun() const noexcept = 0;
+    /** The client has closed the connection or it broke. */
+    virtual bool gone() const noexcept = 0;
+    /** Calls back once, on the connection's strand, when the client goes while the handler runs; at once if it is gone. */
+    virtual void onGone(std::function<void()> callback) = 0;
+    /** When the head of the request had arrived. */
+    virtual TimePoint received() const noexcept = 0;
 };
 
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange &)>;
@@ -71,6 +78,8 @@
 
     /** Binds and starts to accept; empty with a reason when the address can't be had. */
     bool start(const Endpoint &endpoint, Reason &reason);
+    /** Bounds for requests that begin from now on. */
+    void setLimits(const HttpServerLimits &limits);
     /** Port bound, useful when started on a free one. */
     std::uint16_t port() const noexcept;
     /** Answers carry Connection: close from now on; connections are still accepted. */
--- a/src/connection/src/httpclient.cpp
+++ b/src/connection/src/httpclient.cpp
@@ -66,6 +66,9 @@
     if (!call.body.empty()) {
         request.set(http::field::content_type, "application/json");
     }
+    for (const auto &[name, value] : call.headers) {
+        request.set(name, value);
+    }
     request.body() = std::move(call.body);
     request.keep_alive(false);
     request.prepare_payload();
@@ -175,6 +178,16 @@
     return m_clean && m_parser && m_parser->keep_alive();
 }
 
+bool HttpConnection::isQuiet()
+{
+    if (!m_stream.socket().is_open() || m_buffer.size() > 0) {
+        return false;
+    }
+    char byte = 0;
+    const auto received = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void HttpConnection::abort()
 {
     m_clean = false;
--- a/src/connection/src/httpserver.cpp
+++ b/src/connection/src/httpserver.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -18,9 +19,11 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <utility>
 
 namespace snipehill
 {
@@ -40,7 +43,14 @@
 
 struct HttpServer::State
 {
+    HttpServerLimits currentLimits()
+    {
+        const std::lock_guard lock(limitsLock);
+        return limits;
+    }
+
     asio::any_io_executor executor;
+    std::mutex limitsLock;
     HttpServerLimits limits;
     HttpHandler handler;
     AcceptorPointer acceptor;
@@ -61,8 +71,12 @@
 class Exchange : public HttpExchange
 {
 public:
-    Exchange(Stream &stream, const HttpServer::State &state, http::request<http::string_body> request, const std::string &client)
-        : m_stream(stream), m_state(state), m_request(std::move(request)), m_client(client), m_keepAlive(m_request.keep_alive())
+    Exchange(Stream &stream,
+             const HttpServer::State &state,
+             const HttpServerLimits &limits,
+             http::request<http::string_body> request,
+             const std::string &client)
+        : m_stream(stream), m_state(state), m_limits(limits), m_request(std::move(request)), m_client(client), m_keepAlive(m_request.keep_alive())
     {
     }
 
@@ -83,7 +97,7 @@
         applyHeaders(response, headers);
         response.body() = std::move(body);
         response.prepare_payload();
-        m_stream.expires_after(m_state.limits.writeTimeout);
+        m_stream.expires_after(m_limits.writeTimeout);
         auto [error, written] = co_await http::async_write(m_stream, response, useTuple);
         m_finished = !error;
         co_return m_finished;
@@ -99,7 +113,7 @@
         response.keep_alive(m_keepAlive);
         response.chunked(m_chunked);
         http::response_serializer<http::empty_body> serializer(response);
-        m_stream.expires_after(m_state.limits.writeTimeout);
+        m_stream.expires_after(m_limits.writeTimeout);
         auto [error, written] = co_await http::async_write_header(m_stream, serializer, useTuple);
         co_return !error;
     }
@@ -109,7 +123,7 @@
         if (data.empty()) {
             co_return true;
         }
-        m_stream.expires_after(m_state.limits.writeTimeout);
+        m_stream.expires_after(m_limits.writeTimeout);
         const asio::const_buffer buffer(data.data(), data.size());
         if (m_chunked) {
             auto [error, written] = co_await asio::async_write(m_stream, http::make_chunk(buffer), useTuple);
@@ -123,7 +137,7 @@
     {
         m_finished = true;
         if (m_chunked) {
-            m_stream.expires_after(m_state.limits.writeTimeout);
+            m_stream.expires_after(m_limits.writeTimeout);
             auto [error, written] = co_await asio::async_write(m_stream, http::make_chunk_last(), useTuple);
             m_finished = !error;
         }
@@ -144,6 +158,40 @@
         return m_begun;
     }
 
+    bool gone() const noexcept override
+    {
+        return m_gone;
+    }
+
+    void onGone(std::function<void()> callback) override
+    {
+        if (m_gone) {
+            callback();
+        } else {
+            m_onGone = std::move(callback);
+        }
+    }
+
+    TimePoint received() const noexcept override
+    {
+        return m_received;
+    }
+
+    void setReceived(TimePoint received) noexcept
+    {
+        m_received = received;
+    }
+
+    /** The client has left: the handler is told, and what it still writes has no reader. */
+    void noteGone()
+    {
+        m_gone = true;
+        m_keepAlive = false;
+        if (const auto callback = std::exchange(m_onGone, nullptr)) {
+            callback();
+        }
+    }
+
     bool keepsConnection() const noexcept
     {
         return m_finished && m_keepAlive;
@@ -161,6 +209,10 @@
 
     Stream &m_stream;
     const HttpServer::State &m_state;
+    const HttpServerLimits &m_limits;
+    TimePoint m_received = Clock::now();
+    std::function<void()> m_onGone;
+    bool m_gone = false;
     http::request<http::string_body> m_request;
     const std::string &m_client;
     bool m_keepAlive;
@@ -223,6 +275,7 @@
 /** Waits for the first byte of the next request. */
 asio::awaitable<bool> waitForRequest(const StatePointer &state, const std::shared_ptr<Stream> &stream, boost::beast::flat_buffer &buffer)
 {
+    const HttpServerLimits limits = state->currentLimits();
     if (buffer.size() > 0) {
         co_return true;
     }
@@ -230,16 +283,65 @@
     if (state->stopped) {
         co_return false;
     }
-    stream->expires_after(state->limits.idleTimeout);
+    stream->expires_after(limits.idleTimeout);
     auto [error, read] = co_await stream->async_read_some(buffer.prepare(4096), useTuple);
     buffer.commit(read);
     co_return !error;
 }
 
+/** Watches a connection for as long as its handler runs; on the connection's strand. */
+struct ClientWatch
+{
+    explicit ClientWatch(const asio::any_io_executor &executor) : stopped(executor, TimePoint::max()) { }
+
+    asio::steady_timer stopped; //!< cancelled when the pending read has ended
+    bool reading = false;
+    bool stopping = false;
+};
+
+/** Bytes of following requests that are read ahead while a handler runs. */
+constexpr std::size_t readAheadBytes = 65536;
+
+/** Reads ahead while the handler runs: bytes are kept for the next request, an end means that the client has left. */
+void watchClient(const std::shared_ptr<ClientWatch> &watch, const std::shared_ptr<Stream> &stream, boost::beast::flat_buffer &buffer, Exchange &exchange)
+{
+    if (buffer.size() >= readAheadBytes) {
+        return;
+    }
+    watch->reading = true;
+    stream->socket().async_read_some(buffer.prepare(4096), [watch, stream, &buffer, &exchange](const boost::system::error_code &error, std::size_t read) {
+        buffer.commit(read);
+        watch->reading = false;
+        if (watch->stopping) {
+            watch->stopped.cancel();
+        } else if (error) {
+            exchange.noteGone();
+        } else {
+            watchClient(watch, stream, buffer, exchange);
+        }
+    });
+}
+
+/** Ends the watch; afterwards nothing refers to the buffer and the exchange any more. */
+asio::awaitable<void> endWatch(const std::shared_ptr<ClientWatch> &watch, const std::shared_ptr<Stream> &stream)
+{
+    watch->stopping = true;
+    if (!watch->reading) {
+        co_return;
+    }
+    boost::system::error_code ignored;
+    stream->socket().cancel(ignored);
+    while (watch->reading) {
+        co_await watch->stopped.async_wait(useTuple);
+    }
+}
+
 /** Runs the handler; what it throws costs this exchange only. */
-asio::awaitable<void> handle(const StatePointer &state, Exchange &exchange)
+asio::awaitable<void> handle(const StatePointer &state, const std::shared_ptr<Stream> &stream, boost::beast::flat_buffer &buffer, Exchange &exchange)
 {
     ++state->active;
+    const auto watch = std::make_shared<ClientWatch>(stream->get_executor());
+    watchClient(watch, stream, buffer, exchange);
     bool failed = false;
     try {
         co_await state->handler(exchange);
@@ -253,53 +355,146 @@
         headers.emplace_back("Content-Type", "text/plain");
         co_await exchange.respond(500, std::move(headers), "internal error");
     }
+    co_await endWatch(watch, stream);
     --state->active;
 }
 
+/** Cancels what the stream does when the time is up. The stream's own timeout would close it, and the client could not be told why. */
+class ReadBound
+{
+public:
+    ReadBound(const std::shared_ptr<Stream> &stream, milliseconds timeout) : m_timer(stream->get_executor(), timeout)
+    {
+        stream->expires_never();
+        m_timer.async_wait([stream, expired = m_expired](const boost::system::error_code &error) {
+            if (!error && expired.use_count() > 1) {
+                *expired = true;
+                stream->cancel();
+            }
+        });
+    }
+
+    bool expired() const noexcept
+    {
+        return *m_expired;
+    }
+
+private:
+    std::shared_ptr<bool> m_expired = std::make_shared<bool>(false); //!< shared with the timer's handler, which may run late
+    asio::steady_timer m_timer;
+};
+
+constexpr std::string_view headEnd = "\r\n\r\n";
+
+/** Reads until the buffer holds a whole head; the size is that of the head with its end. */
+asio::awaitable<boost::system::error_code>
+readHead(std::shared_ptr<Stream> stream, boost::beast::flat_buffer &buffer, const HttpServerLimits &limits, std::size_t &size)
+{
+    const ReadBound bound(stream, std::min(limits.headTimeout, limits.requestTimeout));
+    while (true) {
+        const std::string_view bytes(static_cast<const char *>(buffer.data().data()), buffer.size());
+        const auto end = bytes.find(headEnd);
+        if (end != std::string_view::npos && end + headEnd.size() <= limits.headerBytes) {
+            size = end + headEnd.size();
+            co_return boost::system::error_code();
+        }
+        if (end != std::string_view::npos || bytes.size() >= limits.headerBytes) {
+            co_return http::error::header_limit;
+        }
+        auto [error, read] = co_await stream->async_read_some(buffer.prepare(4096), useTuple);
+        buffer.commit(read);
+        if (error) {
+            co_return bound.expired() ? boost::beast::error::timeout : error;
+        }
+    }
+}
+
 /**
- * Reads one request in the given time. The stream's own timeout would close the connection, which then
- * could not tell the client why.
+ * Whether the head leaves no doubt where its fields and its body end: no folded lines, no line end but CR LF,
+ * at most one length, and no length beside chunks. Recipients that disagree on these could be made to see other requests.
  */
+bool isUnambiguous(std::string_view head)
+{
+    std::size_t lengths = 0;
+    std::size_t codings = 0;
+    std::size_t hosts = 0;
+    for (std::size_t start = 0; start < head.size();) {
+        const auto end = head.find('\n', start);
+        if (end == std::string_view::npos || end == start || head[end - 1] != '\r') {
+            return false;
+        }
+        const std::string_view line = head.substr(start, end - 1 - start);
+        const bool folded = start > 0 && !line.empty() && (line[0] == ' ' || line[0] == '\t');
+        if (folded || line.find('\r') != std::string_view::npos || line.find('\0') != std::string_view::npos) {
+            return false;
+        }
+        const std::string_view name = line.substr(0, line.find(':'));
+        lengths += boost::beast::iequals(name, "Content-Length") ? 1 : 0;
+        codings += boost::beast::iequals(name, "Transfer-Encoding") ? 1 : 0;
+        hosts += boost::beast::iequals(name, "Host") ? 1 : 0;
+        start = end + 1;
+    }
+    return lengths + codings <= 1 && hosts <= 1;
+}
+
+using RequestParser = http::request_parser<http::string_body>;
+
+/** Parses the head in the buffer and reads the body that follows it. */
 asio::awaitable<boost::system::error_code>
-readRequest(std::shared_ptr<Stream> stream, boost::beast::flat_buffer &buffer, http::request_parser<http::string_body> &parser, milliseconds timeout)
+readBody(std::shared_ptr<Stream> stream, boost::beast::flat_buffer &buffer, const HttpServerLimits &limits, RequestParser &parser)
 {
-    const auto done = std::make_shared<bool>(false);
-    stream->expires_never();
-    asio::steady_timer timer(stream->get_executor(), timeout);
-    timer.async_wait([stream, done](const boost::system::error_code &error) {
-        if (!error && !*done) {
-            stream->cancel();
+    const ReadBound bound(stream, limits.requestTimeout);
+    auto [headError, headBytes] = co_await http::async_read_header(*stream, buffer, parser, useTuple);
+    if (headError) {
+        co_return headError;
+    }
+    if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        auto [writeError, written] = co_await asio::async_write(*stream, asio::buffer("HTTP/1.1 100 Continue\r\n\r\n", 25), useTuple);
+        if (writeError) {
+            co_return writeError;
         }
-    });
+    }
     auto [error, read] = co_await http::async_read(*stream, buffer, parser, useTuple);
-    *done = true;
-    if (error == asio::error::operation_aborted) {
-        co_return boost::beast::error::timeout;
+    co_return error &&bound.expired() ? boost::beast::error::timeout : error;
+}
+
+/** Tells the client what was wrong with its bytes, unless there is nobody to tell. */
+asio::awaitable<void> refuseInput(Stream &stream, boost::system::error_code error)
+{
+    if (error != http::error::end_of_stream && error != asio::error::connection_reset && error != asio::error::eof) {
+        co_await refuse(stream, statusFor(error), error.message());
     }
-    co_return error;
 }
 
 asio::awaitable<void> serve(StatePointer state, std::shared_ptr<Stream> stream, std::string client)
 {
     boost::beast::flat_buffer buffer;
     while (co_await waitForRequest(state, stream, buffer)) {
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(state->limits.headerBytes);
-        parser.body_limit(state->limits.bodyBytes);
-        const boost::system::error_code error = co_await readRequest(stream, buffer, parser, state->limits.requestTimeout);
+        const HttpServerLimits limits = state->currentLimits();
+        std::size_t headSize = 0;
+        boost::system::error_code error = co_await readHead(stream, buffer, limits, headSize);
+        const TimePoint received = Clock::now();
+        if (!error && !isUnambiguous({static_cast<const char *>(buffer.data().data()), headSize})) {
+            error = http::error::bad_field;
+        }
+        RequestParser parser;
+        parser.header_limit(limits.headerBytes);
+        parser.body_limit(limits.bodyBytes);
+        if (!error) {
+            error = co_await readBody(stream, buffer, limits, parser);
+        }
         if (error) {
-            if (error != http::error::end_of_stream && error != asio::error::connection_reset) {
-                co_await refuse(*stream, statusFor(error), error.message());
-            }
+            co_await refuseInput(*stream, error);
             co_return;
         }
         const auto fields = std::distance(parser.get().begin(), parser.get().end());
-        if (fields > static_cast<std::ptrdiff_t>(state->limits.headerCount)) {
+        if (fields > static_cast<std::ptrdiff_t>(limits.headerCount)) {
             co_await refuse(*stream, 431, "too many header fields");
             co_return;
         }
-        Exchange exchange(*stream, *state, parser.release(), client);
-        co_await handle(state, exchange);
+        Exchange exchange(*stream, *state, limits, parser.release(), client);
+        exchange.setReceived(received);
+        co_await handle(state, stream, buffer, exchange);
         if (!exchange.keepsConnection()) {
             boost::system::error_code ignored;
             stream->socket().shutdown(Tcp::socket::shutdown_send, ignored);
@@ -337,6 +532,12 @@
     return true;
 }
 
+void HttpServer::setLimits(const HttpServerLimits &limits)
+{
+    const std::lock_guard lock(m_state->limitsLock);
+    m_state->limits = limits;
+}
+
 std::uint16_t HttpServer::port() const noexcept
 {
     return m_state->port;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,7 +1,9 @@
 #include "run.h"
 
+#include <platform/settingsfile.h>
 #include <process/log.h>
 #include <process/tracing.h>
+#include <serving/directentry.h>
 
 #include <popt.h>
 
@@ -25,6 +27,7 @@
 {
     char *settings = nullptr;
     char *checkSettings = nullptr;
+    int platformEntry = 0;
     int version = 0;
 };
 
@@ -58,6 +61,23 @@
     return code;
 }
 
+int runPlatformEntry()
+{
+    LoggingSettings logging{.format = LogFormat::Json, .toStandardOutput = true};
+    Reason reason;
+    const auto settings = platform::readSettingsFile(reason);
+    startLogging(logging, settings ? settings->instance : "unknown");
+    int code = BadSettings;
+    if (settings) {
+        code = runDirectEntry(*settings);
+    } else {
+        logEvent(Part::Settings, Level::Error, "not usable", reason);
+    }
+    flushLog(TimePoint::max());
+    stopLogging();
+    return code;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -65,6 +85,7 @@
     Options options;
     const poptOption table[] = {{"settings", 's', POPT_ARG_STRING, &options.settings, 0, "run with the settings in FILE", "FILE"},
                                 {"check-settings", 'c', POPT_ARG_STRING, &options.checkSettings, 0, "check FILE and exit: 0 good, 1 with an error", "FILE"},
+                                {"platform-entry", 'p', POPT_ARG_NONE, &options.platformEntry, 0, "run as an entry with the platform's settings", nullptr},
                                 {"version", 'v', POPT_ARG_NONE, &options.version, 0, "print the version and exit", nullptr},
                                 POPT_AUTOHELP POPT_TABLEEND};
     const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(poptGetContext("snipehilld", argc, const_cast<const char **>(argv), table, 0),
@@ -81,6 +102,9 @@
     if (options.checkSettings) {
         return checkSettings(options.checkSettings);
     }
+    if (options.platformEntry) {
+        return runPlatformEntry();
+    }
     if (!options.settings || poptPeekArg(context.get())) {
         poptPrintUsage(context.get(), stderr, 0);
         return BadUsage;
--- a/src/process/include/process/leasekeeper.h
+++ b/src/process/include/process/leasekeeper.h
@@ -2,6 +2,7 @@
 
 #include <connection/endpoint.h>
 #include <process/leaseholder.h>
+#include <process/logclient.h>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -42,7 +43,7 @@
 class LeaseKeeper
 {
 public:
-    LeaseKeeper(boost::asio::any_io_executor executor, Endpoint log, Incarnation self, LeaseSettings settings);
+    LeaseKeeper(boost::asio::any_io_executor executor, LogAccess log, Incarnation self, LeaseSettings settings);
     ~LeaseKeeper();
     LeaseKeeper(const LeaseKeeper &) = delete;
     LeaseKeeper &operator=(const LeaseKeeper &) = delete;
--- a/src/process/include/process/log.h
+++ b/src/process/include/process/log.h
@@ -67,9 +67,21 @@
 /** The same with the step, the peer and the detail of a failure. */
 void logEvent(Part part, Level level, std::string_view message, const Reason &reason, LogFields fields = {});
 
+/**
+ * Writes one line about one request, see logEvent(). Such lines are not compared with each other; instead their number a
+ * second is bounded, with room kept for warnings, and those beyond it are counted.
+ */
+void logDecision(Part part, Level level, std::string_view message, std::string_view requestId, LogFields fields = {});
+
+/** Lines that were not written because there were too many of them or the writer was behind. */
+std::uint64_t droppedLines();
+
 /** Writes counts of repeats that are still held back, and flushes. Called once a second and before the end. */
 void flushLog(TimePoint now);
 
+/** Waits until all lines are written and ends the writer's thread; nothing may be logged afterwards. */
+void stopLogging();
+
 /** An event as it follows time and level in a line. */
 std::string formatEvent(LogFormat format, Part part, std::string_view message, const LogFields &fields);
 
--- a/src/process/include/process/logclient.h
+++ b/src/process/include/process/logclient.h
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <json/value.h>
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -49,4 +50,14 @@
  */
 boost::asio::awaitable<std::optional<Offset>> appendLog(Endpoint log, std::string stream, std::vector<Json::Value> records, Reason &reason);
 
+/** How control work reads and appends records; the log service may be another one than the project's own. */
+struct LogAccess
+{
+    std::function<boost::asio::awaitable<std::optional<LogPage>>(std::string stream, Offset from, milliseconds wait, Reason &reason)> read;
+    std::function<boost::asio::awaitable<std::optional<Offset>>(std::string stream, std::vector<Json::Value> records, Reason &reason)> append;
+};
+
+/** Access to the log service at an address. */
+LogAccess accessLog(Endpoint log);
+
 } // namespace snipehill
--- /dev/null
+++ b/src/process/include/process/peernews.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <core/ids.h>
+#include <core/reason.h>
+#include <core/time.h>
+#include <request/prefixindex.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace snipehill
+{
+
+/** Short name of a target between entries; a clash costs accuracy, never a rule. */
+using TargetHash = std::uint32_t;
+
+/** Short name of a target id. */
+TargetHash targetHash(std::string_view id) noexcept;
+
+/** Load that one entry has put on one target. */
+struct EntryLoad
+{
+    Duration backlog{}; //!< reading still to do
+    std::uint32_t running = 0;
+};
+
+/** Prompt blocks that an entry has sent to one target. */
+struct TargetReads
+{
+    TargetHash target = 0;
+    std::vector<PrefixBlock> blocks;
+};
+
+/** What one entry tells the others every now and then. Losing one costs accuracy only. */
+struct PeerNews
+{
+    Incarnation sender;
+    std::map<TargetHash, EntryLoad> loads; //!< targets without load are left out
+    std::vector<TargetReads> reads; //!< since the last news
+    std::map<std::uint64_t, std::uint32_t> losses; //!< targets lost so far by request fingerprint, since the last news
+};
+
+/** Bytes of one datagram. */
+std::string encodeNews(const PeerNews &news);
+
+/** Empty with a reason when the bytes are no news. */
+std::optional<PeerNews> decodeNews(std::string_view bytes, Reason &reason);
+
+} // namespace snipehill
--- a/src/process/include/process/settings.h
+++ b/src/process/include/process/settings.h
@@ -87,6 +87,7 @@
     Level level = Level::Info;
     LogFormat format = LogFormat::Text;
     milliseconds repeatWindow{10000}; //!< equal events within it are counted instead of written
+    bool toStandardOutput = false; //!< by a thread of its own, which drops lines rather than delay their writers; else standard error
 };
 
 /** Whether finished spans are written. */
--- /dev/null
+++ b/src/process/include/process/targetbook.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <connection/endpoint.h>
+#include <core/reason.h>
+#include <core/time.h>
+#include <process/peernews.h>
+#include <request/promptplacement.h>
+#include <request/targetchoice.h>
+#include <version/routingversion.h>
+#include <version/targetentry.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace snipehill
+{
+
+/** Names one target and where it was when it was chosen. */
+struct TargetRef
+{
+    std::string group;
+    std::string id;
+    Endpoint endpoint;
+    std::string failureDomain;
+};
+
+/** Work that an entry has placed on a target; ended by TargetBook::end(). */
+struct WorkTicket
+{
+    TargetRef target;
+    std::uint64_t number = 0; //!< 0: none
+};
+
+/** A request of a plain service on its target. */
+struct PlacedCall
+{
+    WorkTicket run;
+};
+
+/** A prompt on its engines. */
+struct PlacedPrompt
+{
+    WorkTicket run; //!< on the engine that answers
+    std::optional<WorkTicket> read; //!< on the engine that reads the prompt first
+    std::optional<TargetRef> fetchFrom; //!< engine that the reading one takes memory from
+    Duration firstToken{}; //!< predicted
+    bool booked = false; //!< false: predicted too late, nothing is placed
+};
+
+/** What the last answer of a target told of its load. */
+struct ToldLoad
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+};
+
+/** Settings of the book. */
+struct TargetBookSettings
+{
+    std::string instance; //!< of this entry
+    std::string failureDomain; //!< of this entry
+    milliseconds suspectTime{1000}; //!< after a failure; doubles with each further one in a row. One heartbeat: news of a restart takes that long
+    milliseconds maxSuspectTime{8000};
+    milliseconds toldLoadAge{500}; //!< a told load is used for so long: a few answers' time
+    milliseconds peerLoadAge{1500}; //!< likewise for what another entry told
+    milliseconds serviceDistance{25}; //!< price of a call to a plain service in another failure domain, as time
+    PlacementSettings placement; //!< the transfer figures come with the configuration
+};
+
+/**
+ * What this entry believes of all targets: registered entries, work placed, kept prompt parts, failures.
+ *
+ * Owned by the process, filled by the watch of the targets' entries, by answers and by what other entries tell.
+ * Thread-safe: one shard a target group, each under its own lock. Times are passed in, so tests run under virtual time.
+ */
+class TargetBook
+{
+public:
+    explicit TargetBook(TargetBookSettings settings);
+    ~TargetBook();
+    TargetBook(const TargetBook &) = delete;
+    TargetBook &operator=(const TargetBook &) = delete;
+
+    /** Takes a target's entry. True if something that matters for choices has changed. */
+    bool apply(const TargetEntry &entry);
+    /** Drops a target that is gone. False if it was not known. */
+    bool remove(std::string_view id);
+    /** All targets, in no order. */
+    std::vector<TargetEntry> entries() const;
+
+    /** Chooses a target for a call and books the work on it. */
+    std::optional<PlacedCall> placeCall(const std::string &group, std::span<const std::string> tried, std::uint64_t draw, TimePoint now, Reason &reason);
+    /** Chooses engines for a prompt and books the work on them. */
+    std::optional<PlacedPrompt> placePrompt(const GroupRule &group,
+                                            const PromptDemand &demand,
+                                            std::span<const PrefixBlock> blocks,
+                                            std::span<const std::string> tried,
+                                            TimePoint now,
+                                            Reason &reason);
+
+    /** The target has read the prompt of the work, or will not. */
+    void endRead(const WorkTicket &ticket, TimePoint now);
+    /** The work has ended. */
+    void end(const WorkTicket &ticket, TimePoint now);
+    /** The target answered; a whole answer clears suspicion. */
+    void noteAnswer(const TargetRef &target, const std::optional<ToldLoad> &load, TimePoint now);
+    /** The target failed a request or a connection. */
+    void noteFailure(const TargetRef &target, TimePoint now);
+    /** Another target answered at its address, or it no longer takes work: it gets none until its entry changes. */
+    void noteReplaced(const TargetRef &target);
+
+    /** Adds this entry's load and what it has placed since the last call to news for the other entries. */
+    void fillNews(PeerNews &news, TimePoint now);
+    /** Takes what another entry told. */
+    void takeNews(const PeerNews &news, TimePoint now);
+
+private:
+    struct Target;
+    struct Shard;
+    std::shared_ptr<Shard> shardOf(const std::string &group) const;
+    std::vector<std::shared_ptr<Shard>> shards() const;
+
+    const TargetBookSettings m_settings;
+    mutable std::mutex m_lock; //!< of the map, not of what it holds
+    std::map<std::string, std::shared_ptr<Shard>, std::less<>> m_shards;
+    std::map<std::string, std::string, std::less<>> m_groups; //!< group of each target id
+};
+
+} // namespace snipehill
--- a/src/process/src/controlplane.cpp
+++ b/src/process/src/controlplane.cpp
@@ -1,9 +1,9 @@
 #include <process/controlplane.h>
 
-#include "pause.h"
 #include "rolecontrol.h"
 #include "targetcontrol.h"
 #include "usagereporter.h"
+#include <process/pause.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -45,7 +45,7 @@
         , settings(withFittingBound(std::move(controlSettings)))
         , hooks(std::move(controlHooks))
         , call(std::move(peerCall))
-        , leases(std::move(ioExecutor), settings.log, settings.self, settings.lease)
+        , leases(std::move(ioExecutor), accessLog(settings.log), settings.self, settings.lease)
     {
     }
 
--- a/src/process/src/leasekeeper.cpp
+++ b/src/process/src/leasekeeper.cpp
@@ -1,7 +1,8 @@
 #include <process/leasekeeper.h>
 
-#include "pause.h"
+#include <process/pause.h>
 
+#include <core/boottime.h>
 #include <process/log.h>
 #include <process/logclient.h>
 #include <process/metrics.h>
@@ -41,8 +42,8 @@
 /** Holders and table under one lock; the coroutines keep it alive. */
 struct LeaseKeeper::State
 {
-    State(asio::any_io_executor ioExecutor, Endpoint logService, Incarnation own, LeaseSettings leaseSettings)
-        : executor(std::move(ioExecutor)), log(std::move(logService)), self(std::move(own)), settings(leaseSettings)
+    State(asio::any_io_executor ioExecutor, LogAccess logAccess, Incarnation own, LeaseSettings leaseSettings)
+        : executor(std::move(ioExecutor)), log(std::move(logAccess)), self(std::move(own)), settings(leaseSettings)
     {
     }
 
@@ -54,7 +55,7 @@
     bool isStopped();
 
     const asio::any_io_executor executor;
-    const Endpoint log;
+    const LogAccess log;
     const Incarnation self;
     const LeaseSettings settings;
 
@@ -180,12 +181,12 @@
         const Offset from = position.value_or(0);
         const milliseconds wait = position ? followWait : milliseconds(0);
         Reason reason;
-        const auto page = co_await readLog(state->log, streams::leases, from, wait, reason);
+        const auto page = co_await state->log.read(streams::leases, from, wait, reason);
         if (!page) {
             co_await pauseFor(retryPause);
             continue;
         }
-        state->applyPage(*page, from, Clock::now());
+        state->applyPage(*page, from, bootNow());
     }
 }
 
@@ -193,13 +194,13 @@
 {
     Reason reason;
     // The records' effect is learnt by reading them back, whether or not an answer comes.
-    co_await appendLog(state->log, streams::leases, std::move(records), reason);
+    co_await state->log.append(streams::leases, std::move(records), reason);
 }
 
 asio::awaitable<void> renew(StatePointer state)
 {
     while (!state->isStopped()) {
-        std::vector<Json::Value> records = state->dueRecords(Clock::now());
+        std::vector<Json::Value> records = state->dueRecords(bootNow());
         if (!records.empty()) {
             // Not awaited: an append that gets no answer must not delay the next renewal.
             asio::co_spawn(state->executor, append(state, std::move(records)), asio::detached);
@@ -210,7 +211,7 @@
 
 } // namespace
 
-LeaseKeeper::LeaseKeeper(asio::any_io_executor executor, Endpoint log, Incarnation self, LeaseSettings settings)
+LeaseKeeper::LeaseKeeper(asio::any_io_executor executor, LogAccess log, Incarnation self, LeaseSettings settings)
     : m_state(std::make_shared<State>(std::move(executor), std::move(log), std::move(self), settings))
 {
 }
@@ -237,10 +238,10 @@
         record.holder = lease->second.holder;
         record.action = lease->second.released ? LeaseAction::Release : LeaseAction::Renew;
         record.duration = lease->second.duration;
-        holder->second.onRecord(m_state->table, lease->second.certain ? LeaseEffect::Effective : LeaseEffect::Unknown, record, Clock::now());
+        holder->second.onRecord(m_state->table, lease->second.certain ? LeaseEffect::Effective : LeaseEffect::Unknown, record, bootNow());
     }
     if (m_state->caughtUp) {
-        holder->second.onCaughtUp(m_state->table, Clock::now());
+        holder->second.onCaughtUp(m_state->table, bootNow());
     }
 }
 
@@ -259,11 +260,11 @@
         state->stopping = true;
         callsUntil = state->callsUntil;
     }
-    const auto remaining = std::chrono::ceil<milliseconds>(callsUntil - Clock::now());
+    const auto remaining = std::chrono::ceil<milliseconds>(callsUntil - bootNow());
     if (remaining > milliseconds(0)) {
         co_await pauseFor(remaining);
     }
-    std::vector<Json::Value> records = state->releases(Clock::now());
+    std::vector<Json::Value> records = state->releases(bootNow());
     if (!records.empty()) {
         co_await append(state, std::move(records));
     }
@@ -274,7 +275,7 @@
 bool LeaseKeeper::mayCall(const std::string &scope, milliseconds callBound) const
 {
     const std::lock_guard lock(m_state->mutex);
-    const TimePoint now = Clock::now();
+    const TimePoint now = bootNow();
     const auto holder = m_state->holders.find(scope);
     if (m_state->stopping || holder == m_state->holders.end() || !holder->second.mayCall(now, callBound)) {
         return false;
@@ -316,7 +317,7 @@
         LeaseStatus status;
         status.scope = scope;
         status.phase = holder.phase();
-        status.believes = holder.mayCall(Clock::now(), milliseconds(0));
+        status.believes = holder.mayCall(bootNow(), milliseconds(0));
         status.epoch = holder.epoch().value_or(noOffset);
         const auto lease = m_state->table.scopes.find(scope);
         if (lease != m_state->table.scopes.end()) {
--- a/src/process/src/log.cpp
+++ b/src/process/src/log.cpp
@@ -3,6 +3,7 @@
 #include <process/repeatfilter.h>
 
 #include <json/writer.h>
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -27,18 +28,50 @@
     RepeatFilter filter;
 };
 
+/** Bounds the lines about requests: a bucket that fills with time. */
+struct LineBucket
+{
+    std::mutex lock;
+    double level = 0; //!< lines written lately
+    TimePoint updated{};
+    std::uint64_t dropped = 0;
+};
+
+constexpr double linesPerSecond = 600; // about 5 ms of processor time; six lines for each request of an entry at its usual rate
+constexpr double bucketLines = 1200;
+constexpr double usualPart = 0.75; // of the bucket; the rest is for warnings
+constexpr std::size_t asyncQueueLines = 4096;
+
+/** Whether one more line about a request may be written. */
+bool takeLine(LineBucket &bucket, Level level)
+{
+    const std::lock_guard lock(bucket.lock);
+    const TimePoint now = Clock::now();
+    bucket.level = std::max(0.0, bucket.level - linesPerSecond * std::chrono::duration<double>(now - bucket.updated).count());
+    bucket.updated = now;
+    const double bound = level < Level::Warning ? usualPart * bucketLines : bucketLines;
+    if (bucket.level >= bound) {
+        ++bucket.dropped;
+        return false;
+    }
+    bucket.level += 1;
+    return true;
+}
+
 struct LogState
 {
     std::shared_ptr<spdlog::logger> logger = std::make_shared<spdlog::logger>("snipehill", std::make_shared<spdlog::sinks::stderr_sink_mt>());
     LoggingSettings settings;
     std::string instance;
     std::array<FilterShard, shardCount> shards;
+    LineBucket requestLines;
+    std::uint64_t toldDropped = 0; //!< of droppedLines(), those that a line has told
 };
 
 void applySettings(LogState &state)
 {
     state.logger->set_pattern(state.settings.format == LogFormat::Json ? jsonPattern : textPattern, spdlog::pattern_time_type::utc);
-    state.logger->flush_on(spdlog::level::info);
+    state.logger->flush_on(state.settings.toStandardOutput ? spdlog::level::err : spdlog::level::info);
 }
 
 LogState &logState()
@@ -144,6 +177,11 @@
     LogState &state = logState();
     state.settings = settings;
     state.instance = instance;
+    if (settings.toStandardOutput) {
+        spdlog::init_thread_pool(asyncQueueLines, 1);
+        state.logger = std::make_shared<spdlog::async_logger>(
+            "snipehill", std::make_shared<spdlog::sinks::stdout_sink_mt>(), spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
+    }
     state.logger->set_level(toSpdlog(settings.level));
     applySettings(state);
 }
@@ -165,9 +203,32 @@
     filterAndWrite(part, level, message, std::move(fields), kind);
 }
 
+void logDecision(Part part, Level level, std::string_view message, std::string_view requestId, LogFields fields)
+{
+    LogState &state = logState();
+    if (level < state.settings.level || !takeLine(state.requestLines, level)) {
+        return;
+    }
+    fields.emplace(fields.begin(), "request", requestId);
+    write(level, part, message, std::move(fields), 0);
+}
+
+std::uint64_t droppedLines()
+{
+    LogState &state = logState();
+    const std::lock_guard lock(state.requestLines.lock);
+    const auto pool = spdlog::thread_pool();
+    return state.requestLines.dropped + (pool ? pool->overrun_counter() : 0);
+}
+
 void flushLog(TimePoint now)
 {
     LogState &state = logState();
+    const std::uint64_t dropped = droppedLines();
+    if (dropped > state.toldDropped) {
+        write(Level::Warning, Part::Process, "log lines dropped", {{"lines", dropped - state.toldDropped}}, 0);
+        state.toldDropped = dropped;
+    }
     for (FilterShard &shard : state.shards) {
         std::vector<RepeatCount> counts;
         {
@@ -181,6 +242,12 @@
     state.logger->flush();
 }
 
+void stopLogging()
+{
+    logState().logger->flush();
+    spdlog::shutdown();
+}
+
 std::string formatEvent(LogFormat format, Part part, std::string_view message, const LogFields &fields)
 {
     if (format == LogFormat::Text) {
--- a/src/process/src/logclient.cpp
+++ b/src/process/src/logclient.cpp
@@ -72,4 +72,16 @@
     co_return (*answer)["first"].asInt64();
 }
 
+LogAccess accessLog(Endpoint log)
+{
+    LogAccess access;
+    access.read = [log](std::string stream, Offset from, milliseconds wait, Reason &reason) {
+        return readLog(log, std::move(stream), from, wait, reason);
+    };
+    access.append = [log](std::string stream, std::vector<Json::Value> records, Reason &reason) {
+        return appendLog(log, std::move(stream), std::move(records), reason);
+    };
+    return access;
+}
+
 } // namespace snipehill
--- a/src/process/src/pause.cpp
+++ b/src/process/src/pause.cpp
@@ -1,4 +1,4 @@
-#include "pause.h"
+#include <process/pause.h>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
--- /dev/null
+++ b/src/process/src/peernews.cpp
@@ -0,0 +1,70 @@
+#include <process/peernews.h>
+
+#include <peernews.pb.h>
+#include <request/estimate.h>
+
+#include <algorithm>
+
+namespace snipehill
+{
+
+TargetHash targetHash(std::string_view id) noexcept
+{
+    const std::uint64_t hash = fingerprintOf(id);
+    return static_cast<TargetHash>(hash ^ (hash >> 32U));
+}
+
+std::string encodeNews(const PeerNews &news)
+{
+    wire::PeerNews message;
+    message.set_instance(news.sender.instance);
+    message.set_incarnation(news.sender.number);
+    for (const auto &[target, load] : news.loads) {
+        wire::PeerTargetLoad &entry = *message.add_loads();
+        entry.set_target(target);
+        entry.set_backlog_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(load.backlog).count()));
+        entry.set_running(load.running);
+    }
+    for (const TargetReads &reads : news.reads) {
+        wire::PeerTargetReads &entry = *message.add_reads();
+        entry.set_target(reads.target);
+        for (const PrefixBlock &block : reads.blocks) {
+            entry.add_blocks(block.hash);
+            entry.add_tokens(static_cast<std::uint32_t>(block.tokens));
+        }
+    }
+    for (const auto &[fingerprint, losses] : news.losses) {
+        wire::PeerLoss &entry = *message.add_losses();
+        entry.set_fingerprint(fingerprint);
+        entry.set_losses(losses);
+    }
+    return message.SerializeAsString();
+}
+
+std::optional<PeerNews> decodeNews(std::string_view bytes, Reason &reason)
+{
+    wire::PeerNews message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || message.instance().empty()) {
+        reason = {Step::Parse, "", "no news of an entry"};
+        return std::nullopt;
+    }
+    PeerNews news;
+    news.sender = {message.instance(), message.incarnation()};
+    for (const wire::PeerTargetLoad &entry : message.loads()) {
+        news.loads[entry.target()] = {milliseconds(entry.backlog_ms()), entry.running()};
+    }
+    for (const wire::PeerTargetReads &entry : message.reads()) {
+        TargetReads reads{.target = entry.target()};
+        const int count = std::min(entry.blocks_size(), entry.tokens_size());
+        for (int i = 0; i < count; ++i) {
+            reads.blocks.push_back({entry.blocks(i), entry.tokens(i)});
+        }
+        news.reads.push_back(std::move(reads));
+    }
+    for (const wire::PeerLoss &entry : message.losses()) {
+        news.losses[entry.fingerprint()] = entry.losses();
+    }
+    return news;
+}
+
+} // namespace snipehill
--- a/src/process/src/sidecarauthority.cpp
+++ b/src/process/src/sidecarauthority.cpp
@@ -1,8 +1,8 @@
 #include <process/sidecarauthority.h>
 
 #include "grantjson.h"
-#include "pause.h"
 #include "peercalls.h"
+#include <process/pause.h>
 
 #include <connection/httpclient.h>
 #include <process/lease.h>
--- /dev/null
+++ b/src/process/src/targetbook.cpp
@@ -0,0 +1,449 @@
+#include <process/targetbook.h>
+
+#include <algorithm>
+#include <iterator>
+#include <mutex>
+#include <utility>
+
+namespace snipehill
+{
+
+namespace
+{
+
+constexpr std::size_t maxUnsentReads = 256; // more than an entry places between two news
+constexpr double slownessWeight = 0.2; // of the newest measurement
+constexpr double minSlowness = 0.7;
+constexpr double maxSlowness = 8;
+
+/** Reading that one ticket has put on an engine. */
+struct BookedRead
+{
+    Duration time{};
+    TimePoint since{};
+    Duration ahead{}; //!< backlog when it was placed
+};
+
+struct PeerView
+{
+    EntryLoad load;
+    TimePoint told{};
+};
+
+} // namespace
+
+struct TargetBook::Target
+{
+    TargetEntry entry;
+    TargetHash hash = 0;
+    Endpoint endpoint;
+    bool replaced = false; //!< another run holds its address
+    std::map<std::uint64_t, BookedRead> reads;
+    std::uint32_t running = 0; //!< of this entry
+    TimePoint readingSince{}; //!< the first of reads is being read since then
+    double slowness = 1;
+    std::uint32_t failuresInRow = 0;
+    TimePoint suspectUntil{};
+    ToldLoad told;
+    TimePoint toldAt{};
+    std::uint32_t runningWhenTold = 0;
+    std::map<std::string, PeerView> peers;
+};
+
+struct TargetBook::Shard
+{
+    std::mutex lock;
+    std::map<std::string, Target, std::less<>> targets;
+    PrefixIndex kept; //!< prompt parts by target
+    std::uint64_t nextTicket = 1;
+    std::vector<TargetReads> unsentReads; //!< for the other entries
+};
+
+namespace
+{
+
+template<typename Target> Duration ownBacklog(const Target &target, TimePoint now)
+{
+    Duration total{};
+    for (const auto &[number, read] : target.reads) {
+        total += read.time;
+    }
+    return std::max(Duration::zero(), total - (now - target.readingSince));
+}
+
+template<typename Target> Duration backlogOf(const Target &target, const TargetBookSettings &settings, TimePoint now)
+{
+    Duration total = ownBacklog(target, now);
+    for (const auto &[peer, view] : target.peers) {
+        const Duration age = now - view.told;
+        if (age < settings.peerLoadAge) {
+            total += std::max(Duration::zero(), view.load.backlog - age);
+        }
+    }
+    return total;
+}
+
+template<typename Target> std::uint32_t runningOn(const Target &target, const TargetBookSettings &settings, TimePoint now)
+{
+    std::uint32_t others = 0;
+    for (const auto &[peer, view] : target.peers) {
+        others += now - view.told < settings.peerLoadAge ? view.load.running : 0;
+    }
+    if (now - target.toldAt < settings.toldLoadAge) {
+        const std::uint32_t told = target.told.running + target.told.waiting;
+        others = std::max(others, told - std::min(told, target.runningWhenTold));
+    }
+    return target.running + others;
+}
+
+template<typename Target> bool isUsable(const Target &target)
+{
+    return !target.entry.leaving && !target.replaced;
+}
+
+template<typename Target> TargetRef refOf(const Target &target)
+{
+    return {target.entry.group, target.entry.id, target.endpoint, target.entry.failureDomain};
+}
+
+/** Notes blocks that a target will keep; those that only one request has are of no use to others. */
+template<typename Shard> void noteReads(Shard &shard, const std::string &id, std::span<const PrefixBlock> blocks)
+{
+    noteBlocksRouted(shard.kept, id, blocks);
+    if (shard.unsentReads.size() < maxUnsentReads && !blocks.empty()) {
+        shard.unsentReads.push_back({targetHash(id), {blocks.begin(), blocks.end()}});
+    }
+}
+
+bool contains(std::span<const std::string> ids, const std::string &id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+} // namespace
+
+TargetBook::TargetBook(TargetBookSettings settings) : m_settings(std::move(settings)) { }
+
+TargetBook::~TargetBook() = default;
+
+std::shared_ptr<TargetBook::Shard> TargetBook::shardOf(const std::string &group) const
+{
+    const std::lock_guard lock(m_lock);
+    const auto found = m_shards.find(group);
+    return found == m_shards.end() ? nullptr : found->second;
+}
+
+std::vector<std::shared_ptr<TargetBook::Shard>> TargetBook::shards() const
+{
+    const std::lock_guard lock(m_lock);
+    std::vector<std::shared_ptr<Shard>> all;
+    for (const auto &[group, shard] : m_shards) {
+        all.push_back(shard);
+    }
+    return all;
+}
+
+bool TargetBook::apply(const TargetEntry &entry)
+{
+    Reason reason;
+    const auto endpoint = parseEndpoint(entry.address, reason);
+    if (!endpoint) {
+        return false;
+    }
+    std::string former;
+    std::shared_ptr<Shard> shard;
+    {
+        const std::lock_guard lock(m_lock);
+        former = std::exchange(m_groups[entry.id], entry.group);
+        shard = m_shards.try_emplace(entry.group, std::make_shared<Shard>()).first->second;
+    }
+    if (!former.empty() && former != entry.group) {
+        const auto other = shardOf(former);
+        const std::lock_guard lock(other->lock);
+        other->targets.erase(entry.id);
+    }
+    const std::lock_guard lock(shard->lock);
+    const auto [found, added] = shard->targets.try_emplace(entry.id);
+    Target &target = found->second;
+    const bool restarted = !added && (target.entry.started != entry.started || target.entry.address != entry.address);
+    const bool changed = added || restarted || target.entry.leaving != entry.leaving || target.entry.role != entry.role;
+    if (restarted) {
+        forgetTarget(shard->kept, entry.id);
+        target = Target{};
+    }
+    target.entry = entry;
+    target.hash = targetHash(entry.id);
+    target.endpoint = *endpoint;
+    return changed;
+}
+
+bool TargetBook::remove(std::string_view id)
+{
+    std::string group;
+    {
+        const std::lock_guard lock(m_lock);
+        const auto found = m_groups.find(id);
+        if (found == m_groups.end()) {
+            return false;
+        }
+        group = found->second;
+        m_groups.erase(found);
+    }
+    const auto shard = shardOf(group);
+    const std::lock_guard lock(shard->lock);
+    forgetTarget(shard->kept, id);
+    const auto target = shard->targets.find(id);
+    if (target == shard->targets.end()) {
+        return false;
+    }
+    shard->targets.erase(target);
+    return true;
+}
+
+std::vector<TargetEntry> TargetBook::entries() const
+{
+    std::vector<TargetEntry> all;
+    for (const auto &shard : shards()) {
+        const std::lock_guard lock(shard->lock);
+        for (const auto &[id, target] : shard->targets) {
+            all.push_back(target.entry);
+        }
+    }
+    return all;
+}
+
+std::optional<PlacedCall> TargetBook::placeCall(const std::string &group, std::span<const std::string> tried, std::uint64_t draw, TimePoint now, Reason &reason)
+{
+    const auto shard = shardOf(group);
+    if (!shard) {
+        reason = {Step::ChooseTarget, group, "the target group has no target"};
+        return std::nullopt;
+    }
+    const std::lock_guard lock(shard->lock);
+    std::vector<TargetView> views;
+    views.reserve(shard->targets.size());
+    for (const auto &[id, target] : shard->targets) {
+        TargetView view;
+        view.instance = id;
+        view.failureDomain = target.entry.failureDomain;
+        view.reported = true;
+        view.report.slots = target.entry.slots;
+        view.report.running = runningOn(target, m_settings, now) - target.running;
+        view.outstanding.requests = target.running;
+        view.leaving = !isUsable(target);
+        view.suspect = now < target.suspectUntil;
+        view.distance = target.entry.failureDomain == m_settings.failureDomain ? Duration::zero() : Duration(m_settings.serviceDistance);
+        views.push_back(std::move(view));
+    }
+    const ChoiceSettings choice{.choices = static_cast<std::uint32_t>(views.size())};
+    const auto chosen = chooseTarget(views, {.kind = TargetKind::Service}, tried, draw, choice, reason);
+    if (!chosen) {
+        return std::nullopt;
+    }
+    Target &target = shard->targets.find(chosen->instance)->second;
+    ++target.running;
+    return PlacedCall{{refOf(target), shard->nextTicket++}};
+}
+
+std::optional<PlacedPrompt> TargetBook::placePrompt(const GroupRule &group,
+                                                    const PromptDemand &demand,
+                                                    std::span<const PrefixBlock> blocks,
+                                                    std::span<const std::string> tried,
+                                                    TimePoint now,
+                                                    Reason &reason)
+{
+    const auto shard = shardOf(group.name);
+    if (!shard) {
+        reason = {Step::ChooseTarget, group.name, "the target group has no target"};
+        return std::nullopt;
+    }
+    const std::lock_guard lock(shard->lock);
+    shard->kept.tokensPerTarget = group.engine ? group.engine->memoryTokens : 0;
+    std::vector<PlacementEngine> engines;
+    std::vector<Target *> targets;
+    for (auto &[id, target] : shard->targets) {
+        if (!isUsable(target) || contains(tried, id)) {
+            continue;
+        }
+        engines.push_back({.id = id,
+                           .failureDomain = target.entry.failureDomain,
+                           .role = target.entry.role,
+                           .backlog = backlogOf(target, m_settings, now),
+                           .running = runningOn(target, m_settings, now),
+                           .slots = target.entry.slots,
+                           .covered = coveredTokens(shard->kept, id, blocks),
+                           .slowness = target.slowness,
+                           .suspect = now < target.suspectUntil});
+        targets.push_back(&target);
+    }
+    PlacementSettings settings = m_settings.placement;
+    if (group.engine) {
+        settings.tokenBytes = group.engine->tokenBytes;
+        settings.linkBitsPerSecond = group.engine->linkBitsPerSecond;
+    }
+    const auto placement = snipehill::placePrompt(engines, demand, settings, reason);
+    if (!placement) {
+        return std::nullopt;
+    }
+    const std::size_t readerPosition = placement->reader.value_or(placement->runner);
+    Target &reader = *targets[readerPosition];
+    Target &runner = *targets[placement->runner];
+    PlacedPrompt placed;
+    placed.firstToken = placement->firstToken;
+    if (placed.firstToken > demand.latest) {
+        return placed;
+    }
+    placed.booked = true;
+    const std::uint64_t number = shard->nextTicket++;
+    if (reader.reads.empty()) {
+        reader.readingSince = now;
+    }
+    reader.reads[number] = {placement->readTime, now, engines[readerPosition].backlog};
+    ++runner.running;
+    placed.run = {refOf(runner), placement->reader ? shard->nextTicket++ : number};
+    if (placement->reader) {
+        ++reader.running;
+        placed.read = WorkTicket{refOf(reader), number};
+    }
+    if (placement->fetchFrom) {
+        placed.fetchFrom = refOf(*targets[*placement->fetchFrom]);
+    }
+    noteReads(*shard, reader.entry.id, blocks);
+    if (placement->reader) {
+        noteReads(*shard, runner.entry.id, blocks);
+    }
+    return placed;
+}
+
+void TargetBook::endRead(const WorkTicket &ticket, TimePoint now)
+{
+    const auto shard = shardOf(ticket.target.group);
+    if (!shard) {
+        return;
+    }
+    const std::lock_guard lock(shard->lock);
+    const auto found = shard->targets.find(ticket.target.id);
+    if (found == shard->targets.end()) {
+        return;
+    }
+    Target &target = found->second;
+    const auto read = target.reads.find(ticket.number);
+    if (read == target.reads.end()) {
+        return;
+    }
+    const Duration predicted = read->second.ahead + read->second.time;
+    if (predicted > Duration::zero()) {
+        const double ratio = std::chrono::duration<double>(now - read->second.since) / std::chrono::duration<double>(predicted);
+        target.slowness = std::clamp(target.slowness * (1 + slownessWeight * (std::clamp(ratio, 0.5, 2.0) - 1)), minSlowness, maxSlowness);
+    }
+    target.reads.erase(read);
+    target.readingSince = now;
+}
+
+void TargetBook::end(const WorkTicket &ticket, TimePoint now)
+{
+    const auto shard = shardOf(ticket.target.group);
+    if (!shard) {
+        return;
+    }
+    const std::lock_guard lock(shard->lock);
+    const auto found = shard->targets.find(ticket.target.id);
+    if (found == shard->targets.end()) {
+        return;
+    }
+    Target &target = found->second;
+    if (target.reads.erase(ticket.number) > 0) {
+        target.readingSince = now;
+    }
+    target.running -= std::min(target.running, 1U);
+}
+
+void TargetBook::noteAnswer(const TargetRef &ref, const std::optional<ToldLoad> &load, TimePoint now)
+{
+    const auto shard = shardOf(ref.group);
+    if (!shard) {
+        return;
+    }
+    const std::lock_guard lock(shard->lock);
+    const auto found = shard->targets.find(ref.id);
+    if (found == shard->targets.end()) {
+        return;
+    }
+    found->second.failuresInRow = 0;
+    found->second.suspectUntil = {};
+    if (load) {
+        found->second.told = *load;
+        found->second.toldAt = now;
+        found->second.runningWhenTold = found->second.running;
+    }
+}
+
+void TargetBook::noteFailure(const TargetRef &ref, TimePoint now)
+{
+    const auto shard = shardOf(ref.group);
+    if (!shard) {
+        return;
+    }
+    const std::lock_guard lock(shard->lock);
+    const auto found = shard->targets.find(ref.id);
+    if (found == shard->targets.end()) {
+        return;
+    }
+    Target &target = found->second;
+    constexpr std::uint32_t maxDoublings = 8;
+    const Duration time = m_settings.suspectTime * (1U << std::min(target.failuresInRow, maxDoublings));
+    ++target.failuresInRow;
+    target.suspectUntil = now + std::min<Duration>(time, m_settings.maxSuspectTime);
+}
+
+void TargetBook::noteReplaced(const TargetRef &ref)
+{
+    const auto shard = shardOf(ref.group);
+    if (!shard) {
+        return;
+    }
+    const std::lock_guard lock(shard->lock);
+    const auto found = shard->targets.find(ref.id);
+    if (found != shard->targets.end()) {
+        found->second.replaced = true;
+    }
+}
+
+void TargetBook::fillNews(PeerNews &news, TimePoint now)
+{
+    for (const auto &shard : shards()) {
+        const std::lock_guard lock(shard->lock);
+        for (const auto &[id, target] : shard->targets) {
+            if (target.running > 0 || !target.reads.empty()) {
+                news.loads[target.hash] = {ownBacklog(target, now), target.running};
+            }
+        }
+        std::move(shard->unsentReads.begin(), shard->unsentReads.end(), std::back_inserter(news.reads));
+        shard->unsentReads.clear();
+    }
+}
+
+void TargetBook::takeNews(const PeerNews &news, TimePoint now)
+{
+    for (const auto &shard : shards()) {
+        const std::lock_guard lock(shard->lock);
+        std::map<TargetHash, std::string_view> ids;
+        for (auto &[id, target] : shard->targets) {
+            ids[target.hash] = id;
+            const auto told = news.loads.find(target.hash);
+            if (told == news.loads.end()) {
+                target.peers.erase(news.sender.instance);
+            } else {
+                target.peers[news.sender.instance] = {told->second, now};
+            }
+        }
+        for (const TargetReads &reads : news.reads) {
+            const auto id = ids.find(reads.target);
+            if (id != ids.end()) {
+                noteBlocksRouted(shard->kept, id->second, reads.blocks);
+            }
+        }
+    }
+}
+
+} // namespace snipehill
--- a/src/request/include/request/prefixindex.h
+++ b/src/request/include/request/prefixindex.h
@@ -10,13 +10,21 @@
 namespace snipehill
 {
 
-/** Hashes believed to be in one target's prefix cache, most recently used first. */
+/** A leading piece of a prompt, named by the hash of itself and all pieces before it. */
+struct PrefixBlock
+{
+    std::uint64_t hash = 0;
+    std::uint64_t tokens = 0; //!< of this piece alone
+};
+
+/** Blocks believed to be in one target's prefix cache, most recently used first. */
 struct TargetPrefixes
 {
     std::uint64_t incarnation = 0; //!< of the sidecar whose target holds the cache
     std::uint64_t cacheEpoch = 0; //!< see LoadReport::cacheEpoch
-    std::list<std::uint64_t> recent;
-    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> positions;
+    std::uint64_t tokens = 0; //!< of all blocks together
+    std::list<PrefixBlock> recent;
+    std::unordered_map<std::uint64_t, std::list<PrefixBlock>::iterator> positions;
 };
 
 /** Hash and equality that look up std::string keys by std::string_view. */
@@ -33,12 +41,16 @@
 struct PrefixIndex
 {
     std::size_t hashesPerTarget = 4096; //!< the least recently used hash is dropped beyond this
+    std::uint64_t tokensPerTarget = 0; //!< likewise, beyond so many tokens; 0: not bounded
     std::unordered_map<std::string, TargetPrefixes, StringHash, std::equal_to<>> targets;
 };
 
 /** Notes that a request with these leading blocks was sent to a target, which will cache them. */
 void noteRouted(PrefixIndex &index, std::string_view target, std::span<const std::uint64_t> hashes);
 
+/** The same for blocks of known and different sizes. */
+void noteBlocksRouted(PrefixIndex &index, std::string_view target, std::span<const PrefixBlock> blocks);
+
 /** Notes a cache event: the target stored a block, or removed it. */
 void noteCacheEvent(PrefixIndex &index, std::string_view target, std::uint64_t hash, bool stored);
 
@@ -51,4 +63,7 @@
 /** Number of leading blocks of a request that the target is believed to hold. */
 std::size_t coveredBlocks(const PrefixIndex &index, std::string_view target, std::span<const std::uint64_t> hashes);
 
+/** Tokens of the leading blocks of a request that the target is believed to hold. */
+std::uint64_t coveredTokens(const PrefixIndex &index, std::string_view target, std::span<const PrefixBlock> blocks);
+
 } // namespace snipehill
--- a/src/request/include/request/targetchoice.h
+++ b/src/request/include/request/targetchoice.h
@@ -36,6 +36,7 @@
     bool leaving = false;
     bool silent = false; //!< heartbeats are missing
     bool suspect = false; //!< its target died a short while ago
+    Duration distance{}; //!< added cost of reaching it, for example across failure domains
 };
 
 /** Demands of the request that is to be placed. */
--- a/src/request/src/prefixindex.cpp
+++ b/src/request/src/prefixindex.cpp
@@ -14,25 +14,33 @@
     return known != index.targets.end() ? known->second : index.targets[std::string(target)];
 }
 
-void insertHash(TargetPrefixes &prefixes, std::uint64_t hash, std::size_t limit)
+void dropOldest(TargetPrefixes &prefixes)
 {
-    const auto known = prefixes.positions.find(hash);
+    prefixes.tokens -= prefixes.recent.back().tokens;
+    prefixes.positions.erase(prefixes.recent.back().hash);
+    prefixes.recent.pop_back();
+}
+
+void insertBlock(const PrefixIndex &index, TargetPrefixes &prefixes, const PrefixBlock &block)
+{
+    const auto known = prefixes.positions.find(block.hash);
     if (known != prefixes.positions.end()) {
         prefixes.recent.splice(prefixes.recent.begin(), prefixes.recent, known->second);
         return;
     }
-    if (prefixes.recent.size() >= limit) {
-        prefixes.positions.erase(prefixes.recent.back());
-        prefixes.recent.pop_back();
+    prefixes.recent.push_front(block);
+    prefixes.positions[block.hash] = prefixes.recent.begin();
+    prefixes.tokens += block.tokens;
+    while (prefixes.recent.size() > index.hashesPerTarget || (index.tokensPerTarget > 0 && prefixes.tokens > index.tokensPerTarget)) {
+        dropOldest(prefixes);
     }
-    prefixes.recent.push_front(hash);
-    prefixes.positions[hash] = prefixes.recent.begin();
 }
 
 void removeHash(TargetPrefixes &prefixes, std::uint64_t hash)
 {
     const auto known = prefixes.positions.find(hash);
     if (known != prefixes.positions.end()) {
+        prefixes.tokens -= known->second->tokens;
         prefixes.recent.erase(known->second);
         prefixes.positions.erase(known);
     }
@@ -45,7 +53,15 @@
     TargetPrefixes &prefixes = prefixesOf(index, target);
     // Last block first: the leading blocks stay longest, since a block is of no use without those before it.
     for (auto hash = hashes.rbegin(); hash != hashes.rend(); ++hash) {
-        insertHash(prefixes, *hash, index.hashesPerTarget);
+        insertBlock(index, prefixes, {*hash, 0});
+    }
+}
+
+void noteBlocksRouted(PrefixIndex &index, std::string_view target, std::span<const PrefixBlock> blocks)
+{
+    TargetPrefixes &prefixes = prefixesOf(index, target);
+    for (auto block = blocks.rbegin(); block != blocks.rend(); ++block) {
+        insertBlock(index, prefixes, *block);
     }
 }
 
@@ -53,7 +69,7 @@
 {
     TargetPrefixes &prefixes = prefixesOf(index, target);
     if (stored) {
-        insertHash(prefixes, hash, index.hashesPerTarget);
+        insertBlock(index, prefixes, {hash, 0});
     } else {
         removeHash(prefixes, hash);
     }
@@ -67,6 +83,7 @@
     }
     prefixes.recent.clear();
     prefixes.positions.clear();
+    prefixes.tokens = 0;
     prefixes.incarnation = incarnation;
     prefixes.cacheEpoch = epoch;
 }
@@ -92,4 +109,17 @@
     return covered;
 }
 
+std::uint64_t coveredTokens(const PrefixIndex &index, std::string_view target, std::span<const PrefixBlock> blocks)
+{
+    const auto known = index.targets.find(target);
+    std::uint64_t tokens = 0;
+    for (const PrefixBlock &block : blocks) {
+        if (known == index.targets.end() || !known->second.positions.contains(block.hash)) {
+            break;
+        }
+        tokens += block.tokens;
+    }
+    return tokens;
+}
+
 } // namespace snipehill
--- /dev/null
+++ b/src/request/src/promptplacement.cpp
@@ -0,0 +1,180 @@
+#include <request/promptplacement.h>
+
+#include <algorithm>
+
+namespace snipehill
+{
+
+namespace
+{
+
+Duration fromMs(double value)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(value));
+}
+
+Duration scaled(Duration time, double factor)
+{
+    return std::chrono::duration_cast<Duration>(time * factor);
+}
+
+/** Price of sending the body to an engine, as time. */
+Duration bodyPrice(const PlacementEngine &engine, const PromptDemand &demand, const PlacementSettings &settings)
+{
+    if (engine.failureDomain == demand.failureDomain) {
+        return {};
+    }
+    return settings.crossDomainPerKilobyte * static_cast<std::int64_t>(demand.bodyBytes) / 1024;
+}
+
+Duration transferTime(const PlacementEngine &from, const PlacementEngine &to, std::uint64_t tokens, const PlacementSettings &settings)
+{
+    const double bits = 8.0 * static_cast<double>(tokens) * static_cast<double>(settings.tokenBytes);
+    const double factor = from.failureDomain == to.failureDomain ? 1 : settings.crossDomainFactor;
+    return fromMs(settings.rates.transferSetupMs + factor * 1000 * bits / settings.linkBitsPerSecond);
+}
+
+/** One step of an engine that has reading to do; a new stream gets its first token after the step under way. */
+Duration stepTime(const PlacementEngine &engine, const PlacementSettings &settings)
+{
+    const double reading = settings.rates.decodeChunk / settings.rates.decodeTokensPerMs;
+    return scaled(fromMs(settings.rates.stepMs + (engine.backlog > Duration::zero() ? reading : 0)), engine.slowness);
+}
+
+/** Wait for a free slot: nothing is known of the streams that hold them, so a full engine counts as one that frees a slot soon. */
+Duration slotWait(const PlacementEngine &engine)
+{
+    constexpr std::chrono::milliseconds usualStream{300};
+    if (engine.running < engine.slots) {
+        return {};
+    }
+    return usualStream * (engine.running - engine.slots + 1) / engine.slots;
+}
+
+/** Reading on one engine, with what it can fetch instead. */
+struct Reading
+{
+    Duration time{};
+    Duration fetch{};
+    std::optional<std::size_t> fetchFrom;
+};
+
+Reading planReading(std::span<const PlacementEngine> engines, std::size_t position, const PromptDemand &demand, const PlacementSettings &settings)
+{
+    const PlacementEngine &engine = engines[position];
+    const auto time = [&](std::uint64_t covered) {
+        return scaled(readingTime(settings.rates, engine.role, demand.promptTokens - covered, covered), engine.slowness);
+    };
+    Reading best{.time = time(std::min(engine.covered, demand.promptTokens))};
+    if (settings.linkBitsPerSecond <= 0) {
+        return best;
+    }
+    for (std::size_t other = 0; other < engines.size(); ++other) {
+        const std::uint64_t covered = std::min(engines[other].covered, demand.promptTokens);
+        if (other == position || engines[other].suspect || covered < engine.covered + settings.fetchAtLeast) {
+            continue;
+        }
+        const Reading candidate{.time = time(covered), .fetch = transferTime(engines[other], engine, covered - engine.covered, settings), .fetchFrom = other};
+        if (candidate.time + candidate.fetch < best.time + best.fetch) {
+            best = candidate;
+        }
+    }
+    return best;
+}
+
+struct Candidate
+{
+    PromptPlacement placement;
+    Duration cost{}; //!< time to the first event and prices
+};
+
+void keepCheaper(std::optional<Candidate> &best, const Candidate &candidate)
+{
+    if (!best || candidate.cost < best->cost) {
+        best = candidate;
+    }
+}
+
+Duration suspectPenalty(const PlacementEngine &engine, const PlacementSettings &settings)
+{
+    return engine.suspect ? settings.suspectPenalty : Duration::zero();
+}
+
+Candidate runWhereRead(std::span<const PlacementEngine> engines, std::size_t runner, const PromptDemand &demand, const PlacementSettings &settings)
+{
+    const PlacementEngine &engine = engines[runner];
+    const Reading reading = planReading(engines, runner, demand, settings);
+    Candidate candidate;
+    candidate.placement.runner = runner;
+    candidate.placement.fetchFrom = reading.fetchFrom;
+    candidate.placement.readTime = reading.time;
+    candidate.placement.firstToken = settings.hop + engine.backlog + slotWait(engine) + reading.fetch + reading.time;
+    candidate.cost = candidate.placement.firstToken + bodyPrice(engine, demand, settings) + suspectPenalty(engine, settings);
+    return candidate;
+}
+
+/** The engine that runs a prompt which another one has read. */
+std::optional<std::size_t>
+chooseRunner(std::span<const PlacementEngine> engines, std::size_t reader, const PromptDemand &demand, const PlacementSettings &settings, Duration &time)
+{
+    std::optional<std::size_t> best;
+    Duration bestCost{};
+    for (std::size_t i = 0; i < engines.size(); ++i) {
+        const PlacementEngine &engine = engines[i];
+        if (engine.role == EngineRole::Prefill) {
+            continue;
+        }
+        const std::uint64_t moved = demand.promptTokens - std::min(engine.covered, demand.promptTokens);
+        const Duration needed = settings.hop + transferTime(engines[reader], engine, moved, settings) + stepTime(engine, settings) + slotWait(engine);
+        const Duration occupied = scaled(std::chrono::milliseconds(1), engine.running);
+        const Duration cost = needed + occupied + bodyPrice(engine, demand, settings) + suspectPenalty(engine, settings);
+        if (!best || cost < bestCost) {
+            best = i;
+            bestCost = cost;
+            time = needed;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+Duration readingTime(const ReadingRates &rates, EngineRole role, std::uint64_t tokens, std::uint64_t before) noexcept
+{
+    const bool prefill = role == EngineRole::Prefill;
+    const double count = static_cast<double>(tokens);
+    const double steps = count / (prefill ? rates.prefillChunk : rates.decodeChunk);
+    const double pairs = count * (static_cast<double>(before) + count / 2) / 1e6;
+    return fromMs(count / (prefill ? rates.prefillTokensPerMs : rates.decodeTokensPerMs) + rates.stepMs * (steps + 1) + rates.pairsMsPerMillion * pairs);
+}
+
+std::optional<PromptPlacement>
+placePrompt(std::span<const PlacementEngine> engines, const PromptDemand &demand, const PlacementSettings &settings, Reason &reason)
+{
+    std::optional<Candidate> best;
+    for (std::size_t i = 0; i < engines.size(); ++i) {
+        const PlacementEngine &engine = engines[i];
+        if (engine.role != EngineRole::Prefill) {
+            keepCheaper(best, runWhereRead(engines, i, demand, settings));
+            continue;
+        }
+        Duration running{};
+        const auto runner = demand.mayReadApart ? chooseRunner(engines, i, demand, settings, running) : std::nullopt;
+        if (!runner) {
+            continue;
+        }
+        Candidate candidate = runWhereRead(engines, i, demand, settings);
+        candidate.placement.reader = i;
+        candidate.placement.runner = *runner;
+        candidate.placement.firstToken += running;
+        candidate.cost += running + bodyPrice(engines[*runner], demand, settings) + suspectPenalty(engines[*runner], settings);
+        keepCheaper(best, candidate);
+    }
+    if (!best) {
+        reason = {Step::ChooseTarget, "", engines.empty() ? "the target group has no live engine" : "no engine can run prompts"};
+        return std::nullopt;
+    }
+    return best->placement;
+}
+
+} // namespace snipehill
--- a/src/request/src/targetchoice.cpp
+++ b/src/request/src/targetchoice.cpp
@@ -159,6 +159,7 @@
 {
     PlacementCost cost = request.kind == TargetKind::Engine ? engineCost(target, request, settings) : serviceCost(target, settings);
     cost.staleness = stalenessOf(target, settings);
+    cost.penalty += target.distance;
     if (target.suspect) {
         cost.penalty += settings.suspectPenalty;
     }
--- /dev/null
+++ b/src/serving/src/directpeers.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "directcontext.h"
+
+#include <platform/storeclient.h>
+
+#include <atomic>
+
+namespace snipehill
+{
+
+/** What the talk between entries shares. Owned by the entry, runs on its control thread until stopped is set. */
+struct PeerContext
+{
+    const DirectSettings &settings;
+    platform::StoreClient &store;
+    TargetBook &targets;
+    GroupBudgets &budgets;
+    CrashGuard &crashes;
+    Incarnation self;
+    std::atomic<bool> stopped{false};
+};
+
+/** Registers this entry in the store, finds the others there, and exchanges news with them. */
+boost::asio::awaitable<void> talkToPeers(PeerContext &context);
+
+} // namespace snipehill
--- /dev/null
+++ b/src/serving/src/directrequest.cpp
@@ -0,0 +1,194 @@
+#include "directrequest.h"
+
+#include <platform/messages.h>
+#include <process/metrics.h>
+#include <request/estimate.h>
+
+#include <cmath>
+#include <random>
+
+namespace snipehill
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr milliseconds noConfigurationRetry{500}; // a start takes about so long
+constexpr unsigned badRequest = 400;
+constexpr unsigned unauthorized = 401;
+constexpr unsigned notFound = 404;
+constexpr unsigned badGateway = 502;
+constexpr unsigned unavailable = 503;
+constexpr unsigned gatewayTimeout = 504;
+
+bool promisesNotRun(unsigned status)
+{
+    return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+std::string inSeconds(milliseconds time)
+{
+    std::string text = std::to_string(static_cast<double>(time.count()) / 1000);
+    return text.substr(0, text.find('.') + 4);
+}
+
+/** Spreads the returns of callers that were refused together, by up to half of the time. */
+milliseconds spread(milliseconds time)
+{
+    static thread_local std::minstd_rand generator(std::random_device{}());
+    return time + milliseconds(std::uniform_int_distribution<milliseconds::rep>(0, time.count() / 2)(generator));
+}
+
+} // namespace
+
+milliseconds timeLeft(const DirectRequest &request) noexcept
+{
+    return std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(request.giveUp - Clock::now()));
+}
+
+bool isOver(const DirectRequest &request) noexcept
+{
+    return Clock::now() >= request.giveUp;
+}
+
+void logRequest(const DirectRequest &request, Level level, std::string_view message, LogFields fields)
+{
+    logDecision(Part::Entry, level, message, request.caller.id, std::move(fields));
+}
+
+void noteOutcome(const DirectRequest &request, std::string_view outcome, unsigned status)
+{
+    const Duration took = Clock::now() - request.received;
+    const std::string_view route = request.route ? std::string_view(request.route->name) : "none";
+    processMetrics().count(Counter::Requests, {request.workspace, route, outcome});
+    processMetrics().observe(Timing::Request, {route}, took);
+    const Level level = status < 500 && outcome != "cut" ? Level::Info : Level::Warning;
+    logRequest(request,
+               level,
+               "request ended",
+               {{"outcome", outcome},
+                {"status", status},
+                {"route", route},
+                {"workspace", request.workspace},
+                {"sends", request.sends},
+                {"tookMs", std::chrono::duration_cast<milliseconds>(took).count()}});
+}
+
+asio::awaitable<void> refuse(DirectRequest &request, DirectRefusal refusal)
+{
+    if (promisesNotRun(refusal.status) && request.mayHaveRun) {
+        refusal.status = badGateway;
+        refusal.retryAfter = milliseconds(0);
+    }
+    HeaderList headers = platform::ownAnswerHeaders(request.caller.id);
+    headers.emplace_back("Content-Type", "application/problem+json");
+    if (refusal.retryAfter.count() > 0) {
+        headers.emplace_back("Retry-After", inSeconds(spread(refusal.retryAfter)));
+    }
+    const char *outcome = refusal.status < 500 ? "rejected" : promisesNotRun(refusal.status) ? "not_run" : "outcome_unknown";
+    processMetrics().count(Counter::Refusals, {outcome, toString(refusal.reason.step)});
+    logRequest(request,
+               Level::Warning,
+               "refused",
+               {{"status", refusal.status},
+                {"step", toString(refusal.reason.step)},
+                {"peer", refusal.reason.peer},
+                {"detail", refusal.reason.detail},
+                {"retryAfterMs", refusal.retryAfter.count()},
+                {"configVersion", request.routing ? request.routing->version : 0}});
+    std::string body = std::string(R"({"outcome":")") + outcome + R"(","step":")" + toString(refusal.reason.step) + "\"}";
+    co_await request.exchange.respond(refusal.status, std::move(headers), std::move(body));
+    noteOutcome(request, outcome, refusal.status);
+}
+
+DirectRefusal timeoutRefusal(const DirectRequest &request)
+{
+    return {request.mayHaveRun ? gatewayTimeout : unavailable, {Step::RunOnTarget, "", "the time for an answer is up"}, milliseconds(0)};
+}
+
+namespace
+{
+
+/** A 4xx only while the configuration is known to be recent: a route or key that isn't known may be new. */
+DirectRefusal unknownTo(const DirectRequest &request, unsigned status, const char *detail)
+{
+    const bool recent = request.context.routing.age(Clock::now()) < request.context.settings.configBound;
+    if (recent) {
+        return {status, {Step::Config, "", detail}, milliseconds(0)};
+    }
+    return {unavailable, {Step::Config, "", "the configuration in force is not known to be recent"}, noConfigurationRetry};
+}
+
+std::optional<DirectRefusal> findRouteAndKey(DirectRequest &request)
+{
+    request.route = findRoute(*request.routing, request.caller.host, request.caller.path);
+    if (!request.route) {
+        return unknownTo(request, notFound, "no route");
+    }
+    request.priority = request.route->priority;
+    if (!request.route->open && request.routing->keysNeeded) {
+        const WorkspaceRule *workspace = findWorkspace(*request.routing, request.caller.key);
+        if (!workspace) {
+            return unknownTo(request, unauthorized, "the key is not in force");
+        }
+        request.workspace = workspace->name;
+        request.priority = workspace->priority.value_or(request.priority);
+    }
+    return std::nullopt;
+}
+
+void prepare(DirectRequest &request)
+{
+    thread_local std::minstd_rand generator(std::random_device{}());
+    const std::string &group = drawGroup(*request.route, std::uniform_real_distribution<double>(0, 1)(generator));
+    const auto known = request.routing->groups.find(group);
+    static const GroupRule noGroup;
+    request.group = known == request.routing->groups.end() ? &noGroup : &known->second;
+    request.giveUp = request.received + std::min(request.caller.deadline.value_or(request.route->timeout), request.route->timeout);
+    request.fingerprint = fingerprintOf(request.caller.body, fingerprintOf(request.workspace, fingerprintOf(request.caller.target)));
+    request.context.budgets.noteRequest(request.group->name);
+}
+
+} // namespace
+
+asio::awaitable<void> serveDirect(DirectContext &context, HttpExchange &exchange)
+{
+    DirectRequest request{.context = context, .exchange = exchange, .routing = context.routing.current(), .received = exchange.received()};
+    Reason reason;
+    auto caller = platform::readCallerRequest(exchange.request(), reason);
+    if (!caller) {
+        const DirectRefusal refusal{badRequest, reason, milliseconds(0)};
+        co_await refuse(request, refusal);
+        co_return;
+    }
+    request.caller = std::move(*caller);
+    if (!request.routing) {
+        const DirectRefusal refusal{unavailable, {Step::Config, "", "no configuration was read yet"}, noConfigurationRetry};
+        co_await refuse(request, refusal);
+        co_return;
+    }
+    if (const auto refusal = findRouteAndKey(request)) {
+        co_await refuse(request, *refusal);
+        co_return;
+    }
+    prepare(request);
+    if (context.crashes.isBlocked(request.fingerprint, Clock::now())) {
+        const DirectRefusal refusal{unavailable, {Step::Admit, "", "requests like this took targets down"}, milliseconds(0)};
+        co_await refuse(request, refusal);
+        co_return;
+    }
+    exchange.onGone([&request] {
+        if (request.current) {
+            request.current->abort();
+        }
+    });
+    if (request.route->kind == RequestKind::Streaming) {
+        co_await serveStream(request);
+    } else {
+        co_await serveCall(request);
+    }
+}
+
+} // namespace snipehill
--- /dev/null
+++ b/src/serving/src/directusage.cpp
@@ -0,0 +1,261 @@
+#include "directusage.h"
+
+#include <connection/httpclient.h>
+#include <platform/messages.h>
+#include <process/log.h>
+#include <process/metrics.h>
+#include <process/pause.h>
+
+#include <json/reader.h>
+#include <json/writer.h>
+
+namespace snipehill
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr const char *countsStream = "usage-counts"; //!< rows of each run of an entry, the newest record of a run counts
+constexpr milliseconds storeTimeout{1000};
+constexpr milliseconds publishInterval{1000}; // a killed entry loses counts of at most this
+constexpr milliseconds reportInterval{500};
+constexpr milliseconds closeDelay{2500}; // after a window's end: entries have published their last counts, clocks differ by less
+constexpr milliseconds reportTimeout{800}; // of one report; must fit into what is left of the lease
+constexpr WindowNumber keptWindows = 12; // of this entry's own counts; reports of older ones are overdue
+constexpr unsigned statusOk = 200;
+
+std::string write(const Json::Value &value)
+{
+    Json::StreamWriterBuilder writer;
+    writer["indentation"] = "";
+    return Json::writeString(writer, value);
+}
+
+std::optional<Json::Value> parse(const std::string &text)
+{
+    const Json::CharReaderBuilder builder;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    Json::Value value;
+    if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr)) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+/** Reads a stream from where the last call ended. */
+struct StreamReader
+{
+    LogAccess log;
+    std::string stream;
+    Offset next = 0;
+};
+
+/** Reads to the end of the stream; false when the store did not answer. */
+template<typename OnRecord> asio::awaitable<bool> readToEnd(StreamReader &reader, OnRecord onRecord)
+{
+    while (true) {
+        Reason reason;
+        const auto page = co_await reader.log.read(reader.stream, reader.next, milliseconds(0), reason);
+        if (!page) {
+            logEvent(Part::Usage, Level::Warning, "usage records not read", reason, {{"stream", reader.stream}});
+            co_return false;
+        }
+        for (const LogRecord &record : page->records) {
+            onRecord(record.value);
+        }
+        const bool more = page->next > reader.next;
+        reader.next = page->next;
+        if (!more) {
+            co_return true;
+        }
+    }
+}
+
+/** Closes and reports windows from what the streams tell. */
+class WindowReporter
+{
+public:
+    explicit WindowReporter(UsageContext &context)
+        : m_context(context), m_counts{accessStore(context.store), countsStream}, m_ledgerReader{accessStore(context.store), streams::usage}
+    {
+    }
+
+    asio::awaitable<void> step()
+    {
+        if (!m_context.leases.mayCall(scopes::usage, reportTimeout)) {
+            co_return;
+        }
+        const bool read = co_await readToEnd(m_counts, [this](const Json::Value &value) {
+            Reason ignored;
+            if (const auto rows = parseUsageRows(value, ignored)) {
+                for (const auto &[source, figures] : *rows) {
+                    m_rows[source] = figures;
+                }
+            }
+        });
+        if (!read || !co_await readLedger()) {
+            co_return;
+        }
+        co_await closeEnded();
+        if (!co_await readLedger()) {
+            co_return;
+        }
+        const std::map<WindowNumber, UsageByWorkspace> unreported = m_ledger.unreported;
+        for (const auto &[window, figures] : unreported) {
+            co_await report(window, figures);
+        }
+    }
+
+private:
+    asio::awaitable<bool> readLedger()
+    {
+        const bool read = co_await readToEnd(m_ledgerReader, [this](const Json::Value &value) {
+            Reason ignored;
+            if (const auto record = parseUsageRecord(value, ignored)) {
+                applyUsageRecord(m_ledger, *record);
+            }
+        });
+        co_return read;
+    }
+
+    asio::awaitable<void> closeEnded()
+    {
+        const WindowNumber through = newestEndedWindow(m_clock.now(), closeDelay, m_context.settings.usageWindow);
+        CollectedUsage collected;
+        collected.sidecars = m_rows;
+        std::vector<Json::Value> records;
+        for (const ClosedWindow &closed : closeWindows(m_ledger, through, collected)) {
+            records.push_back(toJson(closed));
+        }
+        std::erase_if(m_rows, [through](const auto &row) {
+            return row.first.window + keptWindows < through;
+        });
+        if (records.empty()) {
+            co_return;
+        }
+        Reason reason;
+        // Whether or not an answer comes, the next read tells which record is the first to close a window.
+        const auto appended = co_await m_ledgerReader.log.append(streams::usage, std::move(records), reason);
+        if (!appended) {
+            logEvent(Part::Usage, Level::Warning, "closing a usage window has no answer", reason, {{"through", through}});
+        }
+    }
+
+    asio::awaitable<void> report(WindowNumber window, UsageByWorkspace figures)
+    {
+        const auto fence = m_context.leases.epoch(scopes::usage);
+        if (!fence || !m_context.leases.mayCall(scopes::usage, reportTimeout)) {
+            co_return;
+        }
+        platform::UsageReport report{.holder = m_context.settings.instance, .fence = *fence, .window = window};
+        std::uint64_t total = 0;
+        ReportedWindow reported{.window = window};
+        for (const auto &[workspace, used] : figures) {
+            report.requests.emplace_back(workspace, used.requests);
+            reported.workspaces.push_back(workspace);
+            total += used.requests;
+        }
+        HttpCall call{.peer = m_context.settings.duties, .method = boost::beast::http::verb::post, .target = platform::usagePath, .timeout = reportTimeout};
+        call.step = Step::Usage;
+        call.body = platform::usageBody(report);
+        call.headers = platform::dutyHeaders(report);
+        call.maySend = [this, fence] {
+            return m_context.leases.epoch(scopes::usage) == fence && m_context.leases.mayCall(scopes::usage, reportTimeout);
+        };
+        Reason reason;
+        const auto answer = co_await httpCall(std::move(call), reason);
+        const bool taken = answer && answer->result_int() == statusOk;
+        processMetrics().count(Counter::UsageReports, {taken ? "acknowledged" : "not_answered"});
+        if (!taken) {
+            if (answer) {
+                reason = {Step::Usage, toString(m_context.settings.duties), "answered " + std::to_string(answer->result_int())};
+            }
+            logEvent(Part::Usage, Level::Warning, "usage report not taken", reason, {{"window", window}, {"fence", *fence}});
+            co_return;
+        }
+        logEvent(Part::Usage, Level::Info, "usage reported", {{"window", window}, {"requests", total}, {"fence", *fence}});
+        std::vector<Json::Value> records;
+        records.push_back(toJson(reported));
+        // If this record is lost, the same figures are reported once more.
+        co_await m_ledgerReader.log.append(streams::usage, std::move(records), reason);
+    }
+
+    UsageContext &m_context;
+    const SteadyWallClock m_clock;
+    StreamReader m_counts;
+    StreamReader m_ledgerReader;
+    UsageRows m_rows;
+    UsageLedger m_ledger;
+};
+
+} // namespace
+
+LogAccess accessStore(platform::StoreClient &store)
+{
+    LogAccess access;
+    access.read = [&store](std::string stream, Offset from, milliseconds wait, Reason &reason) -> asio::awaitable<std::optional<LogPage>> {
+        auto page = co_await store.read(std::move(stream), from, wait, storeTimeout, reason);
+        if (!page) {
+            co_return std::nullopt;
+        }
+        LogPage converted{.firstRetained = page->first, .next = page->next};
+        for (const platform::StoreRecord &record : page->records) {
+            if (auto value = parse(record.value)) {
+                converted.records.push_back({record.offset, std::move(*value)});
+            }
+        }
+        co_return converted;
+    };
+    access.append = [&store](std::string stream, std::vector<Json::Value> records, Reason &reason) -> asio::awaitable<std::optional<Offset>> {
+        std::vector<platform::StoreRecord> converted;
+        for (const Json::Value &record : records) {
+            converted.push_back({.value = write(record)});
+        }
+        co_return co_await store.append(std::move(stream), std::move(converted), storeTimeout, reason);
+    };
+    return access;
+}
+
+LeaseSettings leaseSettingsFor(const DirectSettings &settings) noexcept
+{
+    // Longer than the bound within which duties must not change hands twice; the margin covers the drift of two clocks.
+    return {.duration = settings.leaseBound + seconds(1), .margin = milliseconds(700)};
+}
+
+asio::awaitable<void> flushUsage(UsageContext &context)
+{
+    const auto rows = context.usage.takeChanged();
+    if (!rows) {
+        co_return;
+    }
+    Reason reason;
+    std::vector<Json::Value> records;
+    records.push_back(toJson(*rows));
+    const auto appended = co_await accessStore(context.store).append(countsStream, std::move(records), reason);
+    if (!appended) {
+        logEvent(Part::Usage, Level::Warning, "usage counts not published", reason);
+        context.usage.markChanged();
+    }
+}
+
+asio::awaitable<void> publishUsage(UsageContext &context)
+{
+    while (!context.stopped) {
+        co_await pauseFor(publishInterval);
+        co_await flushUsage(context);
+        context.usage.forgetBefore(context.usage.currentWindow() - keptWindows);
+    }
+}
+
+asio::awaitable<void> reportUsage(UsageContext &context)
+{
+    WindowReporter reporter(context);
+    while (!context.stopped) {
+        co_await reporter.step();
+        co_await pauseFor(reportInterval);
+    }
+}
+
+} // namespace snipehill
--- /dev/null
+++ b/src/serving/src/directusage.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <platform/storeclient.h>
+#include <process/directsettings.h>
+#include <process/leasekeeper.h>
+#include <process/usagebook.h>
+
+#include <atomic>
+
+namespace snipehill
+{
+
+/** What the usage work shares. Owned by the entry, runs on its control thread until stopped is set. */
+struct UsageContext
+{
+    const DirectSettings &settings;
+    platform::StoreClient &store;
+    LeaseKeeper &leases;
+    UsageBook &usage;
+    std::atomic<bool> stopped{false};
+};
+
+/** Access to the project's streams as topics of the platform's store, one JSON text a record. */
+LogAccess accessStore(platform::StoreClient &store);
+
+/** Lease times that fit the deployment's bound on duties that change hands. */
+LeaseSettings leaseSettingsFor(const DirectSettings &settings) noexcept;
+
+/** Appends this entry's counts about once a second while they change. */
+boost::asio::awaitable<void> publishUsage(UsageContext &context);
+
+/** Appends counts that were not published yet; at the end of the process. */
+boost::asio::awaitable<void> flushUsage(UsageContext &context);
+
+/** Closes and reports usage windows while this entry holds the lease for it. */
+boost::asio::awaitable<void> reportUsage(UsageContext &context);
+
+} // namespace snipehill
