--- a/src/process/src/targetbook.cpp
+++ b/src/process/src/targetbook.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::size_t maxUnsentReads = 256; // more than an entry places between two news
 constexpr double slownessWeight = 0.2; // of the newest measurement
+constexpr milliseconds leastMeasuredRead{80}; // fixed times, which are no sign of a slow engine, hide in longer ones
 constexpr double minSlowness = 0.7;
 constexpr double maxSlowness = 8;
 
@@ -291,7 +292,7 @@
     PlacedPrompt placed;
     placed.firstToken = placement->firstToken;
     placed.wait = placement->wait;
-    if (placed.firstToken > demand.bounds.latest || placed.wait > demand.bounds.longestWait) {
+    if (!isWithin(demand.bounds, placed.firstToken, placed.wait)) {
         return placed;
     }
     placed.booked = true;
@@ -333,7 +334,7 @@
         return;
     }
     const Duration predicted = read->second.ahead + read->second.time;
-    if (predicted > Duration::zero()) {
+    if (predicted >= leastMeasuredRead) {
         const double ratio = std::chrono::duration<double>(now - read->second.since) / std::chrono::duration<double>(predicted);
         target.slowness = std::clamp(target.slowness * (1 + slownessWeight * (std::clamp(ratio, 0.5, 2.0) - 1)), minSlowness, maxSlowness);
     }
--- a/src/request/include/request/directrequest.h
+++ b/src/request/include/request/directrequest.h
@@ -13,7 +13,7 @@
 {
 
 /** A caller's request, with what the system needs of it. Filled by the adapter of the platform, constant while it is served. */
-struct CallerRequest
+struct IncomingRequest
 {
     std::string id; //!< of this try of the caller; it stands in the answer
     std::string method;
@@ -40,7 +40,7 @@
     bool readOnly = false; //!< the prompt is read and kept, nothing runs
     std::string memory; //!< kept prompt to go on from; empty: none
     std::string fetchFrom; //!< "IP:PORT" of an engine that keeps parts of the prompt; empty: none
-    std::string lastEvent; //!< see CallerRequest
+    std::string lastEvent; //!< see IncomingRequest
 };
 
 /** Head of a target's answer. */
--- a/src/request/include/request/promptadmission.h
+++ b/src/request/include/request/promptadmission.h
@@ -15,8 +15,10 @@
     int patienceGoals = 4; //!< or for so many goals of the route
     int patienceGaps = 8; //!< or so many of its longest wanted pauses
     double usable = 0.8; //!< part of the patience that a prediction may fill; the rest is its error
-    double longWaitGoals = 0.35; //!< goals of the route that a long prompt may wait for those ahead of it
-    double shortWaitPatience = 0.2; //!< part of the patience that a short prompt may wait
+    double inTime = 0.75; //!< part of the goal that a prediction may fill to count as in time
+    double longWaitGoals = 0.15; //!< goals of the route that a long prompt may wait for those ahead of it
+    double largeWaitGoals = 1; //!< likewise for one so large that it can't be in time anyway: it would be refused more often than others
+    double shortWaitPatience = 0.12; //!< part of the patience that a short prompt may wait
     milliseconds minRetryAfter{200};
 };
 
@@ -26,10 +28,14 @@
 /** Predictions with which a prompt is placed. */
 struct PromptBounds
 {
+    Duration inTime = Duration::max(); //!< first event up to which the wait doesn't matter
     Duration latest = Duration::max(); //!< first event
     Duration longestWait = Duration::max(); //!< for the prompts ahead of it
 };
 
+/** Whether a prompt with these predictions is placed. */
+bool isWithin(const PromptBounds &bounds, Duration firstToken, Duration wait) noexcept;
+
 /**
  * Bounds for one prompt; it is refused at once when they are exceeded.
  *
--- a/src/request/include/request/promptplacement.h
+++ b/src/request/include/request/promptplacement.h
@@ -33,7 +33,10 @@
 /** Order in which an engine serves requests that wait, 0 first: by priority, then short prompts before long ones. */
 std::uint32_t urgencyOf(std::uint32_t priority, std::uint64_t promptTokens) noexcept;
 
-/** Time that an engine of the role needs to read tokens that follow others which it keeps. */
+/**
+ * Time that an engine of the role needs to read tokens that follow others which it keeps. Several prompts share a step, so
+ * a short one takes its part of it.
+ */
 Duration readingTime(const ReadingRates &rates, EngineRole role, std::uint64_t tokens, std::uint64_t before) noexcept;
 
 /** One engine as an entry sees it when a prompt is placed. Plain value, filled under the lock of its owner. */
--- a/src/request/src/promptadmission.cpp
+++ b/src/request/src/promptadmission.cpp
@@ -12,14 +12,21 @@
     return std::max({settings.minPatience, Duration(route.goal * settings.patienceGoals), Duration(route.gapGoal * settings.patienceGaps)});
 }
 
+bool isWithin(const PromptBounds &bounds, Duration firstToken, Duration wait) noexcept
+{
+    return firstToken <= bounds.latest && (firstToken <= bounds.inTime || wait <= bounds.longestWait);
+}
+
 PromptBounds boundsFor(const RouteRule &route, std::uint64_t promptTokens, Duration remaining, const PromptAdmissionSettings &settings) noexcept
 {
     const Duration patience = std::min(patienceOf(route, settings), remaining);
-    const bool isShort = promptTokens <= shortPromptTokens;
+    const bool isLarge = readingTime({}, EngineRole::Prefill, promptTokens, 0) > route.goal;
+    const Duration shortWait = std::chrono::duration_cast<Duration>(patience * settings.shortWaitPatience);
+    const Duration longWait = std::chrono::duration_cast<Duration>(Duration(route.goal) * (isLarge ? settings.largeWaitGoals : settings.longWaitGoals));
     PromptBounds bounds;
+    bounds.inTime = std::chrono::duration_cast<Duration>(Duration(route.goal) * settings.inTime);
     bounds.latest = std::chrono::duration_cast<Duration>(patience * settings.usable);
-    bounds.longestWait
-        = std::chrono::duration_cast<Duration>(isShort ? Duration(patience) * settings.shortWaitPatience : Duration(route.goal) * settings.longWaitGoals);
+    bounds.longestWait = promptTokens <= shortPromptTokens ? shortWait : longWait;
     return bounds;
 }
 
--- a/src/serving/src/directrequest.cpp
+++ b/src/serving/src/directrequest.cpp
@@ -78,8 +78,8 @@
 
 asio::awaitable<void> refuse(DirectRequest &request, DirectRefusal refusal)
 {
-    if (promisesNotRun(refusal.status) && request.mayHaveRun) {
-        refusal.status = badGateway;
+    if (request.mayHaveRun) {
+        refusal.status = promisesNotRun(refusal.status) ? badGateway : refusal.status;
         refusal.retryAfter = milliseconds(0);
     }
     HeaderList headers = platform::ownAnswerHeaders(request.caller.id);
@@ -157,7 +157,7 @@
 {
     DirectRequest request{.context = context, .exchange = exchange, .routing = context.routing.current(), .received = exchange.received()};
     Reason reason;
-    auto caller = platform::readCallerRequest(exchange.request(), reason);
+    auto caller = platform::readIncomingRequest(exchange.request(), reason);
     if (!caller) {
         const DirectRefusal refusal{badRequest, reason, milliseconds(0)};
         co_await refuse(request, refusal);
--- a/src/serving/src/directrequest.h
+++ b/src/serving/src/directrequest.h
@@ -19,7 +19,7 @@
 {
     DirectContext &context;
     HttpExchange &exchange;
-    CallerRequest caller;
+    IncomingRequest caller;
     RoutingVersionPointer routing; //!< version that the request began under
     const RouteRule *route = nullptr;
     const GroupRule *group = nullptr;
--- a/src/serving/src/directstream.cpp
+++ b/src/serving/src/directstream.cpp
@@ -165,12 +165,14 @@
         const auto piece = co_await exchange.connection->readSome(eventBound(request, progress), progress.reason);
         if (!piece) {
             abortExchange(request, exchange);
+            noteTargetFailure(request, exchange.target, SendResult::Unknown, progress.reason);
             co_return request.exchange.gone() ? RunEnd::Done : RunEnd::Broken;
         }
         if (piece->empty()) {
             if (progress.events.hasPartial()) {
                 progress.reason = {Step::RunOnTarget, exchange.target.id, "the stream ended within an event"};
                 abortExchange(request, exchange);
+                noteTargetFailure(request, exchange.target, SendResult::Unknown, progress.reason);
                 co_return RunEnd::Broken;
             }
             finishExchange(request, exchange);
--- a/tests/connection/httpservertest.cpp
+++ b/tests/connection/httpservertest.cpp
@@ -1,3 +1,5 @@
+#include "support/wait.h"
+
 #include <connection/httpserver.h>
 
 #include <catch2/catch.hpp>
@@ -5,6 +7,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
 #include <atomic>
@@ -56,6 +62,23 @@
         return answer;
     }
 
+    /** Sends the bytes and closes without waiting; true when the handler has learnt of it. */
+    bool leaveAfter(const std::string &bytes)
+    {
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        socket.connect({asio::ip::make_address("127.0.0.1"), m_server.port()});
+        const int before = m_handled;
+        asio::write(socket, asio::buffer(bytes));
+        const bool reached = support::waitUntil([&] {
+            return m_handled > before;
+        });
+        socket.close();
+        return reached && support::waitUntil([this] {
+                   return m_gone > 0;
+               });
+    }
+
     int handled() const
     {
         return m_handled;
@@ -65,6 +88,16 @@
     asio::awaitable<void> answer(HttpExchange &exchange)
     {
         ++m_handled;
+        if (exchange.request().target() == "/wait") {
+            asio::steady_timer timer(co_await asio::this_coro::executor, std::chrono::seconds(20));
+            exchange.onGone([this, &timer] {
+                ++m_gone;
+                timer.cancel();
+            });
+            boost::system::error_code ignored;
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            co_return;
+        }
         if (exchange.request().target() == "/throw") {
             throw std::runtime_error("handler failed");
         }
@@ -74,6 +107,7 @@
 
     asio::io_context m_context;
     std::atomic<int> m_handled{0};
+    std::atomic<int> m_gone{0};
     HttpServer m_server;
     std::thread m_thread;
 };
@@ -119,6 +153,11 @@
         {"negative length", head + "Content-Length: -1\r\n\r\n", "HTTP/1.1 400"},
         {"bad chunk size", head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n", "HTTP/1.1 400"},
         {"folded field", "GET / HTTP/1.1\r\nHost : a\r\n\r\n", "HTTP/1.1 400"},
+        {"continued line", "GET / HTTP/1.1\r\nHost: a\r\nX: 1\r\n 2\r\n\r\n", "HTTP/1.1 400"},
+        {"line feed alone", "GET / HTTP/1.1\r\nHost: a\nX: 1\r\n\r\n", "HTTP/1.1 400"},
+        {"carriage return in a line", "GET / HTTP/1.1\r\nHost: a\r\nX: 1\r2\r\n\r\n", "HTTP/1.1 400"},
+        {"two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", "HTTP/1.1 400"},
+        {"two codings", head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n", "HTTP/1.1 400"},
         {"body too long", head + "Content-Length: 65\r\n\r\n" + std::string(65, 'a'), "HTTP/1.1 413"},
         {"header too long", "GET / HTTP/1.1\r\nX: " + std::string(2000, 'a') + "\r\n\r\n", "HTTP/1.1 431"},
         {"too many fields", "GET / HTTP/1.1\r\n" + manyFields(9) + "\r\n", "HTTP/1.1 431"},
@@ -134,6 +173,12 @@
     }
 }
 
+TEST_CASE("a handler learns at once that its client has left", "[http]")
+{
+    CountingServer server(smallLimits());
+    CHECK(server.leaveAfter("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n"));
+}
+
 TEST_CASE("requests on one connection are answered in order, a failing handler costs one exchange", "[http]")
 {
     CountingServer server(smallLimits());
--- /dev/null
+++ b/tests/platform/messagestest.cpp
@@ -0,0 +1,169 @@
+#include <platform/messages.h>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace snipehill;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+HttpRequest callerMessage()
+{
+    HttpRequest message(http::verb::post, "/x/y?z=1", 11);
+    message.set(http::field::host, "a.example");
+    message.set("Attempt-Id", "9c41");
+    message.set("Deadline-Ms", "8000");
+    message.set("X-Api-Key", "secret");
+    message.set("Model", "m");
+    message.set("Token-Counts", "1460,80");
+    message.set("Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
+    message.set("X-Own", "kept");
+    message.body() = "text";
+    message.prepare_payload();
+    return message;
+}
+
+} // namespace
+
+TEST_CASE("A caller's request is read with its prompt", "[platform]")
+{
+    Reason reason;
+    const auto request = platform::readIncomingRequest(callerMessage(), reason);
+    REQUIRE(request);
+    CHECK(request->id == "9c41");
+    CHECK(request->path == "/x/y");
+    CHECK(request->key == "secret");
+    CHECK(request->deadline == milliseconds(8000));
+    CHECK(request->promptTokens == 1460);
+    CHECK(request->outputTokens == 80);
+    REQUIRE(request->parts.size() == 3);
+    CHECK(request->parts[1].tokens == 410);
+}
+
+TEST_CASE("Headers that are the system's to set never come from a caller", "[platform]")
+{
+    const std::vector<std::string> forged{"Tenant",
+                                          "EXPECT-INSTANCE",
+                                          "serving-stage",
+                                          "Kv-Source",
+                                          "Kv-Fetch",
+                                          "Kv-Hold",
+                                          "kv-backup",
+                                          "Pin-Ms",
+                                          "Request-Urgency",
+                                          "Expect-Version",
+                                          "Not-Executed",
+                                          "Server-Seal",
+                                          "Server-Load",
+                                          "Instance-Id",
+                                          "Duty-Holder",
+                                          "Fencing-Token",
+                                          "Wait-Ms",
+                                          "Last-Event-Id"};
+    for (const std::string &name : forged) {
+        INFO(name);
+        HttpRequest message = callerMessage();
+        message.insert(name, "forged");
+        Reason reason;
+        const auto request = platform::readIncomingRequest(message, reason);
+        REQUIRE(request);
+        TargetRequestHeaders headers;
+        headers.targetId = "i-1";
+        headers.remaining = milliseconds(500);
+        const HttpRequest sent = platform::targetRequest(*request, headers);
+        for (const auto &field : sent) {
+            CHECK(field.value() != "forged");
+        }
+        CHECK(sent["X-Api-Key"].empty());
+        CHECK(sent["X-Own"] == "kept");
+        CHECK(sent["Expect-Instance"] == "i-1");
+        CHECK(sent["Deadline-Ms"] == "500");
+        CHECK(sent["Token-Counts"] == "1460,80");
+        CHECK(sent.body() == "text");
+        CHECK(sent.target() == "/x/y?z=1");
+    }
+}
+
+TEST_CASE("A Connection header takes its fields away, but not what describes the request", "[platform]")
+{
+    HttpRequest message = callerMessage();
+    message.set(http::field::connection, "X-Own, Model, Attempt-Id, Prompt-Prefix");
+    Reason reason;
+    const auto request = platform::readIncomingRequest(message, reason);
+    REQUIRE(request);
+    const HttpRequest sent = platform::targetRequest(*request, {.targetId = "i-1", .remaining = milliseconds(1)});
+    CHECK(sent["X-Own"].empty());
+    CHECK(sent["Model"] == "m");
+    CHECK(sent["Attempt-Id"] == "9c41");
+    CHECK(sent.count("Prompt-Prefix") == 1);
+}
+
+TEST_CASE("Repeated or malformed headers that decide something are refused", "[platform]")
+{
+    struct Case
+    {
+        std::string name;
+        std::string value;
+        bool repeat;
+    };
+    const std::vector<Case> cases{{"Attempt-Id", "other", true},
+                                  {"X-Api-Key", "other", true},
+                                  {"Deadline-Ms", "9", true},
+                                  {"Deadline-Ms", "soon", false},
+                                  {"Deadline-Ms", "-4", false},
+                                  {"Token-Counts", "1460", false},
+                                  {"Token-Counts", "a,b", false},
+                                  {"Prompt-Prefix", "5c1e07a2", false},
+                                  {"Attempt-Id", "", false}};
+    for (const Case &c : cases) {
+        INFO(c.name << ": " << c.value);
+        HttpRequest message = callerMessage();
+        if (c.repeat) {
+            message.insert(c.name, c.value);
+        } else {
+            message.set(c.name, c.value);
+        }
+        Reason reason;
+        CHECK(!platform::readIncomingRequest(message, reason));
+        CHECK(reason.step == Step::Parse);
+    }
+}
+
+TEST_CASE("The head of a target's answer tells whose it is and what may be passed on", "[platform]")
+{
+    Reason reason;
+    const auto request = platform::readIncomingRequest(callerMessage(), reason);
+    http::response<http::string_body> response(http::status::ok, 11);
+    response.set("Attempt-Id", "9c41");
+    response.set("Server-Seal", "seal");
+    response.set("Server-Load", "3,1,8");
+    response.set("Keep-Alive", "timeout=5, max=9");
+    response.set("Content-Type", "text/event-stream");
+    const TargetAnswer answer = platform::readTargetAnswer(response, *request);
+    CHECK(answer.answersRequest);
+    CHECK(answer.sealed);
+    CHECK(!answer.notRun);
+    CHECK(answer.events);
+    CHECK(answer.keepAlive == seconds(5));
+    REQUIRE(answer.load);
+    CHECK(answer.load->second == 1);
+    for (const auto &[name, value] : answer.headers) {
+        CHECK(name != "Server-Load");
+        CHECK(name != "Keep-Alive");
+    }
+    response.set("Attempt-Id", "other");
+    CHECK(!platform::readTargetAnswer(response, *request).answersRequest);
+}
+
+TEST_CASE("The handle of a kept prompt is read, and nothing else taken for one", "[platform]")
+{
+    Reason reason;
+    CHECK(platform::readMemoryHandle(R"({"transfer_handle":"3fa0","tokens":1})", reason) == "3fa0");
+    CHECK(!platform::readMemoryHandle(R"({"tokens":1})", reason));
+    CHECK(!platform::readMemoryHandle("no JSON", reason));
+    CHECK(platform::memoryAt({"10.1.0.9", 8080}, "3fa0") == "10.1.0.9:8080/3fa0");
+}
--- /dev/null
+++ b/tests/platform/recordstest.cpp
@@ -0,0 +1,96 @@
+#include <platform/records.h>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace snipehill;
+
+namespace
+{
+
+const std::string configuration = R"({"version":7,"routes":[
+ {"name":"r1","host":"a.example","path_prefix":"/x/","kind":"streaming","timeout_ms":8000,"goal_ms":600,"priority":1,
+  "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"max_attempts":1,"public":false,"session_affinity":true,
+  "resumable":false,"gap_goal_ms":200},
+ {"name":"r2","host":"a.example","path_prefix":"/x/y/","kind":"non_idempotent","timeout_ms":1500,"service":"s2","max_attempts":1,"public":true}],
+ "services":[{"name":"s1","max_conns":360,"engine":{"slots":64,"kv_tokens":469137,"token_kv_bytes":327680,"link_mbps":2700000.0,"handle_ttl_s":5.0}},
+  {"name":"s2","max_conns":96}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"w1","api_keys":["k1","k2"],"priority":1},{"name":"w2","api_keys":[]}]})";
+
+} // namespace
+
+TEST_CASE("The operator's configuration becomes a routing version", "[platform]")
+{
+    Reason reason;
+    const auto version = platform::parseRoutingVersion(configuration, reason);
+    REQUIRE(version);
+    CHECK(version->version == 7);
+    const RouteRule *longest = findRoute(*version, "A.example:80", "/x/y/z");
+    REQUIRE(longest);
+    CHECK(longest->name == "r2");
+    CHECK(longest->open);
+    CHECK(!mayRepeat(*longest));
+    const RouteRule *other = findRoute(*version, "a.example", "/x/z");
+    REQUIRE(other);
+    CHECK(other->groups.size() == 2);
+    CHECK(drawGroup(*other, 0.89) == "s1");
+    CHECK(drawGroup(*other, 0.91) == "s2");
+    CHECK(!findRoute(*version, "a.example", "/xx/"));
+    CHECK(!findRoute(*version, "b.example", "/x/z"));
+    REQUIRE(findWorkspace(*version, "k2"));
+    CHECK(findWorkspace(*version, "k2")->name == "w1");
+    CHECK(findWorkspace(*version, "k2")->priority == 1U);
+    CHECK(!findWorkspace(*version, "k3"));
+    REQUIRE(version->groups.at("s1").engine);
+    CHECK(version->groups.at("s1").engine->slots == 64);
+    CHECK(version->groups.at("s1").engine->handleLifetime == seconds(5));
+    CHECK(!version->groups.at("s2").engine);
+}
+
+TEST_CASE("A configuration or a target entry that can't be read names what is missing", "[platform]")
+{
+    struct Case
+    {
+        const char *what;
+        std::string json;
+    };
+    const std::vector<Case> configurations{{"no JSON", "{"},
+                                           {"no object", "[]"},
+                                           {"no version", R"({"routes":[]})"},
+                                           {"unknown kind", R"({"version":1,"routes":[{"host":"a","path_prefix":"/","kind":"new","service":"s"}]})"},
+                                           {"no group", R"({"version":1,"routes":[{"host":"a","path_prefix":"/","kind":"idempotent"}]})"}};
+    for (const Case &c : configurations) {
+        INFO(c.what);
+        Reason reason;
+        CHECK(!platform::parseRoutingVersion(c.json, reason));
+        CHECK(!reason.detail.empty());
+    }
+    const std::vector<Case> entries{{"torn", R"({"service":"s","address":"10.0.0.1:80","zo)"},
+                                    {"bytes that aren't text", std::string("\xff\x00\x01", 3)},
+                                    {"no address", R"({"service":"s","zone":"z","slots":4,"state":"ready"})"},
+                                    {"address of another type", R"({"service":"s","address":5,"zone":"z","slots":4,"state":"ready"})"},
+                                    {"address that is none", R"({"service":"s","address":"here","zone":"z","slots":4,"state":"ready"})"},
+                                    {"unknown state", R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"resting"})"},
+                                    {"unknown role", R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","stage":"dreaming"})"},
+                                    {"slots of another type", R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":"4","state":"ready"})"}};
+    for (const Case &c : entries) {
+        INFO(c.what);
+        Reason reason;
+        CHECK(!platform::parseTargetEntry("i-1", c.json, reason));
+    }
+}
+
+TEST_CASE("A target entry is read with its state, role and start", "[platform]")
+{
+    Reason reason;
+    const auto entry = platform::parseTargetEntry(
+        "i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"draining","stage":"prefill","born":1700000000123})", reason);
+    REQUIRE(entry);
+    CHECK(entry->id == "i-1");
+    CHECK(entry->leaving);
+    CHECK(entry->role == EngineRole::Prefill);
+    CHECK(entry->started == 1700000000123);
+}
--- /dev/null
+++ b/tests/platform/settingsfiletest.cpp
@@ -0,0 +1,89 @@
+#include <platform/settingsfile.h>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace snipehill;
+
+namespace
+{
+
+const std::string wholeFile = R"(
+node_name = "edge-a-1"
+zone = "zone-a"
+region = "region-a"
+port_range = [7660,7675]
+heartbeat_ms = 1200
+some_new_field = [1, 2]
+[listen]
+front = "10.1.0.7:8405"
+ready = "10.1.0.7:8406"
+[limits]
+cpu_share = 0.19
+cores = 1
+[bounds]
+drain_ms = 2000
+config_ms = 2000
+grace_s = 8
+lease_ms = 3000
+report_window_s = 5
+usage_late_s = 10
+budget_ratio = 0.2
+budget_window_s = 10
+budget_slack = 52
+[platform]
+address = "10.200.1.7:8408"
+[cloud]
+address = "10.200.0.60:8408"
+duties = ["usage_report","autoscale"]
+)";
+
+std::string without(const std::string &line)
+{
+    std::string text = wholeFile;
+    const auto at = text.find(line);
+    return text.erase(at, text.find('\n', at) - at);
+}
+
+} // namespace
+
+TEST_CASE("The platform's settings file fills the settings, unknown fields are ignored", "[platform]")
+{
+    Reason reason;
+    const auto settings = platform::parseSettingsFile(wholeFile, reason);
+    REQUIRE(settings);
+    CHECK(settings->instance == "edge-a-1");
+    CHECK(settings->failureDomain == "zone-a");
+    CHECK(settings->callers == Endpoint{"10.1.0.7", 8405});
+    CHECK(settings->readiness == Endpoint{"10.1.0.7", 8406});
+    CHECK(settings->store == Endpoint{"10.200.1.7", 8408});
+    CHECK(settings->duties == Endpoint{"10.200.0.60", 8408});
+    CHECK(settings->reportsUsage);
+    CHECK(settings->firstPort == 7660);
+    CHECK(settings->grace == seconds(8));
+    CHECK(settings->usageWindow == seconds(5));
+    CHECK(settings->retrySlack == 52);
+}
+
+TEST_CASE("A settings file that can't be used is refused with the field's name", "[platform]")
+{
+    struct Case
+    {
+        std::string text;
+        std::string named;
+    };
+    const std::vector<Case> cases{{without("node_name"), "node_name"},
+                                  {without("front ="), "listen.front"},
+                                  {without("port_range"), "port_range"},
+                                  {without("address = \"10.200.1.7"), "platform.address"},
+                                  {"node_name = ", ""}};
+    for (const Case &c : cases) {
+        INFO(c.named);
+        Reason reason;
+        CHECK(!platform::parseSettingsFile(c.text, reason));
+        CHECK(reason.step == Step::Settings);
+        CHECK(reason.detail.find(c.named) != std::string::npos);
+    }
+}
--- /dev/null
+++ b/tests/platform/storeclienttest.cpp
@@ -0,0 +1,162 @@
+#include "standins/standin.h"
+
+#include <platform/storeclient.h>
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+
+#include <future>
+#include <thread>
+
+using namespace snipehill;
+namespace asio = boost::asio;
+
+namespace
+{
+
+/** The store's stand-in on a free port, with a thread of its own. */
+class StoreHost
+{
+public:
+    StoreHost()
+        : m_store(standins::makePlatformStore("store", "")), m_server(m_context.get_executor(), {}, [this](HttpExchange &exchange) {
+            return m_store->handle(exchange);
+        })
+    {
+        Reason reason;
+        REQUIRE(m_server.start({"127.0.0.1", 0}, reason));
+        m_thread = std::thread([this] {
+            m_context.run();
+        });
+    }
+    ~StoreHost()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+    StoreHost(const StoreHost &) = delete;
+    StoreHost &operator=(const StoreHost &) = delete;
+
+    Endpoint endpoint() const
+    {
+        return {"127.0.0.1", m_server.port()};
+    }
+
+    /** Runs one call to its end, on the context that the client's kept connections belong to. */
+    template<typename Result> Result run(asio::awaitable<Result> call)
+    {
+        auto result = asio::co_spawn(m_caller, std::move(call), asio::use_future);
+        m_caller.restart();
+        m_caller.run();
+        return result.get();
+    }
+
+    void setFaults(const std::string &json)
+    {
+        std::promise<void> done;
+        asio::post(m_context, [&] {
+            m_store->faults.merge(*standins::parseJson(json));
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+private:
+    asio::io_context m_caller;
+    asio::io_context m_context;
+    std::unique_ptr<standins::StandIn> m_store;
+    HttpServer m_server;
+    std::thread m_thread;
+};
+
+constexpr milliseconds timeout{2000};
+
+std::vector<platform::StoreRecord> oneRecord(std::string key, std::string value)
+{
+    std::vector<platform::StoreRecord> records;
+    records.push_back({noOffset, std::move(key), std::move(value)});
+    return records;
+}
+
+} // namespace
+
+TEST_CASE("Records by key are appended, read on and read as the newest of each key", "[platform]")
+{
+    StoreHost host;
+    platform::StoreClient store(host.endpoint());
+    Reason reason;
+    CHECK(host.run(store.append("keyed.own", oneRecord("a", "1"), timeout, reason)) == 0);
+    CHECK(host.run(store.append("keyed.own", oneRecord("b", "2"), timeout, reason)) == 1);
+    CHECK(host.run(store.append("keyed.own", oneRecord("a", std::string("\0\xff", 2)), timeout, reason)) == 2);
+    CHECK(host.run(store.append("keyed.own", oneRecord("b", ""), timeout, reason)) == 3);
+    const auto newest = host.run(store.readNewest("keyed.own", timeout, reason));
+    REQUIRE(newest);
+    REQUIRE(newest->records.size() == 1);
+    CHECK(newest->records[0].key == "a");
+    CHECK(newest->records[0].value == std::string("\0\xff", 2));
+    CHECK(newest->next == 4);
+    const auto page = host.run(store.read("keyed.own", 1, milliseconds(0), timeout, reason));
+    REQUIRE(page);
+    REQUIRE(page->records.size() == 3);
+    CHECK(page->records[0].offset == 1);
+    CHECK(page->records[0].key == "b");
+    CHECK(page->records[2].value.empty());
+    CHECK(page->next == 4);
+}
+
+TEST_CASE("A read waits for a record, and tells when the wanted ones were deleted", "[platform]")
+{
+    StoreHost host;
+    platform::StoreClient store(host.endpoint());
+    Reason reason;
+    const auto empty = host.run(store.read("own", 0, milliseconds(30), timeout, reason));
+    REQUIRE(empty);
+    CHECK(empty->records.empty());
+    CHECK(empty->next == 0);
+    CHECK(host.run(store.append("own", oneRecord("", "x"), timeout, reason)) == 0);
+    CHECK(host.run(store.append("own", oneRecord("", "y"), timeout, reason)) == 1);
+    HttpCall trim{.peer = host.endpoint(), .method = boost::beast::http::verb::post, .target = "/api/log-trim?topic=own&part=0&before_offset=1"};
+    REQUIRE(host.run(httpCall(trim, reason)));
+    const auto page = host.run(store.read("own", 0, milliseconds(0), timeout, reason));
+    REQUIRE(page);
+    CHECK(page->dropped);
+    CHECK(page->first == 1);
+}
+
+TEST_CASE("A store that fails is told apart by the reason, and the next call uses a new connection", "[platform]")
+{
+    struct Case
+    {
+        const char *fault;
+        const char *detail;
+    };
+    const std::vector<Case> cases{{R"({"down": true})", "503"}, {R"({"silent": true})", "receive head"}};
+    for (const Case &c : cases) {
+        INFO(c.fault);
+        StoreHost host;
+        platform::StoreClient store(host.endpoint());
+        Reason reason;
+        host.setFaults(c.fault);
+        CHECK(!host.run(store.read("own", 0, milliseconds(0), milliseconds(200), reason)));
+        CHECK(reason.step == Step::LogRead);
+        CHECK(reason.peer == toString(host.endpoint()));
+        CHECK(reason.detail.find(c.detail) != std::string::npos);
+        host.setFaults(R"({"down": false, "silent": false})");
+        CHECK(host.run(store.read("own", 0, milliseconds(0), timeout, reason)));
+    }
+}
+
+TEST_CASE("An append whose answer is lost fails and has taken effect", "[platform]")
+{
+    StoreHost host;
+    platform::StoreClient store(host.endpoint());
+    Reason reason;
+    host.setFaults(R"({"loseAnswers": 1})");
+    CHECK(!host.run(store.append("own", oneRecord("", "x"), timeout, reason)));
+    const auto page = host.run(store.read("own", 0, milliseconds(0), timeout, reason));
+    REQUIRE(page);
+    CHECK(page->records.size() == 1);
+}
--- /dev/null
+++ b/tests/proofs/directpathtest.cpp
@@ -0,0 +1,213 @@
+#include "support/directhost.h"
+#include "support/wait.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace snipehill;
+using namespace snipehill::support;
+
+namespace
+{
+
+std::vector<DirectTarget> usualTargets()
+{
+    return {{"p1", "plain", ""}, {"p2", "plain", ""}, {"e1", "engines", "prefill"}, {"e2", "engines", "decode"}, {"e3", "engines", "decode"}};
+}
+
+/** A deployment with one entry that is ready. */
+class ReadyHost : public DirectHost
+{
+public:
+    ReadyHost() : DirectHost(usualTargets(), 1)
+    {
+        publish(usualConfiguration(1));
+        REQUIRE(waitUntilReady(0));
+    }
+};
+
+std::size_t runs(DirectHost &host, const std::vector<std::string> &targets)
+{
+    std::size_t count = 0;
+    for (const std::string &target : targets) {
+        count += host.events(target, "run").size();
+    }
+    return count;
+}
+
+const std::string wholeStream = "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 3\ndata: token 3\n\nid: 4\ndata: token 4\n\nid: 5\ndata: token 5\n\n";
+
+} // namespace
+
+TEST_CASE("An entry on the platform serves each kind of request", "[direct]")
+{
+    ReadyHost host;
+    const Answer read = host.call(0, directCall("GET", "/read/x", "r1"));
+    CHECK(read.status == 200);
+    CHECK(read.body.starts_with("ran r1 at p"));
+    CHECK(read.headers.at("server-seal").starts_with("seal-p"));
+    const Answer post = host.call(0, directCall("POST", "/post/x", "r2", "fee"));
+    CHECK(post.status == 200);
+    for (const char *path : {"/ask/x", "/review/x"}) {
+        INFO(path);
+        const Answer stream = host.call(0, promptCall(path, std::string("s") + path[1], 17000));
+        CHECK(stream.status == 200);
+        CHECK(stream.whole);
+        CHECK(stream.body == wholeStream);
+    }
+    // Long prompts are read apart; the run names the kept prompt, and no target sees the key.
+    CHECK(host.events("e1", "read").size() == 2);
+    for (const char *target : {"p1", "p2", "e2", "e3"}) {
+        for (const Json::Value &event : host.events(target, "run")) {
+            CHECK(!event["headers"].isMember("x-api-key"));
+            CHECK(event["headers"]["tenant"] == "w1");
+            CHECK(event["headers"]["expect-instance"] == target);
+            CHECK((event["headers"].isMember("token-counts") == event["headers"].isMember("kv-source")));
+        }
+    }
+}
+
+TEST_CASE("Requests that no route or key allows reach no target", "[direct]")
+{
+    struct Case
+    {
+        const char *what;
+        std::string path;
+        std::string key;
+        unsigned status;
+    };
+    const std::vector<Case> cases{{"no route", "/none/x", "key-1", 404}, {"unknown key", "/read/x", "key-2", 401}, {"no key", "/read/x", "", 401}};
+    ReadyHost host;
+    for (const Case &c : cases) {
+        INFO(c.what);
+        Call call = directCall("GET", c.path, "r1");
+        call.headers["X-Api-Key"] = c.key;
+        CHECK(host.call(0, call).status == c.status);
+    }
+    CHECK(runs(host, {"p1", "p2"}) == 0);
+    host.publish(usualConfiguration(2, "key-2"));
+    CHECK(waitUntil([&] {
+        return host.call(0, directCall("GET", "/read/x", "r2")).status == 401;
+    }));
+    // A version that is older than the one in force has no effect.
+    host.publish(usualConfiguration(1, "key-1"));
+    letPass(milliseconds(300));
+    CHECK(host.call(0, directCall("GET", "/read/x", "r3")).status == 401);
+}
+
+TEST_CASE("What a target did not run is refused as not run, what it may have run is not", "[direct]")
+{
+    struct Case
+    {
+        const char *what;
+        const char *faults;
+        const char *path;
+        unsigned status;
+        std::size_t runs;
+    };
+    const std::vector<Case> cases{
+        {"refused posting", R"({"refuse": true})", "/post/x", 503, 0},
+        {"refused lookup", R"({"refuse": true})", "/read/x", 503, 0},
+        {"failed posting runs once", R"({"status": 500})", "/post/x", 500, 1},
+        {"failed lookup runs at another target too", R"({"status": 500})", "/read/x", 500, 2},
+        {"a 503 that does not say so may have run", R"({"status": 503})", "/post/x", 502, 1},
+        {"target with another id", R"({"id": "someone else"})", "/post/x", 503, 0},
+    };
+    for (const Case &c : cases) {
+        INFO(c.what);
+        ReadyHost host;
+        host.setFaults("p1", c.faults);
+        host.setFaults("p2", c.faults);
+        const Answer answer = host.call(0, directCall("POST", c.path, "r1"));
+        CHECK(answer.status == c.status);
+        CHECK(runs(host, {"p1", "p2"}) == c.runs);
+        CHECK((answer.status == 503) == (answer.headers.contains("retry-after")));
+    }
+}
+
+TEST_CASE("A stream that breaks goes on at another engine where it may, and never looks whole where not", "[direct]")
+{
+    ReadyHost host;
+    for (const char *engine : {"e2", "e3"}) {
+        host.setFaults(engine, R"({"cutAfter": 2})");
+    }
+    const Answer review = host.call(0, promptCall("/review/x", "r1", 100));
+    CHECK(!review.whole);
+    CHECK(runs(host, {"e2", "e3"}) == 1);
+    const Answer ask = host.call(0, promptCall("/ask/x", "a1", 100));
+    CHECK(ask.whole);
+    CHECK(ask.body == wholeStream);
+    CHECK(runs(host, {"e2", "e3"}) == 3);
+}
+
+TEST_CASE("An answer that was sent twice is never taken for that of the next request", "[direct]")
+{
+    ReadyHost host;
+    host.setFaults("p1", R"({"extraAnswer": 20})");
+    host.setFaults("p2", R"({"extraAnswer": 20})");
+    for (int i = 0; i < 20; ++i) {
+        const std::string id = "r" + std::to_string(i);
+        const Answer answer = host.call(0, directCall("GET", "/read/x", id));
+        CHECK(answer.status == 200);
+        CHECK(answer.body.starts_with("ran " + id + " at"));
+    }
+}
+
+TEST_CASE("A target that leaves or is gone gets no new work", "[direct]")
+{
+    ReadyHost host;
+    const std::vector<std::string> states{"draining", ""};
+    for (const std::string &state : states) {
+        INFO("state " << state);
+        host.registerTarget({"p1", "plain", ""}, state);
+        letPass(milliseconds(1000)); // two reads of the entries and more
+        const std::size_t before = runs(host, {"p1"});
+        for (int i = 0; i < 10; ++i) {
+            CHECK(host.call(0, directCall("GET", "/read/x", "r" + state + std::to_string(i))).status == 200);
+        }
+        CHECK(runs(host, {"p1"}) == before);
+    }
+}
+
+TEST_CASE("An entry that is told to stop leaves the rotation, answers what comes and ends by itself", "[direct]")
+{
+    ReadyHost host;
+    for (const char *target : {"p1", "p2"}) {
+        host.setFaults(target, R"({"beforeMs": 1500})");
+    }
+    Answer slow;
+    std::thread caller([&] {
+        slow = host.call(0, directCall("POST", "/post/x", "r1"));
+    });
+    REQUIRE(waitUntil([&] {
+        return runs(host, {"p1", "p2"}) == 1;
+    }));
+    host.entries[0].signal(SIGTERM);
+    CHECK(host.waitUntilReady(0, false));
+    const Answer late = host.call(0, directCall("POST", "/post/x", "r2"));
+    caller.join();
+    CHECK(slow.status == 200);
+    CHECK(late.status == 200);
+    CHECK(host.entries[0].waitForEnd(seconds(8)) == 0);
+}
+
+TEST_CASE("With the store away an entry goes on with what it knows, and refuses what it can't know", "[direct]")
+{
+    ReadyHost host;
+    host.setFaults("store", R"({"down": true})");
+    CHECK(waitUntil([&] {
+        return host.call(0, directCall("GET", "/none/x", "n")).status == 503;
+    }));
+    CHECK(host.call(0, directCall("GET", "/read/x", "r1")).status == 200);
+    host.setFaults("store", R"({"down": false})");
+    CHECK(waitUntil([&] {
+        return host.call(0, directCall("GET", "/none/x", "n")).status == 404;
+    }));
+    const std::string log = host.logOf(0);
+    CHECK(log.find("store lost") != std::string::npos);
+    CHECK(log.find("store regained") != std::string::npos);
+}
--- /dev/null
+++ b/tests/request/eventstreamtest.cpp
@@ -0,0 +1,36 @@
+#include <request/eventstream.h>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace snipehill;
+
+TEST_CASE("Events pass when they are whole, however their bytes arrive", "[events]")
+{
+    const std::string stream = "id: 1\ndata: a\n\nweight-versions: 4\nid: 2\ndata: b\n\nid:3\r\ndata: c\r\n\r\n";
+    for (std::size_t size = 1; size <= stream.size(); ++size) {
+        EventStream events;
+        std::string passed;
+        for (std::size_t at = 0; at < stream.size(); at += size) {
+            passed += events.take(std::string_view(stream).substr(at, size));
+        }
+        CHECK(passed == stream);
+        CHECK(events.lastId() == "3");
+        CHECK(events.events() == 3);
+        CHECK(!events.hasPartial());
+    }
+}
+
+TEST_CASE("A part of an event is held back, and dropped when its target broke off", "[events]")
+{
+    EventStream events;
+    CHECK(events.take("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
+    CHECK(events.hasPartial());
+    CHECK(events.lastId() == "1");
+    events.dropPartial();
+    CHECK(!events.hasPartial());
+    CHECK(events.take("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+    CHECK(events.lastId() == "2");
+}
--- /dev/null
+++ b/tests/request/promptadmissiontest.cpp
@@ -0,0 +1,44 @@
+#include <request/promptadmission.h>
+#include <request/promptplacement.h>
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace snipehill;
+
+TEST_CASE("Callers of a stream wait for two seconds, four goals or eight pauses, whichever is longest", "[admission]")
+{
+    struct Case
+    {
+        milliseconds goal;
+        milliseconds gap;
+        milliseconds patience;
+    };
+    const std::vector<Case> cases{{milliseconds(250), milliseconds(200), milliseconds(2000)},
+                                  {milliseconds(600), milliseconds(200), milliseconds(2400)},
+                                  {milliseconds(250), milliseconds(400), milliseconds(3200)}};
+    for (const Case &c : cases) {
+        CHECK(patienceOf({.goal = c.goal, .gapGoal = c.gap}, {}) == c.patience);
+    }
+}
+
+TEST_CASE("Bounds follow from goal, patience, size and time left", "[admission]")
+{
+    const RouteRule route{.goal = milliseconds(600)};
+    const PromptAdmissionSettings settings;
+    const PromptBounds small = boundsFor(route, shortPromptTokens, seconds(8), settings);
+    const PromptBounds large = boundsFor(route, shortPromptTokens + 1, seconds(8), settings);
+    CHECK(small.latest == large.latest);
+    CHECK(small.longestWait > large.longestWait);
+    CHECK(boundsFor(route, 100, seconds(1), settings).latest < seconds(1));
+}
+
+TEST_CASE("Who is refused comes back when what is ahead has shrunk, never at once", "[admission]")
+{
+    const PromptBounds bounds{.latest = seconds(2), .longestWait = milliseconds(300)};
+    const PromptAdmissionSettings settings;
+    CHECK(retryAfterFor(milliseconds(900), milliseconds(800), bounds, settings) == milliseconds(500));
+    CHECK(retryAfterFor(milliseconds(3000), milliseconds(310), bounds, settings) == seconds(1));
+    CHECK(retryAfterFor(milliseconds(2001), milliseconds(301), bounds, settings) == settings.minRetryAfter);
+}
--- /dev/null
+++ b/tests/request/promptplacementtest.cpp
@@ -0,0 +1,147 @@
+#include "fakes/promptrun.h"
+
+#include <request/promptplacement.h>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace snipehill;
+
+namespace
+{
+
+PlacementEngine engine(std::string id, EngineRole role, milliseconds backlog = milliseconds(0), std::uint64_t covered = 0)
+{
+    return {.id = std::move(id), .failureDomain = "fd-a", .role = role, .backlog = backlog, .slots = 16, .covered = covered};
+}
+
+PlacementSettings linked()
+{
+    PlacementSettings settings;
+    settings.tokenBytes = 327680;
+    settings.linkBitsPerSecond = 2.7e12;
+    return settings;
+}
+
+constexpr auto prefill = EngineRole::Prefill;
+constexpr auto decode = EngineRole::Decode;
+
+} // namespace
+
+TEST_CASE("A prompt goes where its first event is predicted soonest", "[placement]")
+{
+    struct Case
+    {
+        const char *what;
+        std::vector<PlacementEngine> engines;
+        PromptDemand demand;
+        std::string reader; //!< empty: read where it runs
+        std::string runner;
+        std::string fetchFrom;
+    };
+    PlacementEngine suspect = engine("p1", prefill);
+    suspect.suspect = true;
+    PlacementEngine remote = engine("d1", decode);
+    remote.failureDomain = "fd-b";
+    PlacementEngine full = engine("d1", decode);
+    full.running = 40;
+    PlacementEngine slow = engine("p1", prefill);
+    slow.slowness = 6;
+    const PromptDemand longPrompt{.promptTokens = 17000, .bodyBytes = 34000, .failureDomain = "fd-a"};
+    const std::vector<Case> cases{
+        {"a long prompt is read apart", {engine("p1", prefill), engine("d1", decode)}, longPrompt, "p1", "d1", ""},
+        {"the reader with less ahead of it",
+         {engine("p1", prefill, milliseconds(300)), engine("p2", prefill), engine("d1", decode)},
+         longPrompt,
+         "p2",
+         "d1",
+         ""},
+        {"a reader that keeps the start, though it is busier",
+         {engine("p1", prefill, milliseconds(100), 13300), engine("p2", prefill), engine("d1", decode)},
+         {.promptTokens = 17000, .failureDomain = "fd-a"},
+         "p2",
+         "d1",
+         "p1"},
+        {"where it runs when readers are far behind", {engine("p1", prefill, milliseconds(9000)), engine("d1", decode)}, longPrompt, "", "d1", ""},
+        {"where it runs when nothing may be read apart",
+         {engine("p1", prefill), engine("d1", decode)},
+         {.promptTokens = 17000, .failureDomain = "fd-a", .mayReadApart = false},
+         "",
+         "d1",
+         ""},
+        {"no reader that failed a moment ago", {suspect, engine("p2", prefill, milliseconds(200)), engine("d1", decode)}, longPrompt, "p2", "d1", ""},
+        {"no reader that has turned slow", {slow, engine("p2", prefill, milliseconds(200)), engine("d1", decode)}, longPrompt, "p2", "d1", ""},
+        {"a runner in the same failure domain", {engine("p1", prefill), remote, engine("d2", decode)}, longPrompt, "p1", "d2", ""},
+        {"a runner with free slots", {engine("p1", prefill), full, engine("d2", decode)}, longPrompt, "p1", "d2", ""},
+    };
+    for (const Case &c : cases) {
+        INFO(c.what);
+        Reason reason;
+        const auto placement = placePrompt(c.engines, c.demand, linked(), reason);
+        REQUIRE(placement);
+        CHECK((placement->reader ? c.engines[*placement->reader].id : "") == c.reader);
+        CHECK(c.engines[placement->runner].id == c.runner);
+        CHECK((placement->fetchFrom ? c.engines[*placement->fetchFrom].id : "") == c.fetchFrom);
+    }
+}
+
+TEST_CASE("Without an engine that runs prompts there is no placement", "[placement]")
+{
+    const std::vector<std::vector<PlacementEngine>> groups{{}, {engine("p1", prefill), engine("p2", prefill)}};
+    for (const auto &engines : groups) {
+        Reason reason;
+        CHECK(!placePrompt(engines, {.promptTokens = 100}, linked(), reason));
+        CHECK(reason.step == Step::ChooseTarget);
+    }
+}
+
+TEST_CASE("Short prompts go ahead of long ones of their priority, and behind those of a higher one", "[placement]")
+{
+    CHECK(urgencyOf(0, 300) < urgencyOf(0, 17000));
+    CHECK(urgencyOf(0, 17000) < urgencyOf(1, 300));
+}
+
+TEST_CASE("More long prompts than can be read: those that are placed are in time, sizes and short prompts keep their share", "[placement][load]")
+{
+    for (const std::uint64_t seed : {1, 2, 3, 4}) {
+        INFO("seed " << seed);
+        fakes::PromptLoad load{.seed = seed, .longPerSecond = 40, .burst = 3};
+        const auto bounded = fakes::PromptRun(load).play();
+        load.bounded = false;
+        const auto unbounded = fakes::PromptRun(load).play();
+        const auto share = [](std::size_t part, std::size_t whole) {
+            return static_cast<double>(part) / static_cast<double>(whole);
+        };
+        const auto &longs = bounded.longPrompts;
+        // Without the bound the engines read for callers that have left.
+        CHECK(longs.onTime > unbounded.longPrompts.onTime);
+        CHECK(longs.left < unbounded.longPrompts.left / 3);
+        CHECK(share(bounded.shortPrompts.onTime, bounded.shortPrompts.asked) > share(unbounded.shortPrompts.onTime, unbounded.shortPrompts.asked));
+        // The gate wants the largest tenth served at least half as often as the whole kind.
+        CHECK(share(longs.largestServed, longs.largestAsked) > 0.5 * share(longs.asked - longs.refused - longs.left, longs.asked));
+    }
+}
+
+// Long and short prompts together take half of what the readers can do while nothing is kept yet.
+TEST_CASE("A load that fits is served in time, whatever the size of the group", "[placement][load]")
+{
+    struct Case
+    {
+        std::size_t readers;
+        std::size_t runners;
+        std::uint32_t slots;
+        double longs;
+        double shorts;
+    };
+    const std::vector<Case> cases{{1, 1, 64, 0.4, 20}, {6, 3, 64, 4.5, 150}, {7, 11, 16, 5, 180}, {20, 12, 32, 15, 500}};
+    for (const Case &c : cases) {
+        INFO(c.readers << " readers, " << c.runners << " runners");
+        fakes::PromptLoad load{.seed = 7, .readers = c.readers, .runners = c.runners, .slots = c.slots, .longPerSecond = c.longs, .shortPerSecond = c.shorts};
+        load.length = seconds(120);
+        const auto outcome = fakes::PromptRun(load).play();
+        CHECK(static_cast<double>(outcome.longPrompts.refused + outcome.longPrompts.left) < 0.15 * static_cast<double>(outcome.longPrompts.asked));
+        CHECK(static_cast<double>(outcome.shortPrompts.onTime) > 0.9 * static_cast<double>(outcome.shortPrompts.asked));
+    }
+}
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -41,7 +41,13 @@
 bool parseOptions(int argc, const char **argv, std::vector<Spec> &specs)
 {
     const poptOption table[] = {
-        {"kind", 'k', POPT_ARG_STRING, nullptr, KindOption, "log, engine, service or platform; repeatable, further options belong to the last one", "KIND"},
+        {"kind",
+         'k',
+         POPT_ARG_STRING,
+         nullptr,
+         KindOption,
+         "log, engine, service, platform, platform-store or platform-server; repeatable, further options belong to the last one",
+         "KIND"},
         {"name", 'n', POPT_ARG_STRING, nullptr, NameOption, "name in the journal", "NAME"},
         {"listen", 'l', POPT_ARG_STRING, nullptr, ListenOption, "address and port served", "IP:PORT"},
         {"control", 'c', POPT_ARG_STRING, nullptr, ControlOption, "address and port of /journal and /faults", "IP:PORT"},
@@ -82,6 +88,12 @@
     if (spec.kind == "service") {
         return makeService(spec.name, spec.journal);
     }
+    if (spec.kind == "platform-store") {
+        return makePlatformStore(spec.name, spec.journal);
+    }
+    if (spec.kind == "platform-server") {
+        return makePlatformServer(spec.name, spec.journal);
+    }
     if (spec.kind == "platform") {
         return makePlatform(spec.name, spec.journal);
     }
--- /dev/null
+++ b/tests/standins/platformserver.cpp
@@ -0,0 +1,116 @@
+#include "standin.h"
+
+#include <map>
+#include <set>
+
+namespace snipehill::standins
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr int usualEvents = 5;
+
+/**
+ * A server as it stands behind the platform's entries: plain answers, streams of events, prompts read apart.
+ * The fault "id" is its own id. Further faults: refuse (503, not run), status (of its answers), cutAfter (events before a
+ * stream breaks, once), extraAnswer (the next N answers are followed by another one), eventMs (pause between events),
+ * beforeMs (delay of the head).
+ */
+class PlatformServer : public StandIn
+{
+public:
+    using StandIn::StandIn;
+
+    asio::awaitable<void> handle(HttpExchange &exchange) override
+    {
+        const auto &request = exchange.request();
+        const std::string id = header(exchange, "Attempt-Id");
+        Json::Value entry;
+        entry["id"] = id;
+        entry["path"] = std::string(request.target());
+        entry["headers"] = headersOf(exchange);
+        entry["body"] = request.body();
+        const std::string expected = header(exchange, "Expect-Instance");
+        HeaderList headers{{"Attempt-Id", id}};
+        if (request.method() == boost::beast::http::verb::delete_) {
+            journal.add("dropped", entry);
+            co_await exchange.respond(200, {}, "");
+        } else if (!expected.empty() && expected != faults.text("id", "")) {
+            headers.emplace_back("Not-Executed", "1");
+            co_await exchange.respond(421, std::move(headers), "");
+        } else if (faults.flag("", "refuse")) {
+            headers.emplace_back("Not-Executed", "1");
+            co_await exchange.respond(503, std::move(headers), "");
+        } else if (header(exchange, "Serving-Stage") == "prefill") {
+            co_await readPrompt(exchange, std::move(headers), entry);
+        } else {
+            co_await run(exchange, std::move(headers), entry);
+        }
+    }
+
+private:
+    asio::awaitable<void> readPrompt(HttpExchange &exchange, HeaderList headers, Json::Value entry)
+    {
+        journal.add("read", entry);
+        const std::string handle = hex(++m_lastHandle, 12);
+        Json::Value answer;
+        answer["transfer_handle"] = handle;
+        answer["tokens"] = 1;
+        answer["version"] = 1;
+        headers.emplace_back("Content-Type", "application/json");
+        co_await exchange.respond(200, std::move(headers), writeJson(answer));
+    }
+
+    asio::awaitable<void> run(HttpExchange &exchange, HeaderList headers, Json::Value entry)
+    {
+        journal.add("run", entry);
+        co_await pause(faults.delay("", "beforeMs"));
+        headers.emplace_back("Server-Seal", "seal-" + name);
+        headers.emplace_back("Server-Load", "1,0,8");
+        const bool stream = !header(exchange, "Token-Counts").empty();
+        if (!stream) {
+            const auto status = static_cast<unsigned>(faults.number("", "status", 200));
+            co_await exchange.respond(status, std::move(headers), "ran " + entry["id"].asString() + " at " + name);
+        } else {
+            headers.emplace_back("Content-Type", "text/event-stream");
+            co_await sendEvents(exchange, std::move(headers));
+        }
+        if (faults.take("", "extraAnswer")) {
+            co_await exchange.write("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nServer-Seal: x\r\nContent-Length: 5\r\n\r\nother");
+        }
+    }
+
+    asio::awaitable<void> sendEvents(HttpExchange &exchange, HeaderList headers)
+    {
+        const std::string last = header(exchange, "Last-Event-Id");
+        const int first = last.empty() ? 1 : std::stoi(last) + 1;
+        const std::int64_t cutAfter = faults.number("", "cutAfter", 0);
+        faults.merge(parseJson(R"({"cutAfter": null})").value());
+        co_await exchange.beginStream(200, std::move(headers));
+        for (int event = first; event <= usualEvents; ++event) {
+            if (cutAfter > 0 && event - first == cutAfter) {
+                co_await exchange.write("id: " + std::to_string(event) + "\nda");
+                co_await pause(milliseconds(20));
+                exchange.abort();
+                co_return;
+            }
+            co_await exchange.write("id: " + std::to_string(event) + "\ndata: token " + std::to_string(event) + "\n\n");
+            co_await pause(faults.delay("", "eventMs"));
+        }
+        co_await exchange.finish();
+    }
+
+    std::uint64_t m_lastHandle = 0;
+};
+
+} // namespace
+
+std::unique_ptr<StandIn> makePlatformServer(std::string name, std::string journalFile)
+{
+    return std::make_unique<PlatformServer>(std::move(name), std::move(journalFile));
+}
+
+} // namespace snipehill::standins
--- /dev/null
+++ b/tests/standins/platformstore.cpp
@@ -0,0 +1,173 @@
+#include "standin.h"
+
+#include <openssl/evp.h>
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+namespace snipehill::standins
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr milliseconds waitStep{5};
+
+std::string bigEndian(std::uint64_t value, int bytes)
+{
+    std::string text;
+    for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8) {
+        text += static_cast<char>(value >> static_cast<unsigned>(shift));
+    }
+    return text;
+}
+
+std::string base64(const std::string &bytes)
+{
+    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+    const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()), reinterpret_cast<const unsigned char *>(bytes.data()), int(bytes.size()));
+    text.resize(static_cast<std::size_t>(size));
+    return text;
+}
+
+/** Records of one topic, which has one partition. */
+struct Topic
+{
+    std::vector<std::string> records; //!< content without the length
+    std::size_t first = 0; //!< older ones are deleted
+};
+
+/**
+ * The platform's store: append with conditions and sequence numbers, read with wait, newest of each key, trim.
+ * Faults: down (503), silent (no answer), loseAnswers (the next N appends take effect, then the connection closes).
+ */
+class PlatformStore : public StandIn
+{
+public:
+    using StandIn::StandIn;
+
+    asio::awaitable<void> handle(HttpExchange &exchange) override
+    {
+        const Target target = splitTarget(std::string(exchange.request().target()));
+        Topic &topic = m_topics[queryText(target, "topic")];
+        if (faults.flag("", "silent")) {
+            co_await pause(milliseconds(600000));
+        }
+        if (faults.flag("", "down")) {
+            co_await respondJson(exchange, 503, Json::Value(Json::objectValue));
+        } else if (target.path == "/api/log-append") {
+            co_await append(exchange, target, topic);
+        } else if (target.path == "/api/log-read") {
+            co_await read(exchange, target, topic);
+        } else if (target.path == "/api/log-newest") {
+            co_await newest(exchange, topic);
+        } else if (target.path == "/api/log-trim") {
+            topic.first = std::min(topic.records.size(), static_cast<std::size_t>(queryNumber(target, "before_offset", 0)));
+            co_await respondJson(exchange, 200, Json::Value(Json::objectValue));
+        } else {
+            co_await respondJson(exchange, 404, Json::Value(Json::objectValue));
+        }
+    }
+
+private:
+    static std::string queryText(const Target &target, std::string_view name)
+    {
+        const std::string key = std::string(name) + "=";
+        const auto at = target.query.find(key);
+        if (at == std::string::npos) {
+            return {};
+        }
+        const auto start = at + key.size();
+        return target.query.substr(start, target.query.find('&', start) - start);
+    }
+
+    asio::awaitable<void> append(HttpExchange &exchange, const Target &target, Topic &topic)
+    {
+        Json::Value answer;
+        const std::int64_t at = queryNumber(target, "at", -1);
+        if (at >= 0 && at != static_cast<std::int64_t>(topic.records.size())) {
+            answer["end_offset"] = Json::UInt64(topic.records.size());
+            co_await respondJson(exchange, 412, std::move(answer));
+            co_return;
+        }
+        answer["offset"] = Json::UInt64(topic.records.size());
+        const std::string &body = exchange.request().body();
+        for (std::size_t start = 0; start + 4 <= body.size();) {
+            std::size_t size = 0;
+            for (std::size_t i = 0; i < 4; ++i) {
+                size = size << 8U | static_cast<unsigned char>(body[start + i]);
+            }
+            topic.records.push_back(body.substr(start + 4, size));
+            start += 4 + size;
+        }
+        answer["end_offset"] = Json::UInt64(topic.records.size());
+        if (faults.take("", "loseAnswers")) {
+            exchange.abort();
+            co_return;
+        }
+        co_await respondJson(exchange, 200, std::move(answer));
+    }
+
+    asio::awaitable<void> read(HttpExchange &exchange, const Target &target, Topic &topic)
+    {
+        const auto from = static_cast<std::size_t>(queryNumber(target, "from", 0));
+        milliseconds left(queryNumber(target, "wait_ms", 0));
+        while (from >= topic.records.size() && left > milliseconds(0) && !exchange.gone()) {
+            co_await pause(waitStep);
+            left -= waitStep;
+        }
+        if (from < topic.first) {
+            Json::Value answer;
+            answer["first_offset"] = Json::UInt64(topic.first);
+            co_await respondJson(exchange, 410, std::move(answer));
+            co_return;
+        }
+        std::string body = bigEndian(topic.records.size(), 8) + bigEndian(topic.first, 8);
+        for (std::size_t i = from; i < topic.records.size(); ++i) {
+            body += bigEndian(topic.records[i].size(), 4) + topic.records[i];
+        }
+        co_await exchange.respond(200, {}, std::move(body));
+    }
+
+    asio::awaitable<void> newest(HttpExchange &exchange, const Topic &topic)
+    {
+        std::map<std::string, std::pair<std::size_t, std::string>> values;
+        for (std::size_t i = 0; i < topic.records.size(); ++i) {
+            const std::string &record = topic.records[i];
+            const std::size_t length = record.empty() ? 0 : static_cast<unsigned char>(record[0]);
+            const std::string key = record.substr(std::min<std::size_t>(1, record.size()), length);
+            const std::string value = record.size() > 1 + length ? record.substr(1 + length) : std::string();
+            if (value.empty()) {
+                values.erase(key);
+            } else {
+                values[key] = {i, value};
+            }
+        }
+        Json::Value answer;
+        answer["items"] = Json::Value(Json::arrayValue);
+        for (const auto &[key, entry] : values) {
+            Json::Value item;
+            item["key"] = key;
+            item["value"] = base64(entry.second);
+            item["offset"] = Json::UInt64(entry.first);
+            answer["items"].append(std::move(item));
+        }
+        answer["has_more"] = false;
+        answer["end_offset"] = Json::UInt64(topic.records.size());
+        co_await respondJson(exchange, 200, std::move(answer));
+    }
+
+    std::map<std::string, Topic> m_topics;
+};
+
+} // namespace
+
+std::unique_ptr<StandIn> makePlatformStore(std::string name, std::string journalFile)
+{
+    return std::make_unique<PlatformStore>(std::move(name), std::move(journalFile));
+}
+
+} // namespace snipehill::standins
--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -76,6 +76,8 @@
 std::unique_ptr<StandIn> makeLog(std::string name, std::string journalFile);
 std::unique_ptr<StandIn> makeEngine(std::string name, std::string journalFile);
 std::unique_ptr<StandIn> makeService(std::string name, std::string journalFile);
+std::unique_ptr<StandIn> makePlatformStore(std::string name, std::string journalFile);
+std::unique_ptr<StandIn> makePlatformServer(std::string name, std::string journalFile);
 std::unique_ptr<StandIn> makePlatform(std::string name, std::string journalFile);
 
 /** Serves /journal and /faults of a stand-in. */
--- /dev/null
+++ b/tests/support/directhost.cpp
@@ -0,0 +1,176 @@
+#include "support/directhost.h"
+
+#include "support/wait.h"
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+namespace snipehill::support
+{
+
+namespace
+{
+
+const std::string daemonProgram = std::string(SNIPEHILL_BIN_DIR) + "/src/snipehilld";
+const std::string standInProgram = std::string(SNIPEHILL_BIN_DIR) + "/tests/snipehill_standins";
+
+Endpoint loopback()
+{
+    return {"127.0.0.1", freePort()};
+}
+
+std::string quoted(const Endpoint &endpoint)
+{
+    return "\"" + toString(endpoint) + "\"";
+}
+
+std::string lengthPrefixed(const std::string &content)
+{
+    std::string bytes;
+    for (int shift = 24; shift >= 0; shift -= 8) {
+        bytes += static_cast<char>(content.size() >> static_cast<unsigned>(shift));
+    }
+    return bytes + content;
+}
+
+} // namespace
+
+DirectHost::DirectHost(std::vector<DirectTarget> targets, std::size_t entryCount) : m_targets(std::move(targets)), m_store(loopback())
+{
+    startStandIns();
+    for (const DirectTarget &target : m_targets) {
+        setFaults(target.id, R"({"id": ")" + target.id + "\"}");
+        registerTarget(target, "ready");
+    }
+    for (std::size_t entry = 0; entry < entryCount; ++entry) {
+        m_callers.push_back(loopback());
+        m_readiness.push_back(loopback());
+        startEntry(entry);
+    }
+}
+
+void DirectHost::startStandIns()
+{
+    m_controls["store"] = loopback();
+    std::vector<std::string> arguments{
+        "--kind", "platform-store", "--name", "store", "--listen", toString(m_store), "--control", toString(m_controls["store"])};
+    for (const DirectTarget &target : m_targets) {
+        m_addresses[target.id] = loopback();
+        m_controls[target.id] = loopback();
+        arguments.insert(
+            arguments.end(),
+            {"--kind", "platform-server", "--name", target.id, "--listen", toString(m_addresses[target.id]), "--control", toString(m_controls[target.id])});
+    }
+    m_standIns.emplace_back(standInProgram, arguments, m_folder.file("standins.out"));
+    for (const auto &[name, control] : m_controls) {
+        const Endpoint endpoint = control;
+        waitUntil([endpoint] {
+            return callOnce(endpoint, {.target = "/faults"}).whole;
+        });
+    }
+}
+
+void DirectHost::startEntry(std::size_t entry)
+{
+    const std::string name = "entry-" + std::to_string(entry + 1);
+    const std::string file = m_folder.file(name + ".toml");
+    const std::uint16_t port = freePort();
+    std::ofstream(file) << "node_name = \"" << name << "\"\nzone = \"fd-a\"\nregion = \"r1\"\nport_range = [" << port << "," << port
+                        << "]\n[listen]\nfront = " << quoted(m_callers[entry]) << "\nready = " << quoted(m_readiness[entry])
+                        << "\n[bounds]\ngrace_s = 8\nbudget_ratio = 0.2\nbudget_slack = 50\n[platform]\naddress = " << quoted(m_store) << "\n";
+    ::setenv("SNIPEHILL_SETTINGS", file.c_str(), 1);
+    entries.emplace_back(daemonProgram, std::vector<std::string>{"--platform-entry"}, m_folder.file(name + ".out"));
+}
+
+void DirectHost::append(const std::string &topic, const std::string &key, const std::string &value)
+{
+    Call call{.method = "POST", .target = "/api/log-append?topic=" + topic + "&part=0"};
+    call.body = lengthPrefixed(static_cast<char>(key.size()) + key + value);
+    callOnce(m_store, call);
+}
+
+void DirectHost::publish(const std::string &configuration)
+{
+    append("keyed.op", "config", configuration);
+}
+
+void DirectHost::registerTarget(const DirectTarget &target, const std::string &state)
+{
+    const std::string role = target.role.empty() ? "" : R"(,"stage":")" + target.role + "\"";
+    const std::string entry = R"({"service":")" + target.group + R"(","address":")" + toString(m_addresses[target.id])
+        + R"(","zone":"fd-a","slots":8,"born":1,"state":")" + state + "\"" + role + "}";
+    append("keyed.servers", target.id, state.empty() ? "" : entry);
+}
+
+bool DirectHost::waitUntilReady(std::size_t entry, bool ready)
+{
+    return waitUntil([this, entry, ready] {
+        return callOnce(m_readiness[entry], {.target = "/api/ready"}).status == (ready ? 200U : 503U);
+    });
+}
+
+void DirectHost::setFaults(const std::string &name, const std::string &json)
+{
+    callOnce(m_controls.at(name), {.method = "POST", .target = "/faults", .body = json});
+}
+
+std::vector<Json::Value> DirectHost::events(const std::string &target, const std::string &event)
+{
+    std::vector<Json::Value> found;
+    std::istringstream lines(callOnce(m_controls.at(target), {.target = "/journal"}).body);
+    for (std::string line; std::getline(lines, line);) {
+        const auto value = parseJson(line);
+        if (value && (*value)["event"] == event) {
+            found.push_back(*value);
+        }
+    }
+    return found;
+}
+
+Answer DirectHost::call(std::size_t entry, const Call &request)
+{
+    return callOnce(m_callers[entry], request);
+}
+
+std::string DirectHost::logOf(std::size_t entry) const
+{
+    std::ifstream file(m_folder.file("entry-" + std::to_string(entry + 1) + ".out"));
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+Call directCall(const std::string &method, const std::string &path, const std::string &id, const std::string &body)
+{
+    Call call{.method = method, .target = path};
+    call.headers = {{"Host", "a.example"}, {"Attempt-Id", id}, {"Deadline-Ms", "6000"}, {"X-Api-Key", "key-1"}};
+    call.body = body;
+    return call;
+}
+
+Call promptCall(const std::string &path, const std::string &id, std::uint64_t promptTokens)
+{
+    Call call = directCall("POST", path, id, "prompt");
+    call.headers["Model"] = "m";
+    call.headers["Token-Counts"] = std::to_string(promptTokens) + ",20";
+    call.headers["Prompt-Prefix"] = id + ":" + std::to_string(promptTokens);
+    return call;
+}
+
+std::string usualConfiguration(int version, const std::string &key)
+{
+    const auto route = [](const std::string &name, const std::string &kind, const std::string &group, const std::string &more) {
+        return R"({"name":")" + name + R"(","host":"a.example","path_prefix":"/)" + name + R"(/","kind":")" + kind + R"(","service":")" + group
+            + R"(","timeout_ms":5000,"goal_ms":600)" + more + "}";
+    };
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + route("read", "idempotent", "plain", R"(,"max_attempts":2)") + ","
+        + route("post", "non_idempotent", "plain", R"(,"max_attempts":1)") + ","
+        + route("ask", "streaming", "engines", R"(,"max_attempts":2,"resumable":true,"gap_goal_ms":200)") + ","
+        + route("review", "streaming", "engines", R"(,"max_attempts":1,"gap_goal_ms":200)") + R"(],"services":[{"name":"plain"},)"
+        + R"({"name":"engines","engine":{"slots":8,"kv_tokens":400000,"token_kv_bytes":327680,"link_mbps":2700000.0}}],)"
+        + R"("limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000},)"
+        + R"("tenants":[{"name":"w1","api_keys":[")" + key + R"("]}]})";
+}
+
+} // namespace snipehill::support
