--- a/cmake/lint.sh
+++ b/cmake/lint.sh
@@ -2,6 +2,7 @@
 # Formatter check on all files, then clang-tidy on every translation unit of src, tests and bench.
 # clang-tidy can't read the compiler's precompiled header, so it gets a configuration without one.
 set -eu
+sh cmake/check-boundary.sh
 files() {
     git ls-files "$@" | grep -v '/generated/'
 }
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -40,6 +40,7 @@
 int runPublish(const CommandOptions &options);
 int runStatus(const CommandOptions &options);
 int runKey(const CommandOptions &options);
+int runExplain(const CommandOptions &options);
 int runTrace(const CommandOptions &options);
 
 /** Prints the report as JSON where asked for, else the text. */
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -20,7 +20,8 @@
       "  status                        show processes and what they do (--instances)\n"
       "  key create DIR NAME           make a key and its record (--workspace)\n"
       "  key withdraw DIR NAME         turn a key's record into a withdrawal\n"
-      "  trace REQUEST_ID FILE...      draw a request's spans\n\n"
+      "  trace REQUEST_ID FILE...      draw a request's spans\n"
+      "  explain REQUEST_ID FILE...    tell from logs what became of a request and why\n\n"
       "Exit codes: 0 done, 1 errors in records or differences or a process not ready, 2 wrong command line,\n"
       "3 a service or file can't be reached, 4 another operator was first, 5 published but some process lags,\n"
       "6 unknown whether published; repeating is safe";
@@ -70,6 +71,7 @@
         {"status", runStatus},
         {"key", runKey},
         {"trace", runTrace},
+        {"explain", runExplain},
     };
     const auto command = commands.find(name);
     return command == commands.end() ? failCommand(ExitUsage, "unknown command " + name + ", see --help") : command->second(options);
--- a/tests/process/operatingpagetest.cpp
+++ b/tests/process/operatingpagetest.cpp
@@ -12,7 +12,7 @@
 TEST_CASE("each metric that the page for operators names exists, and each that exists is described", "[metrics][pages]")
 {
     std::ostringstream page;
-    page << std::ifstream(SNIPEHILL_SOURCE_DIR "/docs/OPERATING.md").rdbuf();
+    page << std::ifstream(SNIPEHILL_SOURCE_DIR "/docs/OPERATIONS.md").rdbuf();
     const std::string text = page.str();
     const std::string shown = Metrics().text();
 
