--- /dev/null
+++ b/src/connection/src/httpinput.cpp
@@ -0,0 +1,133 @@
+#include "httpinput.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <algorithm>
+
+namespace snipehill
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+constexpr unsigned unprocessable = 400;
+
+/** Cancels what the stream does when the time is up. The stream's own timeout would close it, and the client could not be told why. */
+class ReadBound
+{
+public:
+    ReadBound(const std::shared_ptr<HttpStream> &stream, milliseconds timeout) : m_timer(stream->get_executor(), timeout)
+    {
+        stream->expires_never();
+        m_timer.async_wait([stream, expired = m_expired](const boost::system::error_code &error) {
+            if (!error && expired.use_count() > 1) {
+                *expired = true;
+                stream->cancel();
+            }
+        });
+    }
+
+    bool expired() const noexcept
+    {
+        return *m_expired;
+    }
+
+private:
+    std::shared_ptr<bool> m_expired = std::make_shared<bool>(false); //!< shared with the timer's handler, which may run late
+    asio::steady_timer m_timer;
+};
+
+constexpr std::string_view headEnd = "\r\n\r\n";
+
+} // namespace
+
+unsigned statusForInput(const boost::system::error_code &error)
+{
+    if (error == http::error::header_limit) {
+        return 431;
+    }
+    if (error == http::error::body_limit) {
+        return 413;
+    }
+    if (error == boost::beast::error::timeout) {
+        return 408;
+    }
+    return unprocessable;
+}
+
+asio::awaitable<boost::system::error_code>
+readRequestHead(std::shared_ptr<HttpStream> stream, boost::beast::flat_buffer &buffer, const HttpServerLimits &limits, std::size_t &size)
+{
+    const ReadBound bound(stream, std::min(limits.headTimeout, limits.requestTimeout));
+    while (true) {
+        const std::string_view bytes(static_cast<const char *>(buffer.data().data()), buffer.size());
+        const auto end = bytes.find(headEnd);
+        if (end != std::string_view::npos && end + headEnd.size() <= limits.headerBytes) {
+            size = end + headEnd.size();
+            co_return boost::system::error_code();
+        }
+        if (end != std::string_view::npos || bytes.size() >= limits.headerBytes) {
+            co_return http::error::header_limit;
+        }
+        auto [error, read] = co_await stream->async_read_some(buffer.prepare(4096), useTuple);
+        buffer.commit(read);
+        if (error) {
+            co_return bound.expired() ? boost::beast::error::timeout : error;
+        }
+    }
+}
+
+bool isUnambiguousHead(std::string_view head)
+{
+    std::size_t lengths = 0;
+    std::size_t codings = 0;
+    std::size_t hosts = 0;
+    for (std::size_t start = 0; start < head.size();) {
+        const auto end = head.find('\n', start);
+        if (end == std::string_view::npos || end == start || head[end - 1] != '\r') {
+            return false;
+        }
+        const std::string_view line = head.substr(start, end - 1 - start);
+        const bool folded = start > 0 && !line.empty() && (line[0] == ' ' || line[0] == '\t');
+        if (folded || line.find('\r') != std::string_view::npos || line.find('\0') != std::string_view::npos) {
+            return false;
+        }
+        const std::string_view name = line.substr(0, line.find(':'));
+        lengths += boost::beast::iequals(name, "Content-Length") ? 1 : 0;
+        codings += boost::beast::iequals(name, "Transfer-Encoding") ? 1 : 0;
+        hosts += boost::beast::iequals(name, "Host") ? 1 : 0;
+        start = end + 1;
+    }
+    return lengths + codings <= 1 && hosts <= 1;
+}
+
+asio::awaitable<boost::system::error_code>
+readRequest(std::shared_ptr<HttpStream> stream, boost::beast::flat_buffer &buffer, const HttpServerLimits &limits, HttpRequestParser &parser)
+{
+    const ReadBound bound(stream, limits.requestTimeout);
+    auto [headError, headBytes] = co_await http::async_read_header(*stream, buffer, parser, useTuple);
+    if (headError) {
+        co_return headError;
+    }
+    if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        auto [writeError, written] = co_await asio::async_write(*stream, asio::buffer("HTTP/1.1 100 Continue\r\n\r\n", 25), useTuple);
+        if (writeError) {
+            co_return writeError;
+        }
+    }
+    auto [error, read] = co_await http::async_read(*stream, buffer, parser, useTuple);
+    co_return error &&bound.expired() ? boost::beast::error::timeout : error;
+}
+
+} // namespace snipehill
--- a/src/connection/src/httpserver.cpp
+++ b/src/connection/src/httpserver.cpp
@@ -1,5 +1,6 @@
 #include <connection/httpserver.h>
 
+#include "httpinput.h"
 #include "listener.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -9,17 +10,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/string.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <algorithm>
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -31,13 +26,12 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
-using Stream = boost::beast::tcp_stream;
+using Stream = HttpStream;
 
 namespace
 {
 
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
-constexpr unsigned unprocessable = 400;
 
 } // namespace
 
@@ -221,21 +215,6 @@
     bool m_finished = false;
 };
 
-/** Status for input that the parser refused. */
-unsigned statusFor(const boost::system::error_code &error)
-{
-    if (error == http::error::header_limit) {
-        return 431;
-    }
-    if (error == http::error::body_limit) {
-        return 413;
-    }
-    if (error == boost::beast::error::timeout) {
-        return 408;
-    }
-    return unprocessable;
-}
-
 asio::awaitable<void> refuse(Stream &stream, unsigned status, std::string detail)
 {
     http::response<http::string_body> response(http::int_to_status(status), 11);
@@ -359,110 +338,11 @@
     --state->active;
 }
 
-/** Cancels what the stream does when the time is up. The stream's own timeout would close it, and the client could not be told why. */
-class ReadBound
-{
-public:
-    ReadBound(const std::shared_ptr<Stream> &stream, milliseconds timeout) : m_timer(stream->get_executor(), timeout)
-    {
-        stream->expires_never();
-        m_timer.async_wait([stream, expired = m_expired](const boost::system::error_code &error) {
-            if (!error && expired.use_count() > 1) {
-                *expired = true;
-                stream->cancel();
-            }
-        });
-    }
-
-    bool expired() const noexcept
-    {
-        return *m_expired;
-    }
-
-private:
-    std::shared_ptr<bool> m_expired = std::make_shared<bool>(false); //!< shared with the timer's handler, which may run late
-    asio::steady_timer m_timer;
-};
-
-constexpr std::string_view headEnd = "\r\n\r\n";
-
-/** Reads until the buffer holds a whole head; the size is that of the head with its end. */
-asio::awaitable<boost::system::error_code>
-readHead(std::shared_ptr<Stream> stream, boost::beast::flat_buffer &buffer, const HttpServerLimits &limits, std::size_t &size)
-{
-    const ReadBound bound(stream, std::min(limits.headTimeout, limits.requestTimeout));
-    while (true) {
-        const std::string_view bytes(static_cast<const char *>(buffer.data().data()), buffer.size());
-        const auto end = bytes.find(headEnd);
-        if (end != std::string_view::npos && end + headEnd.size() <= limits.headerBytes) {
-            size = end + headEnd.size();
-            co_return boost::system::error_code();
-        }
-        if (end != std::string_view::npos || bytes.size() >= limits.headerBytes) {
-            co_return http::error::header_limit;
-        }
-        auto [error, read] = co_await stream->async_read_some(buffer.prepare(4096), useTuple);
-        buffer.commit(read);
-        if (error) {
-            co_return bound.expired() ? boost::beast::error::timeout : error;
-        }
-    }
-}
-
-/**
- * Whether the head leaves no doubt where its fields and its body end: no folded lines, no line end but CR LF,
- * at most one length, and no length beside chunks. Recipients that disagree on these could be made to see other requests.
- */
-bool isUnambiguous(std::string_view head)
-{
-    std::size_t lengths = 0;
-    std::size_t codings = 0;
-    std::size_t hosts = 0;
-    for (std::size_t start = 0; start < head.size();) {
-        const auto end = head.find('\n', start);
-        if (end == std::string_view::npos || end == start || head[end - 1] != '\r') {
-            return false;
-        }
-        const std::string_view line = head.substr(start, end - 1 - start);
-        const bool folded = start > 0 && !line.empty() && (line[0] == ' ' || line[0] == '\t');
-        if (folded || line.find('\r') != std::string_view::npos || line.find('\0') != std::string_view::npos) {
-            return false;
-        }
-        const std::string_view name = line.substr(0, line.find(':'));
-        lengths += boost::beast::iequals(name, "Content-Length") ? 1 : 0;
-        codings += boost::beast::iequals(name, "Transfer-Encoding") ? 1 : 0;
-        hosts += boost::beast::iequals(name, "Host") ? 1 : 0;
-        start = end + 1;
-    }
-    return lengths + codings <= 1 && hosts <= 1;
-}
-
-using RequestParser = http::request_parser<http::string_body>;
-
-/** Parses the head in the buffer and reads the body that follows it. */
-asio::awaitable<boost::system::error_code>
-readBody(std::shared_ptr<Stream> stream, boost::beast::flat_buffer &buffer, const HttpServerLimits &limits, RequestParser &parser)
-{
-    const ReadBound bound(stream, limits.requestTimeout);
-    auto [headError, headBytes] = co_await http::async_read_header(*stream, buffer, parser, useTuple);
-    if (headError) {
-        co_return headError;
-    }
-    if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-        auto [writeError, written] = co_await asio::async_write(*stream, asio::buffer("HTTP/1.1 100 Continue\r\n\r\n", 25), useTuple);
-        if (writeError) {
-            co_return writeError;
-        }
-    }
-    auto [error, read] = co_await http::async_read(*stream, buffer, parser, useTuple);
-    co_return error &&bound.expired() ? boost::beast::error::timeout : error;
-}
-
 /** Tells the client what was wrong with its bytes, unless there is nobody to tell. */
 asio::awaitable<void> refuseInput(Stream &stream, boost::system::error_code error)
 {
     if (error != http::error::end_of_stream && error != asio::error::connection_reset && error != asio::error::eof) {
-        co_await refuse(stream, statusFor(error), error.message());
+        co_await refuse(stream, statusForInput(error), error.message());
     }
 }
 
@@ -472,16 +352,16 @@
     while (co_await waitForRequest(state, stream, buffer)) {
         const HttpServerLimits limits = state->currentLimits();
         std::size_t headSize = 0;
-        boost::system::error_code error = co_await readHead(stream, buffer, limits, headSize);
+        boost::system::error_code error = co_await readRequestHead(stream, buffer, limits, headSize);
         const TimePoint received = Clock::now();
-        if (!error && !isUnambiguous({static_cast<const char *>(buffer.data().data()), headSize})) {
+        if (!error && !isUnambiguousHead({static_cast<const char *>(buffer.data().data()), headSize})) {
             error = http::error::bad_field;
         }
-        RequestParser parser;
+        HttpRequestParser parser;
         parser.header_limit(limits.headerBytes);
         parser.body_limit(limits.bodyBytes);
         if (!error) {
-            error = co_await readBody(stream, buffer, limits, parser);
+            error = co_await readRequest(stream, buffer, limits, parser);
         }
         if (error) {
             co_await refuseInput(*stream, error);
--- a/src/process/include/process/targetbook.h
+++ b/src/process/include/process/targetbook.h
@@ -127,6 +127,8 @@
     struct Shard;
     std::shared_ptr<Shard> shardOf(const std::string &group) const;
     std::vector<std::shared_ptr<Shard>> shards() const;
+    /** Runs the function on a target under its shard's lock; does nothing when the target is gone. */
+    template<typename Function> void withTarget(const TargetRef &ref, Function function);
 
     const TargetBookSettings m_settings;
     mutable std::mutex m_lock; //!< of the map, not of what it holds
--- a/src/process/src/targetbook.cpp
+++ b/src/process/src/targetbook.cpp
@@ -144,6 +144,19 @@
     return all;
 }
 
+template<typename Function> void TargetBook::withTarget(const TargetRef &ref, Function function)
+{
+    const auto shard = shardOf(ref.group);
+    if (!shard) {
+        return;
+    }
+    const std::lock_guard lock(shard->lock);
+    const auto found = shard->targets.find(ref.id);
+    if (found != shard->targets.end()) {
+        function(found->second);
+    }
+}
+
 bool TargetBook::apply(const TargetEntry &entry)
 {
     Reason reason;
@@ -319,96 +332,59 @@
 
 void TargetBook::endRead(const WorkTicket &ticket, TimePoint now)
 {
-    const auto shard = shardOf(ticket.target.group);
-    if (!shard) {
-        return;
-    }
-    const std::lock_guard lock(shard->lock);
-    const auto found = shard->targets.find(ticket.target.id);
-    if (found == shard->targets.end()) {
-        return;
-    }
-    Target &target = found->second;
-    const auto read = target.reads.find(ticket.number);
-    if (read == target.reads.end()) {
-        return;
-    }
-    const Duration predicted = read->second.ahead + read->second.time;
-    if (predicted >= leastMeasuredRead) {
-        const double ratio = std::chrono::duration<double>(now - read->second.since) / std::chrono::duration<double>(predicted);
-        target.slowness = std::clamp(target.slowness * (1 + slownessWeight * (std::clamp(ratio, 0.5, 2.0) - 1)), minSlowness, maxSlowness);
-    }
-    target.reads.erase(read);
-    target.readingSince = now;
+    withTarget(ticket.target, [&](Target &target) {
+        const auto read = target.reads.find(ticket.number);
+        if (read == target.reads.end()) {
+            return;
+        }
+        const Duration predicted = read->second.ahead + read->second.time;
+        if (predicted >= leastMeasuredRead) {
+            const double ratio = std::chrono::duration<double>(now - read->second.since) / std::chrono::duration<double>(predicted);
+            target.slowness = std::clamp(target.slowness * (1 + slownessWeight * (std::clamp(ratio, 0.5, 2.0) - 1)), minSlowness, maxSlowness);
+        }
+        target.reads.erase(read);
+        target.readingSince = now;
+    });
 }
 
 void TargetBook::end(const WorkTicket &ticket, TimePoint now)
 {
-    const auto shard = shardOf(ticket.target.group);
-    if (!shard) {
-        return;
-    }
-    const std::lock_guard lock(shard->lock);
-    const auto found = shard->targets.find(ticket.target.id);
-    if (found == shard->targets.end()) {
-        return;
-    }
-    Target &target = found->second;
-    if (target.reads.erase(ticket.number) > 0) {
-        target.readingSince = now;
-    }
-    target.running -= std::min(target.running, 1U);
+    withTarget(ticket.target, [&](Target &target) {
+        if (target.reads.erase(ticket.number) > 0) {
+            target.readingSince = now;
+        }
+        target.running -= std::min(target.running, 1U);
+    });
 }
 
 void TargetBook::noteAnswer(const TargetRef &ref, const std::optional<ToldLoad> &load, TimePoint now)
 {
-    const auto shard = shardOf(ref.group);
-    if (!shard) {
-        return;
-    }
-    const std::lock_guard lock(shard->lock);
-    const auto found = shard->targets.find(ref.id);
-    if (found == shard->targets.end()) {
-        return;
-    }
-    found->second.failuresInRow = 0;
-    found->second.suspectUntil = {};
-    if (load) {
-        found->second.told = *load;
-        found->second.toldAt = now;
-        found->second.runningWhenTold = found->second.running;
-    }
+    withTarget(ref, [&](Target &target) {
+        target.failuresInRow = 0;
+        target.suspectUntil = {};
+        if (load) {
+            target.told = *load;
+            target.toldAt = now;
+            target.runningWhenTold = target.running;
+        }
+    });
 }
 
 void TargetBook::noteFailure(const TargetRef &ref, TimePoint now)
 {
-    const auto shard = shardOf(ref.group);
-    if (!shard) {
-        return;
-    }
-    const std::lock_guard lock(shard->lock);
-    const auto found = shard->targets.find(ref.id);
-    if (found == shard->targets.end()) {
-        return;
-    }
-    Target &target = found->second;
-    constexpr std::uint32_t maxDoublings = 8;
-    const Duration time = m_settings.suspectTime * (1U << std::min(target.failuresInRow, maxDoublings));
-    ++target.failuresInRow;
-    target.suspectUntil = now + std::min<Duration>(time, m_settings.maxSuspectTime);
+    withTarget(ref, [&](Target &target) {
+        constexpr std::uint32_t maxDoublings = 8;
+        const Duration time = m_settings.suspectTime * (1U << std::min(target.failuresInRow, maxDoublings));
+        ++target.failuresInRow;
+        target.suspectUntil = now + std::min<Duration>(time, m_settings.maxSuspectTime);
+    });
 }
 
 void TargetBook::noteReplaced(const TargetRef &ref)
 {
-    const auto shard = shardOf(ref.group);
-    if (!shard) {
-        return;
-    }
-    const std::lock_guard lock(shard->lock);
-    const auto found = shard->targets.find(ref.id);
-    if (found != shard->targets.end()) {
-        found->second.replaced = true;
-    }
+    withTarget(ref, [](Target &target) {
+        target.replaced = true;
+    });
 }
 
 void TargetBook::fillNews(PeerNews &news, TimePoint now)
