--- a/src/connection/include/connection/httpserver.h
+++ b/src/connection/include/connection/httpserver.h
@@ -52,8 +52,10 @@
     virtual void abort() = 0;
     /** Some answer was begun. */
     virtual bool begun() const noexcept = 0;
-    /** The client has closed the connection or it broke. */
+    /** The client has closed the connection or it broke, as far as was noticed. */
     virtual bool gone() const noexcept = 0;
+    /** Asks the connection itself, which a busy process may know later; notes what it finds. */
+    virtual bool checkGone() = 0;
     /** Calls back once, on the connection's strand, when the client goes while the handler runs; at once if it is gone. */
     virtual void onGone(std::function<void()> callback) = 0;
     /** When the head of the request had arrived. */
--- a/src/connection/src/httpinput.cpp
+++ b/src/connection/src/httpinput.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
 
 #include <algorithm>
 
@@ -130,4 +131,24 @@
     co_return error &&bound.expired() ? boost::beast::error::timeout : error;
 }
 
+asio::awaitable<void> refuseRequest(HttpStream &stream, unsigned status, std::string detail)
+{
+    http::response<http::string_body> response(http::int_to_status(status), 11);
+    response.set(http::field::content_type, "application/problem+json");
+    response.body() = R"({"outcome":"rejected","step":"parse","peer":"","detail":")" + detail + "\"}";
+    response.keep_alive(false);
+    response.prepare_payload();
+    stream.expires_after(milliseconds(1000));
+    co_await http::async_write(stream, response, useTuple);
+    boost::system::error_code ignored;
+    stream.socket().shutdown(asio::socket_base::shutdown_send, ignored);
+}
+
+asio::awaitable<void> refuseInput(HttpStream &stream, boost::system::error_code error)
+{
+    if (error != http::error::end_of_stream && error != asio::error::connection_reset && error != asio::error::eof) {
+        co_await refuseRequest(stream, statusForInput(error), error.message());
+    }
+}
+
 } // namespace snipehill
--- a/src/connection/src/httpinput.h
+++ b/src/connection/src/httpinput.h
@@ -9,6 +9,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <memory>
+#include <string>
 #include <string_view>
 
 namespace snipehill
@@ -34,4 +35,10 @@
 /** Status for input that the parser refused. */
 unsigned statusForInput(const boost::system::error_code &error);
 
+/** Answers with a refusal and closes the sending side. */
+boost::asio::awaitable<void> refuseRequest(HttpStream &stream, unsigned status, std::string detail);
+
+/** Tells the client what was wrong with its bytes, unless there is nobody to tell. */
+boost::asio::awaitable<void> refuseInput(HttpStream &stream, boost::system::error_code error);
+
 } // namespace snipehill
--- a/src/connection/src/httpserver.cpp
+++ b/src/connection/src/httpserver.cpp
@@ -15,6 +15,8 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <sys/socket.h>
+
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -157,6 +159,15 @@
         return m_gone;
     }
 
+    bool checkGone() override
+    {
+        char byte = 0;
+        if (!m_gone && ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0) {
+            noteGone();
+        }
+        return m_gone;
+    }
+
     void onGone(std::function<void()> callback) override
     {
         if (m_gone) {
@@ -215,19 +226,6 @@
     bool m_finished = false;
 };
 
-asio::awaitable<void> refuse(Stream &stream, unsigned status, std::string detail)
-{
-    http::response<http::string_body> response(http::int_to_status(status), 11);
-    response.set(http::field::content_type, "application/problem+json");
-    response.body() = R"({"outcome":"rejected","step":"parse","peer":"","detail":")" + detail + "\"}";
-    response.keep_alive(false);
-    response.prepare_payload();
-    stream.expires_after(milliseconds(1000));
-    co_await http::async_write(stream, response, useTuple);
-    boost::system::error_code ignored;
-    stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
-}
-
 /** Marks a connection as idle for as long as it lives, so that a stopping server can close it. */
 class IdleMark
 {
@@ -338,14 +336,6 @@
     --state->active;
 }
 
-/** Tells the client what was wrong with its bytes, unless there is nobody to tell. */
-asio::awaitable<void> refuseInput(Stream &stream, boost::system::error_code error)
-{
-    if (error != http::error::end_of_stream && error != asio::error::connection_reset && error != asio::error::eof) {
-        co_await refuse(stream, statusForInput(error), error.message());
-    }
-}
-
 asio::awaitable<void> serve(StatePointer state, std::shared_ptr<Stream> stream, std::string client)
 {
     boost::beast::flat_buffer buffer;
@@ -369,7 +359,7 @@
         }
         const auto fields = std::distance(parser.get().begin(), parser.get().end());
         if (fields > static_cast<std::ptrdiff_t>(limits.headerCount)) {
-            co_await refuse(*stream, 431, "too many header fields");
+            co_await refuseRequest(*stream, 431, "too many header fields");
             co_return;
         }
         Exchange exchange(*stream, *state, limits, parser.release(), client);
--- a/src/process/src/log.cpp
+++ b/src/process/src/log.cpp
@@ -37,20 +37,23 @@
     std::uint64_t dropped = 0;
 };
 
-constexpr double linesPerSecond = 600; // about 5 ms of processor time; six lines for each request of an entry at its usual rate
+constexpr double linesPerSecond = 300; // all lines of an entry at its usual rate; beyond it their cost would be missed by requests
 constexpr double bucketLines = 1200;
 constexpr double usualPart = 0.75; // of the bucket; the rest is for warnings
+constexpr double sampledFrom = 0.05; // of the bucket: lines come faster than they may on the whole
+constexpr std::size_t sampleOf = 8;
 constexpr std::size_t asyncQueueLines = 4096;
 
-/** Whether one more line about a request may be written. */
-bool takeLine(LineBucket &bucket, Level level)
+/** Whether one more line about a request may be written. When there are many, ordinary lines are those of every eighth request. */
+bool takeLine(LineBucket &bucket, Level level, std::string_view requestId)
 {
     const std::lock_guard lock(bucket.lock);
     const TimePoint now = Clock::now();
     bucket.level = std::max(0.0, bucket.level - linesPerSecond * std::chrono::duration<double>(now - bucket.updated).count());
     bucket.updated = now;
     const double bound = level < Level::Warning ? usualPart * bucketLines : bucketLines;
-    if (bucket.level >= bound) {
+    const bool sampled = level >= Level::Warning || bucket.level < sampledFrom * bucketLines || std::hash<std::string_view>()(requestId) % sampleOf == 0;
+    if (bucket.level >= bound || !sampled) {
         ++bucket.dropped;
         return false;
     }
@@ -206,7 +209,7 @@
 void logDecision(Part part, Level level, std::string_view message, std::string_view requestId, LogFields fields)
 {
     LogState &state = logState();
-    if (level < state.settings.level || !takeLine(state.requestLines, level)) {
+    if (level < state.settings.level || !takeLine(state.requestLines, level, requestId)) {
         return;
     }
     fields.emplace(fields.begin(), "request", requestId);
--- a/src/serving/src/directexchange.cpp
+++ b/src/serving/src/directexchange.cpp
@@ -58,6 +58,11 @@
         }
     }
     request.current = exchange.connection.get();
+    // A busy entry may come to a request long after its caller has left, and the event that says so is still to be read.
+    if (request.exchange.checkGone()) {
+        finishExchange(request, exchange);
+        co_return SendResult::NotSent;
+    }
     logRequest(request, Level::Info, "sent", {{"target", target.id}, {"address", toString(target.endpoint)}, {"kept", kept ? 1 : 0}});
     const TimePoint until = Clock::now() + bounds.head;
     const bool answered = co_await exchange.connection->send(message, std::min(maxSend, bounds.head), reason)
--- a/tests/proofs/directpathtest.cpp
+++ b/tests/proofs/directpathtest.cpp
@@ -195,6 +195,28 @@
     CHECK(host.entries[0].waitForEnd(seconds(8)) == 0);
 }
 
+TEST_CASE("A request whose caller has left before the entry came to it reaches no target", "[direct]")
+{
+    const std::vector<Call> calls{directCall("GET", "/read/x", "r1"), directCall("POST", "/post/x", "r2", "fee"), promptCall("/ask/x", "s1", 17000)};
+    ReadyHost host;
+    for (const Call &call : calls) {
+        INFO(call.target);
+        // A kept connection to the targets, so that nothing delays the sending.
+        CHECK(host.call(0, call).status == 200);
+    }
+    const std::size_t before = runs(host, {"p1", "p2", "e2", "e3"}) + host.events("e1", "read").size();
+    for (Call call : calls) {
+        INFO(call.target);
+        host.entries[0].pause();
+        call.timeout = milliseconds(100);
+        CHECK(!host.call(0, call).whole);
+        host.entries[0].resume();
+        CHECK(host.waitUntilReady(0));
+    }
+    CHECK(host.call(0, directCall("GET", "/read/x", "r9")).status == 200);
+    CHECK(runs(host, {"p1", "p2", "e2", "e3"}) + host.events("e1", "read").size() == before + 1);
+}
+
 TEST_CASE("With the store away an entry goes on with what it knows, and refuses what it can't know", "[direct]")
 {
     ReadyHost host;
