--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 
 demo: install build
 	sh examples/demo.sh $(BUILD)
+	bash examples/demo-platform.sh $(BUILD)
 
 bench: build
 	sh bench/run.sh $(BUILD)
