Don't run a prompt on an engine that announced to leave while it was read elsewhere

Ruled out: a late read of the entry's change (it is read three times a drain time). Test red before, green after; [direct] and [targets] pass.

--- a/src/process/include/process/targetbook.h
+++ b/src/process/include/process/targetbook.h
@@ -106,6 +106,9 @@
                                             TimePoint now,
                                             Reason &reason);
 
+    /** Whether the target may still get the work that was placed on it: it has neither announced to leave nor gone. */
+    bool takesWork(const TargetRef &target);
+
     /** The target has read the prompt of the work, or will not. */
     void endRead(const WorkTicket &ticket, TimePoint now);
     /** The work has ended. */
--- a/src/process/src/targetbook.cpp
+++ b/src/process/src/targetbook.cpp
@@ -330,6 +330,15 @@
     return placed;
 }
 
+bool TargetBook::takesWork(const TargetRef &ref)
+{
+    bool usable = false;
+    withTarget(ref, [&usable](const Target &target) {
+        usable = isUsable(target);
+    });
+    return usable;
+}
+
 void TargetBook::endRead(const WorkTicket &ticket, TimePoint now)
 {
     withTarget(ticket.target, [&](Target &target) {
--- a/src/serving/src/directstream.cpp
+++ b/src/serving/src/directstream.cpp
@@ -264,6 +264,15 @@
             request.context.targets.end(placed.run, Clock::now());
             co_return RunEnd::NotRun;
         }
+        // Reading takes seconds under load, long enough for the runner to have announced that it leaves.
+        if (!request.context.targets.takesWork(placed.run.target)) {
+            logRequest(request, Level::Warning, "engine left while the prompt was read", {{"target", placed.run.target.id}});
+            progress.reason = {Step::ChooseTarget, placed.run.target.id, "the engine left while the prompt was read"};
+            asio::co_spawn(co_await asio::this_coro::executor, dropMemory(placed.read->target.endpoint, *handle), asio::detached);
+            request.tried.push_back(placed.run.target.id);
+            request.context.targets.end(placed.run, Clock::now());
+            co_return RunEnd::NotRun;
+        }
         memory = platform::memoryAt(placed.read->target.endpoint, *handle);
     }
     const RunEnd end = co_await runPrompt(request, placed, memory, progress);
--- a/tests/process/targetbooktest.cpp
+++ b/tests/process/targetbooktest.cpp
@@ -42,13 +42,16 @@
     TargetEntry leaving = service("t1");
     leaving.leaving = true;
     CHECK(book.apply(leaving));
+    CHECK(!book.takesWork({.group = "g", .id = "t1"}));
     CHECK(choose(book, start) == "none");
     CHECK(book.apply(service("t1")));
     book.noteReplaced({.group = "g", .id = "t1"});
     CHECK(choose(book, start) == "none");
     CHECK(book.apply(service("t1", "fd-a", 2)));
     CHECK(choose(book, start) == "t1");
+    CHECK(book.takesWork({.group = "g", .id = "t1"}));
     CHECK(book.remove("t1"));
+    CHECK(!book.takesWork({.group = "g", .id = "t1"}));
     CHECK(!book.remove("t1"));
     CHECK(choose(book, start) == "none");
 }
--- a/tests/proofs/directpathtest.cpp
+++ b/tests/proofs/directpathtest.cpp
@@ -173,6 +173,29 @@
     }
 }
 
+TEST_CASE("An engine that leaves while another one reads the prompt does not get it", "[direct]")
+{
+    ReadyHost host;
+    host.registerTarget({"e3", "engines", "decode"}, "draining");
+    host.setFaults("e1", R"({"readMs": 1600})");
+    letPass(milliseconds(1500)); // two reads of the entries and more
+    Answer review;
+    std::thread caller([&] {
+        review = host.call(0, promptCall("/review/x", "r1", 17000));
+    });
+    const bool reading = waitUntil([&] {
+        return host.events("e1", "read").size() == 1;
+    });
+    host.registerTarget({"e2", "engines", "decode"}, "draining");
+    host.registerTarget({"e3", "engines", "decode"}, "ready");
+    caller.join();
+    CHECK(reading);
+    CHECK(review.status == 200);
+    CHECK(review.body == wholeStream);
+    CHECK(host.events("e2", "run").empty());
+    CHECK(host.events("e3", "run").size() == 1);
+}
+
 TEST_CASE("An entry that is told to stop leaves the rotation, answers what comes and ends by itself", "[direct]")
 {
     ReadyHost host;
--- a/tests/standins/platformserver.cpp
+++ b/tests/standins/platformserver.cpp
@@ -17,7 +17,7 @@
  * A server as it stands behind the platform's entries: plain answers, streams of events, prompts read apart.
  * The fault "id" is its own id. Further faults: refuse (503, not run), status (of its answers), cutAfter (events before a
  * stream breaks, once), extraAnswer (the next N answers are followed by another one), eventMs (pause between events),
- * beforeMs (delay of the head).
+ * beforeMs (delay of the head), readMs (time to read a prompt).
  */
 class PlatformServer : public StandIn
 {
@@ -55,6 +55,7 @@
     asio::awaitable<void> readPrompt(HttpExchange &exchange, HeaderList headers, Json::Value entry)
     {
         journal.add("read", entry);
+        co_await pause(faults.delay("", "readMs"));
         const std::string handle = hex(++m_lastHandle, 12);
         Json::Value answer;
         answer["transfer_handle"] = handle;
