--- a/src/serving/src/directcall.cpp
+++ b/src/serving/src/directcall.cpp
@@ -42,12 +42,6 @@
     return !answer.encoded && (answer.sealed || answer.status >= 300);
 }
 
-/** Whether the answer may be passed on as it is: those statuses promise that nothing ran. */
-bool mayPass(const TargetAnswer &answer)
-{
-    return answer.status != 503 && answer.status != 429 && answer.status != 408 && answer.status != misdirected;
-}
-
 /** Takes what one target answered; true if the call is decided. */
 asio::awaitable<bool> takeAnswer(DirectRequest &request, DirectExchange &exchange, CallProgress &progress)
 {
@@ -83,7 +77,7 @@
     request.context.crashes.noteHarmless(request.fingerprint);
     const TargetAnswer head = exchange.answer;
     finishExchange(request, exchange);
-    if (!mayPass(head)) {
+    if (promisesNotRun(head.status)) {
         progress.reason = {Step::RunOnTarget, exchange.target.id, "the target failed with " + std::to_string(head.status)};
         co_return false;
     }
--- a/src/serving/src/directrequest.cpp
+++ b/src/serving/src/directrequest.cpp
@@ -23,11 +23,6 @@
 constexpr unsigned unavailable = 503;
 constexpr unsigned gatewayTimeout = 504;
 
-bool promisesNotRun(unsigned status)
-{
-    return status == 503 || status == 429 || status == 408 || status == 421;
-}
-
 std::string inSeconds(milliseconds time)
 {
     std::string text = std::to_string(static_cast<double>(time.count()) / 1000);
@@ -43,6 +38,11 @@
 
 } // namespace
 
+bool promisesNotRun(unsigned status) noexcept
+{
+    return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
 milliseconds timeLeft(const DirectRequest &request) noexcept
 {
     return std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(request.giveUp - Clock::now()));
--- a/src/serving/src/directrequest.h
+++ b/src/serving/src/directrequest.h
@@ -54,6 +54,9 @@
 /** Answers with a refusal. One that promises that nothing ran becomes a 502 when that is not certain. */
 boost::asio::awaitable<void> refuse(DirectRequest &request, DirectRefusal refusal);
 
+/** Statuses that promise callers that nothing ran and nothing will. */
+bool promisesNotRun(unsigned status) noexcept;
+
 /** Time until the request is given up; at least a millisecond, so that time limits made of it are valid. */
 milliseconds timeLeft(const DirectRequest &request) noexcept;
 
--- a/src/serving/src/directstream.cpp
+++ b/src/serving/src/directstream.cpp
@@ -122,8 +122,7 @@
     const unsigned status = exchange.answer.status;
     auto body = co_await readBody(request, exchange, progress.reason);
     finishExchange(request, exchange);
-    const bool promise = status == 503 || status == 429 || status == 408 || status == misdirected;
-    const bool usable = body && !progress.begun && !promise && !exchange.answer.encoded && (exchange.answer.sealed || status >= 300);
+    const bool usable = body && !progress.begun && !promisesNotRun(status) && !exchange.answer.encoded && (exchange.answer.sealed || status >= 300);
     if (!usable) {
         progress.reason = {Step::RunOnTarget, exchange.target.id, "the engine answered " + std::to_string(status)};
         co_return RunEnd::Broken;
