Keep prompts away from engines that change their role or refuse

Now the holder tells the other entries which engines are changing, engines that refuse back off from 250 ms to 2 s, readers whose memory can't be taken are not read at, and roles are ordered all at once before traffic, a few at a time and only after 3 s under it.

--- a/src/process/include/process/peernews.h
+++ b/src/process/include/process/peernews.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <core/ids.h>
+#include <core/loadreport.h>
 #include <core/reason.h>
 #include <core/time.h>
 #include <process/usage.h>
@@ -36,6 +37,13 @@
     std::vector<PrefixBlock> blocks;
 };
 
+/** Role that an engine was ordered into. */
+struct RoleChange
+{
+    EngineRole role = EngineRole::Prefill;
+    Duration remaining{}; //!< longest that the change may still take
+};
+
 /** What one entry tells the others every now and then. Losing one costs accuracy only. */
 struct PeerNews
 {
@@ -44,6 +52,7 @@
     std::vector<TargetReads> reads; //!< since the last news
     std::map<std::uint64_t, std::uint32_t> losses; //!< targets lost so far by request fingerprint, since the last news
     std::map<WindowNumber, UsageByWorkspace> usage; //!< counts that the sender could not publish yet
+    std::map<TargetHash, RoleChange> roleChanges; //!< those that the sender has ordered
     WindowNumber openWindow = 0; //!< counts of earlier windows are published or told here; 0: nothing is said
 };
 
--- a/src/process/include/process/targetbook.h
+++ b/src/process/include/process/targetbook.h
@@ -69,6 +69,8 @@
     std::string failureDomain; //!< of this entry
     milliseconds suspectTime{1000}; //!< after a failure; doubles with each further one in a row. One heartbeat: news of a restart takes that long
     milliseconds maxSuspectTime{8000};
+    milliseconds refusedTime{250}; //!< likewise after an engine refused a prompt: short, as a full engine has room again soon
+    milliseconds maxRefusedTime{2000}; //!< most of a role change, during which an engine refuses everything
     milliseconds toldLoadAge{500}; //!< a told load is used for so long: a few answers' time
     milliseconds peerLoadAge{1500}; //!< likewise for what another entry told
     milliseconds serviceDistance{25}; //!< price of a call to a plain service in another failure domain, as time
@@ -106,6 +108,8 @@
                                             TimePoint now,
                                             Reason &reason);
 
+    /** Whether requests of this entry or others run on the group, as far as is known. */
+    bool isServing(const std::string &group, TimePoint now) const;
     /** Whether the target may still get the work that was placed on it: it has neither announced to leave nor gone. */
     bool takesWork(const TargetRef &target);
 
@@ -113,6 +117,17 @@
     void endRead(const WorkTicket &ticket, TimePoint now);
     /** The work has ended. */
     void end(const WorkTicket &ticket, TimePoint now);
+    /**
+     * The engine changes its role and takes no work until its entry shows the new one, or the time is over.
+     * Other entries are told.
+     */
+    void noteRoleChange(std::string_view id, EngineRole role, TimePoint until);
+    /** The engine refused a prompt without running it. */
+    void noteRefused(const TargetRef &target, TimePoint now);
+    /** The engine has begun a prompt. */
+    void noteTaken(const TargetRef &target);
+    /** A prompt that the engine read for another one could be taken from it, or not. */
+    void noteMemory(const TargetRef &reader, bool taken, TimePoint now);
     /** The target answered; a whole answer clears suspicion. */
     void noteAnswer(const TargetRef &target, const std::optional<ToldLoad> &load, TimePoint now);
     /** The target failed a request or a connection. */
--- a/src/process/src/peernews.cpp
+++ b/src/process/src/peernews.cpp
@@ -46,6 +46,12 @@
             entry.add_requests(used.requests);
         }
     }
+    for (const auto &[target, change] : news.roleChanges) {
+        wire::PeerRoleChange &entry = *message.add_role_changes();
+        entry.set_target(target);
+        entry.set_remaining_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(change.remaining).count()));
+        entry.set_to_prefill(change.role == EngineRole::Prefill);
+    }
     message.set_open_window(news.openWindow);
     return message.SerializeAsString();
 }
@@ -80,6 +86,9 @@
             figures[entry.workspaces(i)].requests = entry.requests(i);
         }
     }
+    for (const wire::PeerRoleChange &entry : message.role_changes()) {
+        news.roleChanges[entry.target()] = {entry.to_prefill() ? EngineRole::Prefill : EngineRole::Decode, milliseconds(entry.remaining_ms())};
+    }
     news.openWindow = message.open_window();
     return news;
 }
--- a/src/process/src/targetbook.cpp
+++ b/src/process/src/targetbook.cpp
@@ -1,7 +1,6 @@
-#include <process/targetbook.h>
+#include "targetbookshard.h"
 
 #include <algorithm>
-#include <iterator>
 #include <mutex>
 #include <utility>
 
@@ -17,61 +16,6 @@
 constexpr double minSlowness = 0.7;
 constexpr double maxSlowness = 8;
 
-/** Reading that one ticket has put on an engine. */
-struct BookedRead
-{
-    Duration time{};
-    TimePoint since{};
-    Duration ahead{}; //!< backlog when it was placed
-};
-
-struct PeerView
-{
-    EntryLoad load;
-    TimePoint told{};
-};
-
-} // namespace
-
-struct TargetBook::Target
-{
-    TargetEntry entry;
-    TargetHash hash = 0;
-    Endpoint endpoint;
-    bool replaced = false; //!< another run holds its address
-    std::map<std::uint64_t, BookedRead> reads;
-    std::uint32_t running = 0; //!< of this entry
-    TimePoint readingSince{}; //!< the first of reads is being read since then
-    double slowness = 1;
-    std::uint32_t failuresInRow = 0;
-    TimePoint suspectUntil{};
-    ToldLoad told;
-    TimePoint toldAt{};
-    std::uint32_t runningWhenTold = 0;
-    std::map<std::string, PeerView> peers;
-};
-
-struct TargetBook::Shard
-{
-    std::mutex lock;
-    std::map<std::string, Target, std::less<>> targets;
-    PrefixIndex kept; //!< prompt parts by target
-    std::uint64_t nextTicket = 1;
-    std::vector<TargetReads> unsentReads; //!< for the other entries
-};
-
-namespace
-{
-
-template<typename Target> Duration ownBacklog(const Target &target, TimePoint now)
-{
-    Duration total{};
-    for (const auto &[number, read] : target.reads) {
-        total += read.time;
-    }
-    return std::max(Duration::zero(), total - (now - target.readingSince));
-}
-
 template<typename Target> Duration backlogOf(const Target &target, const TargetBookSettings &settings, TimePoint now)
 {
     Duration total = ownBacklog(target, now);
@@ -116,6 +60,13 @@
     }
 }
 
+/** A time that doubles with each repetition in a row. */
+Duration doubled(Duration time, std::uint32_t repetitions, Duration longest)
+{
+    constexpr std::uint32_t maxDoublings = 8;
+    return std::min(time * (1U << std::min(repetitions, maxDoublings)), longest);
+}
+
 bool contains(std::span<const std::string> ids, const std::string &id)
 {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -276,7 +227,7 @@
     std::vector<PlacementEngine> engines;
     std::vector<Target *> targets;
     for (auto &[id, target] : shard->targets) {
-        if (!isUsable(target) || contains(tried, id)) {
+        if (!isUsable(target) || isChanging(target, now) || contains(tried, id)) {
             continue;
         }
         engines.push_back({.id = id,
@@ -287,7 +238,8 @@
                            .slots = target.entry.slots,
                            .covered = coveredTokens(shard->kept, id, blocks),
                            .slowness = target.slowness,
-                           .suspect = now < target.suspectUntil});
+                           .suspect = now < std::max(target.suspectUntil, target.refusingUntil),
+                           .losesMemory = now < target.lapsingUntil});
         targets.push_back(&target);
     }
     PlacementSettings settings = m_settings.placement;
@@ -382,55 +334,67 @@
 void TargetBook::noteFailure(const TargetRef &ref, TimePoint now)
 {
     withTarget(ref, [&](Target &target) {
-        constexpr std::uint32_t maxDoublings = 8;
-        const Duration time = m_settings.suspectTime * (1U << std::min(target.failuresInRow, maxDoublings));
-        ++target.failuresInRow;
-        target.suspectUntil = now + std::min<Duration>(time, m_settings.maxSuspectTime);
+        target.suspectUntil = now + doubled(m_settings.suspectTime, target.failuresInRow++, m_settings.maxSuspectTime);
     });
 }
 
-void TargetBook::noteReplaced(const TargetRef &ref)
+void TargetBook::noteRefused(const TargetRef &ref, TimePoint now)
+{
+    withTarget(ref, [&](Target &target) {
+        target.refusingUntil = now + doubled(m_settings.refusedTime, target.refusalsInRow++, m_settings.maxRefusedTime);
+    });
+}
+
+void TargetBook::noteTaken(const TargetRef &ref)
 {
     withTarget(ref, [](Target &target) {
-        target.replaced = true;
+        target.refusalsInRow = 0;
+        target.refusingUntil = {};
     });
 }
 
-void TargetBook::fillNews(PeerNews &news, TimePoint now)
+void TargetBook::noteMemory(const TargetRef &reader, bool taken, TimePoint now)
 {
-    for (const auto &shard : shards()) {
-        const std::lock_guard lock(shard->lock);
-        for (const auto &[id, target] : shard->targets) {
-            if (target.running > 0 || !target.reads.empty()) {
-                news.loads[target.hash] = {ownBacklog(target, now), target.running};
-            }
+    withTarget(reader, [&](Target &target) {
+        if (taken) {
+            target.lapsesInRow = 0;
+            target.lapsingUntil = {};
+        } else {
+            target.lapsingUntil = now + doubled(m_settings.refusedTime, target.lapsesInRow++, m_settings.maxRefusedTime);
         }
-        std::move(shard->unsentReads.begin(), shard->unsentReads.end(), std::back_inserter(news.reads));
-        shard->unsentReads.clear();
-    }
+    });
 }
 
-void TargetBook::takeNews(const PeerNews &news, TimePoint now)
+void TargetBook::noteRoleChange(std::string_view id, EngineRole role, TimePoint until)
 {
     for (const auto &shard : shards()) {
         const std::lock_guard lock(shard->lock);
-        std::map<TargetHash, std::string_view> ids;
-        for (auto &[id, target] : shard->targets) {
-            ids[target.hash] = id;
-            const auto told = news.loads.find(target.hash);
-            if (told == news.loads.end()) {
-                target.peers.erase(news.sender.instance);
-            } else {
-                target.peers[news.sender.instance] = {told->second, now};
-            }
-        }
-        for (const TargetReads &reads : news.reads) {
-            const auto id = ids.find(reads.target);
-            if (id != ids.end()) {
-                noteBlocksRouted(shard->kept, id->second, reads.blocks);
-            }
+        const auto target = shard->targets.find(id);
+        if (target != shard->targets.end()) {
+            target->second.orderedRole = role;
+            target->second.changingUntil = until;
+            target->second.orderedHere = true;
         }
     }
 }
 
+bool TargetBook::isServing(const std::string &group, TimePoint now) const
+{
+    const auto shard = shardOf(group);
+    if (!shard) {
+        return false;
+    }
+    const std::lock_guard lock(shard->lock);
+    return std::any_of(shard->targets.begin(), shard->targets.end(), [&](const auto &target) {
+        return runningOn(target.second, m_settings, now) > 0;
+    });
+}
+
+void TargetBook::noteReplaced(const TargetRef &ref)
+{
+    withTarget(ref, [](Target &target) {
+        target.replaced = true;
+    });
+}
+
 } // namespace snipehill
--- a/src/request/include/request/promptplacement.h
+++ b/src/request/include/request/promptplacement.h
@@ -49,6 +49,7 @@
     std::uint64_t covered = 0; //!< leading prompt tokens that it keeps
     double slowness = 1; //!< measured time over predicted time
     bool suspect = false; //!< failed a short while ago
+    bool losesMemory = false; //!< prompts that it read for other engines could not be taken a short while ago
 };
 
 /** The prompt to place. */
--- a/src/request/include/request/roleshare.h
+++ b/src/request/include/request/roleshare.h
@@ -4,9 +4,9 @@
 #include <core/time.h>
 
 #include <cstdint>
-#include <optional>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace snipehill
 {
@@ -16,7 +16,7 @@
 {
     std::string id;
     std::string failureDomain;
-    EngineRole role = EngineRole::Mixed;
+    EngineRole role = EngineRole::Mixed; //!< the ordered one while it changes
     std::uint32_t running = 0;
     std::uint32_t slots = 1;
     bool changing = false; //!< an order was given and its effect is not seen yet
@@ -28,6 +28,7 @@
     double streamsPerReader = 24; //!< streams that one reading engine feeds when it is busy; slots for them are kept on the others
     double minShare = 0.3; //!< of a group's engines that read prompts
     double maxShare = 0.7;
+    double changingUnderLoad = 0.06; //!< of a group's engines that change at a time while it serves, one at least: each is away for seconds
 };
 
 /** A role order that the plan wants given. */
@@ -41,11 +42,14 @@
 std::size_t wantedReaders(std::span<const ShareEngine> engines, const RoleShareSettings &settings) noexcept;
 
 /**
- * The next role order for a group of engines, or none: it moves the number of reading engines towards its share.
+ * Role orders to give now for a group of engines: they move the number of reading engines towards its share.
  *
  * Answers loads that swing faster than a role change takes: the share is fixed, fits the work of the mean, and placement
- * follows the swings. Changes keep the reading engines spread over the failure domains, one engine at a time in each group.
+ * follows the swings. Changes keep the reading engines spread over the failure domains. A group that serves nothing
+ * changes all at once, so that a fleet which has just started is in its roles when traffic comes.
+ *
+ * @param serving whether requests run on the group
  */
-std::optional<ShareOrder> nextShareOrder(std::span<const ShareEngine> engines, const RoleShareSettings &settings);
+std::vector<ShareOrder> shareOrders(std::span<const ShareEngine> engines, bool serving, const RoleShareSettings &settings);
 
 } // namespace snipehill
--- a/src/request/src/promptplacement.cpp
+++ b/src/request/src/promptplacement.cpp
@@ -175,6 +175,9 @@
             continue;
         }
         Candidate candidate = runWhereRead(engines, i, demand, settings);
+        if (engine.losesMemory) {
+            candidate.cost += settings.suspectPenalty;
+        }
         candidate.placement.reader = i;
         candidate.placement.runner = *runner;
         candidate.placement.firstToken += running;
--- a/src/serving/src/directroles.cpp
+++ b/src/serving/src/directroles.cpp
@@ -7,6 +7,7 @@
 #include <process/pause.h>
 #include <request/roleshare.h>
 
+#include <algorithm>
 #include <map>
 #include <string>
 
@@ -21,6 +22,8 @@
 constexpr milliseconds planInterval{500};
 constexpr milliseconds orderTimeout{800}; // must fit into what is left of the lease
 constexpr seconds orderMemory{15}; // an order that was not answered may take effect 12 s later; until then none follows to the engine
+constexpr seconds settleTime{3}; // under load, the share is missed for so long before an order: engines that crash are mostly back sooner
+constexpr seconds longestChange{6}; // an engine that has not shown its new role by then is used again
 constexpr unsigned accepted = 202;
 constexpr unsigned alreadySo = 200;
 
@@ -33,6 +36,13 @@
 
 using PendingOrders = std::map<std::string, PendingOrder>;
 
+/** What the holder of the lease remembers between rounds. */
+struct RolePlan
+{
+    PendingOrders pending;
+    std::map<std::string, TimePoint> wantedSince; //!< by group: the share has been missed since then
+};
+
 /** Drops orders that have taken effect or are too old to do so. */
 void settleOrders(PendingOrders &pending, const std::vector<TargetEntry> &entries, TimePoint now)
 {
@@ -71,32 +81,48 @@
     }
     processMetrics().count(Counter::RoleChanges, {toString(role), taken ? "accepted" : answer ? "refused" : "not_answered"});
     if (taken) {
+        context.targets.noteRoleChange(engine.id, role, Clock::now() + longestChange);
         logEvent(Part::Roles, Level::Info, "role ordered", {{"target", engine.id}, {"role", toString(role)}, {"fence", *fence}});
     } else {
         logEvent(Part::Roles, Level::Warning, "role order not accepted", reason, {{"target", engine.id}, {"role", toString(role)}, {"fence", *fence}});
     }
 }
 
-/** One round for one group of engines. */
-asio::awaitable<void> planGroup(RoleContext &context, const std::string &group, PendingOrders &pending)
+/** The group's engines in the roles that they have or were ordered into. */
+std::vector<ShareEngine> shareEngines(const std::vector<TargetEntry> &entries, const std::string &group, const PendingOrders &pending)
 {
-    const std::vector<TargetEntry> entries = context.targets.entries();
-    settleOrders(pending, entries, Clock::now());
     std::vector<ShareEngine> engines;
     for (const TargetEntry &entry : entries) {
-        if (entry.group == group && !entry.leaving) {
-            engines.push_back({entry.id, entry.failureDomain, entry.role, 0, entry.slots, pending.contains(entry.id)});
+        if (entry.group != group || entry.leaving) {
+            continue;
         }
+        const auto order = pending.find(entry.id);
+        const bool changing = order != pending.end();
+        engines.push_back({entry.id, entry.failureDomain, changing ? order->second.role : entry.role, 0, entry.slots, changing});
     }
-    const auto order = nextShareOrder(engines, {});
-    if (!order) {
+    return engines;
+}
+
+/** One round for one group of engines. */
+asio::awaitable<void> planGroup(RoleContext &context, const std::string &group, RolePlan &plan)
+{
+    const std::vector<TargetEntry> entries = context.targets.entries();
+    settleOrders(plan.pending, entries, Clock::now());
+    const bool serving = context.targets.isServing(group, Clock::now());
+    const std::vector<ShareOrder> orders = shareOrders(shareEngines(entries, group, plan.pending), serving, {});
+    if (orders.empty()) {
+        plan.wantedSince.erase(group);
         co_return;
     }
-    for (const TargetEntry &entry : entries) {
-        if (entry.id == order->id) {
-            co_await giveOrder(context, entry, order->role, pending);
-            co_return;
-        }
+    const TimePoint since = plan.wantedSince.try_emplace(group, Clock::now()).first->second;
+    if (serving && Clock::now() - since < settleTime) {
+        co_return;
+    }
+    for (const ShareOrder &order : orders) {
+        const auto entry = std::find_if(entries.begin(), entries.end(), [&order](const TargetEntry &candidate) {
+            return candidate.id == order.id;
+        });
+        co_await giveOrder(context, *entry, order.role, plan.pending);
     }
 }
 
@@ -104,7 +130,7 @@
 
 asio::awaitable<void> planEngineRoles(RoleContext &context)
 {
-    PendingOrders pending;
+    RolePlan plan;
     while (!context.stopped) {
         co_await pauseFor(planInterval);
         const RoutingVersionPointer routing = context.routing.current();
@@ -113,7 +139,7 @@
         }
         for (const auto &[name, group] : routing->groups) {
             if (group.engine) {
-                co_await planGroup(context, name, pending);
+                co_await planGroup(context, name, plan);
             }
         }
     }
--- a/src/serving/src/directstream.cpp
+++ b/src/serving/src/directstream.cpp
@@ -94,9 +94,11 @@
     const auto body = co_await readBody(request, exchange, progress.reason);
     finishExchange(request, exchange);
     if (!body || status != statusOk) {
+        request.context.targets.noteRefused(reader, Clock::now());
         logRequest(request, Level::Warning, "prompt not read", {{"target", reader.id}, {"status", status}});
         co_return std::nullopt;
     }
+    request.context.targets.noteTaken(reader);
     auto handle = platform::readMemoryHandle(*body, progress.reason);
     if (handle && request.exchange.gone()) {
         asio::co_spawn(co_await asio::this_coro::executor, dropMemory(reader.endpoint, *handle), asio::detached);
@@ -236,6 +238,10 @@
         if (exchange.answer.status == misdirected) {
             request.context.targets.noteReplaced(runner);
         }
+        request.context.targets.noteRefused(runner, Clock::now());
+        if (placed.read) {
+            request.context.targets.noteMemory(placed.read->target, false, Clock::now());
+        }
         logRequest(
             request, Level::Warning, "not run by the engine", {{"target", runner.id}, {"status", exchange.answer.status}, {"memory", memory.empty() ? 0 : 1}});
         progress.reason = {Step::RunOnTarget, runner.id, "the engine refused with " + std::to_string(exchange.answer.status)};
@@ -245,6 +251,10 @@
         co_return RunEnd::NotRun;
     }
     request.mayHaveRun = true;
+    request.context.targets.noteTaken(runner);
+    if (placed.read) {
+        request.context.targets.noteMemory(placed.read->target, true, Clock::now());
+    }
     if (exchange.answer.status != statusOk || !exchange.answer.events || !exchange.answer.sealed || exchange.answer.encoded) {
         co_return co_await passPlain(request, exchange, progress);
     }
--- a/tests/process/targetbooktest.cpp
+++ b/tests/process/targetbooktest.cpp
@@ -29,6 +29,24 @@
     return placed ? placed->run.target.id : "none";
 }
 
+/** Engine that a short prompt is placed on. */
+std::string placeShort(TargetBook &book, TimePoint now)
+{
+    Reason reason;
+    const auto placed = book.placePrompt({.name = "g", .engine = EngineFacts{.slots = 4}}, {.promptTokens = 300, .failureDomain = "fd-a"}, {}, {}, now, reason);
+    if (placed) {
+        book.end(placed->run, now);
+    }
+    return placed ? placed->run.target.id : "none";
+}
+
+TargetEntry engine(const std::string &id, EngineRole role)
+{
+    TargetEntry entry = service(id);
+    entry.role = role;
+    return entry;
+}
+
 } // namespace
 
 TEST_CASE("Targets that leave, were replaced or are gone get no work", "[targets]")
@@ -139,3 +157,70 @@
     CHECK(news.loads.empty());
     CHECK(news.reads.empty());
 }
+
+TEST_CASE("An engine that changes its role gets no prompts at any entry until its entry shows the role", "[targets]")
+{
+    TargetBook orderer(settings());
+    TargetBook other({.instance = "entry-2", .failureDomain = "fd-a"});
+    for (TargetBook *book : {&orderer, &other}) {
+        book->apply(engine("changing", EngineRole::Decode));
+        book->apply(engine("steady", EngineRole::Decode));
+        CHECK(placeShort(*book, start) == "changing");
+    }
+    orderer.noteRoleChange("changing", EngineRole::Prefill, start + seconds(6));
+    PeerNews news{.sender = {"entry-1", 1}};
+    orderer.fillNews(news, start);
+    other.takeNews(news, start);
+    for (TargetBook *book : {&orderer, &other}) {
+        CHECK(placeShort(*book, start + seconds(5)) == "steady");
+        CHECK(placeShort(*book, start + seconds(7)) == "changing");
+        book->apply(engine("changing", EngineRole::Prefill));
+        book->apply(engine("changing", EngineRole::Decode));
+        CHECK(placeShort(*book, start + seconds(5)) == "steady");
+    }
+    PeerNews later{.sender = {"entry-2", 1}};
+    other.fillNews(later, start + seconds(1));
+    CHECK(later.roleChanges.empty());
+}
+
+TEST_CASE("An engine that refuses prompts at once does not draw the others to it", "[targets]")
+{
+    TargetBook book(settings());
+    book.apply(engine("refusing", EngineRole::Decode));
+    book.apply(engine("steady", EngineRole::Decode));
+    const TargetRef refusing{.group = "g", .id = "refusing"};
+    int refused = 0;
+    for (milliseconds time{0}; time < seconds(3); time += milliseconds(5)) {
+        if (placeShort(book, start + time) == "refusing") {
+            ++refused;
+            book.noteAnswer(refusing, std::nullopt, start + time);
+            book.noteRefused(refusing, start + time);
+        }
+    }
+    CHECK(refused <= 5);
+    book.noteTaken(refusing);
+    CHECK(placeShort(book, start + seconds(3)) == "refusing");
+}
+
+TEST_CASE("Prompts are not read apart by an engine whose memory can't be taken", "[targets]")
+{
+    TargetBook book(settings());
+    book.apply(engine("lapsing", EngineRole::Prefill));
+    book.apply(engine("steady", EngineRole::Prefill));
+    book.apply(engine("runner", EngineRole::Decode));
+    const auto reader = [&](TimePoint now) {
+        Reason reason;
+        const GroupRule group{.name = "g", .engine = EngineFacts{.slots = 4, .memoryTokens = 100000, .tokenBytes = 1000, .linkBitsPerSecond = 1e12}};
+        const auto placed = book.placePrompt(group, {.promptTokens = 9000, .failureDomain = "fd-a"}, {}, {}, now, reason);
+        REQUIRE(placed);
+        REQUIRE(placed->read);
+        book.end(*placed->read, now);
+        book.end(placed->run, now);
+        return placed->read->target.id;
+    };
+    CHECK(reader(start) == "lapsing");
+    book.noteMemory({.group = "g", .id = "lapsing"}, false, start);
+    CHECK(reader(start + milliseconds(100)) == "steady");
+    book.noteMemory({.group = "g", .id = "lapsing"}, true, start + milliseconds(100));
+    CHECK(reader(start + milliseconds(100)) == "lapsing");
+}
--- a/tests/request/rolesharetest.cpp
+++ b/tests/request/rolesharetest.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -39,31 +40,54 @@
     }
 }
 
-TEST_CASE("Orders lead to the share one engine at a time, and then cease", "[roles]")
+TEST_CASE("Orders lead to the share and then cease, all at once before traffic and one of nine at a time under it", "[roles]")
 {
-    for (const std::size_t readers : {0U, 3U, 6U, 9U}) {
-        INFO(readers << " readers at first");
-        auto engines = group(readers, 9 - readers, 64);
-        int orders = 0;
-        while (const auto order = nextShareOrder(engines, {})) {
-            REQUIRE(++orders <= 9);
-            for (ShareEngine &engine : engines) {
-                if (engine.id == order->id) {
-                    CHECK(engine.role != order->role);
-                    engine.role = order->role;
+    for (const bool serving : {false, true}) {
+        for (const std::size_t readers : {0U, 3U, 6U, 9U}) {
+            INFO(readers << " readers at first, serving " << serving);
+            auto engines = group(readers, 9 - readers, 64);
+            std::size_t given = 0;
+            std::size_t rounds = 0;
+            for (auto orders = shareOrders(engines, serving, {}); !orders.empty(); orders = shareOrders(engines, serving, {})) {
+                REQUIRE(++rounds <= 9);
+                given += orders.size();
+                for (const ShareOrder &order : orders) {
+                    const auto engine = std::find_if(engines.begin(), engines.end(), [&order](const ShareEngine &candidate) {
+                        return candidate.id == order.id;
+                    });
+                    CHECK(engine->role != order.role);
+                    engine->role = order.role;
                 }
             }
+            const std::size_t missing = readers < 6 ? 6 - readers : readers - 6;
+            CHECK(given == missing);
+            CHECK(rounds == (serving ? missing : std::min<std::size_t>(missing, 1)));
         }
-        CHECK(orders == std::abs(static_cast<int>(readers) - 6));
     }
 }
 
-TEST_CASE("Nothing is ordered while a change is under way or engines have no separate roles", "[roles]")
+TEST_CASE("Under load few engines change at a time, however many there are", "[roles]")
+{
+    struct Case
+    {
+        std::size_t engines;
+        std::size_t changing;
+        std::size_t orders;
+    };
+    const std::vector<Case> cases{{9, 0, 1}, {9, 1, 0}, {48, 0, 3}, {48, 1, 2}, {48, 3, 0}, {48, 5, 0}};
+    for (const Case &c : cases) {
+        INFO(c.engines << " engines, " << c.changing << " changing");
+        auto engines = group(c.changing, c.engines - c.changing, 64);
+        for (std::size_t i = 0; i < c.changing; ++i) {
+            engines[i].changing = true;
+        }
+        CHECK(shareOrders(engines, true, {}).size() == c.orders);
+    }
+}
+
+TEST_CASE("Nothing is ordered while engines have no separate roles", "[roles]")
 {
-    auto changing = group(3, 6, 64);
-    changing[0].changing = true;
-    CHECK(!nextShareOrder(changing, {}));
     auto mixed = group(3, 6, 64);
     mixed[5].role = EngineRole::Mixed;
-    CHECK(!nextShareOrder(mixed, {}));
+    CHECK(shareOrders(mixed, false, {}).empty());
 }
