Add up the outstanding reading of all entries on an engine

Cause: each entry took the time since its last finished read as progress with its own prompts, and the age of news as progress with each other entry's. With 27 entries an engine that had a second of reading ahead looked idle, as each entry's 40 ms of it had 'passed'.

Ruled out: cold prompt parts (632 of 852 were fetched), role changes (none after traffic came).

Now only the oldest read counts as partly done, and what others told does not shrink with its age.

--- a/src/process/src/targetbook.cpp
+++ b/src/process/src/targetbook.cpp
@@ -17,13 +17,13 @@
 constexpr double minSlowness = 0.7;
 constexpr double maxSlowness = 8;
 
+/** Reading left on a target of all entries. What the others told does not shrink with its age: they have placed more since then. */
 template<typename Target> Duration backlogOf(const Target &target, const TargetBookSettings &settings, TimePoint now)
 {
     Duration total = ownBacklog(target, now);
     for (const auto &[peer, view] : target.peers) {
-        const Duration age = now - view.told;
-        if (age < settings.peerLoadAge) {
-            total += std::max(Duration::zero(), view.load.backlog - age);
+        if (now - view.told < settings.peerLoadAge) {
+            total += view.load.backlog;
         }
     }
     return total;
--- a/src/process/src/targetbookshard.h
+++ b/src/process/src/targetbookshard.h
@@ -56,14 +56,20 @@
     std::map<std::string, std::uint64_t> unsentShortTokens; //!< likewise, of short prompts by target id
 };
 
-/** Reading left on a target of what this entry has placed. */
+/**
+ * Reading left on a target of what this entry has placed. Only the oldest read can be partly done: an engine reads the
+ * prompts of all entries in turn, so its progress with those of one entry is not the time that passes.
+ */
 template<typename Target> Duration ownBacklog(const Target &target, TimePoint now)
 {
     Duration total{};
     for (const auto &[number, read] : target.reads) {
         total += read.time;
     }
-    return std::max(Duration::zero(), total - (now - target.readingSince));
+    if (!target.reads.empty()) {
+        total -= std::min(now - target.readingSince, target.reads.begin()->second.time);
+    }
+    return total;
 }
 
 /** The target was ordered into a role that its entry doesn't show yet. */
--- a/tests/process/targetbooktest.cpp
+++ b/tests/process/targetbooktest.cpp
@@ -224,3 +224,34 @@
     book.noteMemory({.group = "g", .id = "lapsing"}, true, start + milliseconds(100));
     CHECK(reader(start + milliseconds(100)) == "lapsing");
 }
+
+// Many entries share the engines, so each has placed little of what an engine still has to read.
+TEST_CASE("Small backlogs of many entries add up, also when their news are some time old", "[targets][load]")
+{
+    struct Case
+    {
+        int entries;
+        milliseconds told;
+        milliseconds age;
+    };
+    const std::vector<Case> cases{
+        {3, milliseconds(100), milliseconds(90)}, {26, milliseconds(40), milliseconds(390)}, {200, milliseconds(5), milliseconds(900)}};
+    for (const Case &c : cases) {
+        INFO(c.entries << " entries");
+        TargetBook book(settings());
+        book.apply(engine("busy", EngineRole::Decode));
+        book.apply(engine("idle", EngineRole::Decode));
+        for (int entry = 0; entry < c.entries; ++entry) {
+            PeerNews news{.sender = {"other-" + std::to_string(entry), 1}};
+            news.loads[targetHash("busy")] = {.backlog = c.told, .running = 1};
+            book.takeNews(news, start);
+        }
+        Reason reason;
+        const GroupRule group{.name = "g", .engine = EngineFacts{.slots = 1000}};
+        const std::vector<std::string> tried{"idle"};
+        const auto placed = book.placePrompt(group, {.promptTokens = 300, .failureDomain = "fd-a"}, {}, tried, start + c.age, reason);
+        REQUIRE(placed);
+        CHECK(placed->wait >= c.entries * c.told);
+        CHECK(placeShort(book, start + c.age) == "idle");
+    }
+}
