Soak a deployment of real processes in random faults

Ruled out: relays for datagrams between entries (news may be lost by design), moving the time of day (needs privileges).

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PRESET ?= release
 BUILD = build$(if $(filter-out release,$(PRESET)),-$(PRESET))
 
-.PHONY: install build test unit proofs demo bench format lint test-asan test-tsan clean
+.PHONY: install build test unit proofs soak demo bench format lint test-asan test-tsan clean
 
 install:
 	sh cmake/install-packages.sh
@@ -20,6 +20,12 @@
 proofs: build
 	$(BUILD)/tests/proof_tests
 
+# Random faults on a deployment of real processes: make soak SEED=100 SEEDS=50
+SEED ?= 1
+SEEDS ?= 10
+soak: build
+	$(BUILD)/tests/snipehill_soak --seed $(SEED) --seeds $(SEEDS)
+
 demo: install build
 	sh examples/demo.sh $(BUILD)
 	bash examples/demo-platform.sh $(BUILD)
--- a/src/process/src/targetbook.cpp
+++ b/src/process/src/targetbook.cpp
@@ -272,7 +272,7 @@
     if (reader.reads.empty()) {
         reader.readingSince = now;
     }
-    reader.reads[number] = {placement->readTime, now, engines[readerPosition].backlog};
+    reader.reads[number] = {placement->readWork, now, engines[readerPosition].backlog + placement->readTime};
     ++runner.running;
     placed.run = {refOf(runner), placement->reader ? shard->nextTicket++ : number};
     if (placement->reader) {
@@ -305,7 +305,7 @@
         if (read == target.reads.end()) {
             return;
         }
-        const Duration predicted = read->second.ahead + read->second.time;
+        const Duration predicted = read->second.expected;
         if (predicted >= leastMeasuredRead) {
             const double ratio = std::chrono::duration<double>(now - read->second.since) / std::chrono::duration<double>(predicted);
             target.slowness = std::clamp(target.slowness * (1 + slownessWeight * (std::clamp(ratio, 0.5, 2.0) - 1)), minSlowness, maxSlowness);
--- a/src/process/src/targetbookshard.h
+++ b/src/process/src/targetbookshard.h
@@ -10,9 +10,9 @@
 /** Reading that one ticket has put on an engine. */
 struct BookedRead
 {
-    Duration time{};
+    Duration work{}; //!< time by which it delays those behind
     TimePoint since{};
-    Duration ahead{}; //!< backlog when it was placed
+    Duration expected{}; //!< until it is done, with what was ahead
 };
 
 struct PeerView
@@ -64,10 +64,10 @@
 {
     Duration total{};
     for (const auto &[number, read] : target.reads) {
-        total += read.time;
+        total += read.work;
     }
     if (!target.reads.empty()) {
-        total -= std::min(now - target.readingSince, target.reads.begin()->second.time);
+        total -= std::min(now - target.readingSince, target.reads.begin()->second.work);
     }
     return total;
 }
--- a/src/request/include/request/promptplacement.h
+++ b/src/request/include/request/promptplacement.h
@@ -21,7 +21,7 @@
     double prefillTokensPerMs = 50; //!< an engine of the prefill role
     double decodeTokensPerMs = 25; //!< an engine of another role, which reads between the tokens of its streams
     double stepMs = 6; //!< fixed time of one step
-    double promptMs = 10; //!< fixed time of one prompt: 300 tokens take 23 ms on an idle engine, of which 6 are theirs
+    double promptMs = 10; //!< fixed time of one prompt, in which the engine reads others: 300 tokens take 23 ms on an idle engine, of which 6 are theirs
     std::uint32_t prefillChunk = 2048; //!< tokens read in one step
     std::uint32_t decodeChunk = 512;
     double pairsMsPerMillion = 0.37; //!< attention, for each million pairs of a token read and one before it
@@ -34,7 +34,10 @@
 /** Order in which an engine serves requests that wait, 0 first: by priority, then short prompts before long ones. */
 std::uint32_t urgencyOf(std::uint32_t priority, std::uint64_t promptTokens) noexcept;
 
-/** Time that an engine of the role needs to read tokens that follow others which it keeps. */
+/** Time by which reading tokens that follow others which the engine keeps delays the prompts behind: prompts share steps. */
+Duration readingWork(const ReadingRates &rates, EngineRole role, std::uint64_t tokens, std::uint64_t before) noexcept;
+
+/** Time that an idle engine of the role needs to read such tokens. */
 Duration readingTime(const ReadingRates &rates, EngineRole role, std::uint64_t tokens, std::uint64_t before) noexcept;
 
 /** One engine as an entry sees it when a prompt is placed. Plain value, filled under the lock of its owner. */
@@ -84,6 +87,7 @@
     std::optional<std::size_t> fetchFrom; //!< engine that the reading one takes covered tokens from
     Duration wait{}; //!< predicted, for prompts ahead
     Duration readTime{}; //!< of the engine that reads, without what is ahead
+    Duration readWork{}; //!< time by which that reading delays prompts behind it
     Duration firstToken{}; //!< predicted time to the first event
 };
 
--- a/src/request/src/promptplacement.cpp
+++ b/src/request/src/promptplacement.cpp
@@ -55,6 +55,7 @@
 struct Reading
 {
     Duration time{};
+    Duration work{};
     Duration fetch{};
     std::optional<std::size_t> fetchFrom;
 };
@@ -62,10 +63,12 @@
 Reading planReading(std::span<const PlacementEngine> engines, std::size_t position, const PromptDemand &demand, const PlacementSettings &settings)
 {
     const PlacementEngine &engine = engines[position];
-    const auto time = [&](std::uint64_t covered) {
-        return scaled(readingTime(settings.rates, engine.role, demand.promptTokens - covered, covered), engine.slowness);
+    const auto reading = [&](std::uint64_t covered) {
+        const std::uint64_t tokens = demand.promptTokens - covered;
+        return Reading{.time = scaled(readingTime(settings.rates, engine.role, tokens, covered), engine.slowness),
+                       .work = scaled(readingWork(settings.rates, engine.role, tokens, covered), engine.slowness)};
     };
-    Reading best{.time = time(std::min(engine.covered, demand.promptTokens))};
+    Reading best = reading(std::min(engine.covered, demand.promptTokens));
     if (settings.linkBitsPerSecond <= 0) {
         return best;
     }
@@ -74,7 +77,9 @@
         if (other == position || engines[other].suspect || covered < engine.covered + settings.fetchAtLeast) {
             continue;
         }
-        const Reading candidate{.time = time(covered), .fetch = transferTime(engines[other], engine, covered - engine.covered, settings), .fetchFrom = other};
+        Reading candidate = reading(covered);
+        candidate.fetch = transferTime(engines[other], engine, covered - engine.covered, settings);
+        candidate.fetchFrom = other;
         if (candidate.time + candidate.fetch < best.time + best.fetch) {
             best = candidate;
         }
@@ -108,6 +113,7 @@
     candidate.placement.runner = runner;
     candidate.placement.fetchFrom = reading.fetchFrom;
     candidate.placement.readTime = reading.time;
+    candidate.placement.readWork = reading.work;
     candidate.placement.wait = engine.backlog + slotWait(engine);
     candidate.placement.firstToken = settings.hop + engine.backlog + slotWait(engine) + reading.fetch + reading.time;
     candidate.cost = candidate.placement.firstToken + bodyPrice(engine, demand, settings) + suspectPenalty(engine, settings);
@@ -147,14 +153,18 @@
     return 2 * priority + (promptTokens > shortPromptTokens ? 1 : 0);
 }
 
-Duration readingTime(const ReadingRates &rates, EngineRole role, std::uint64_t tokens, std::uint64_t before) noexcept
+Duration readingWork(const ReadingRates &rates, EngineRole role, std::uint64_t tokens, std::uint64_t before) noexcept
 {
     const bool prefill = role == EngineRole::Prefill;
     const double count = static_cast<double>(tokens);
     const double steps = count / (prefill ? rates.prefillChunk : rates.decodeChunk);
     const double pairs = count * (static_cast<double>(before) + count / 2) / 1e6;
-    return fromMs(count / (prefill ? rates.prefillTokensPerMs : rates.decodeTokensPerMs) + rates.promptMs + rates.stepMs * (steps + 1)
-                  + rates.pairsMsPerMillion * pairs);
+    return fromMs(count / (prefill ? rates.prefillTokensPerMs : rates.decodeTokensPerMs) + rates.stepMs * steps + rates.pairsMsPerMillion * pairs);
+}
+
+Duration readingTime(const ReadingRates &rates, EngineRole role, std::uint64_t tokens, std::uint64_t before) noexcept
+{
+    return readingWork(rates, role, tokens, before) + fromMs(rates.promptMs + rates.stepMs);
 }
 
 std::optional<PromptPlacement>
--- a/tests/fakes/promptrun.h
+++ b/tests/fakes/promptrun.h
@@ -51,7 +51,10 @@
     PromptOutcome shortPrompts;
 };
 
-/** Plays a load against a TargetBook in virtual time: engines read in the order of arrival, at the rates that the book assumes. */
+/**
+ * Plays a load against a TargetBook in virtual time: engines read in the order of arrival, at the
+ * rates that the book assumes: prompts share steps, and each takes some time more that the engine spends on others.
+ */
 class PromptRun
 {
 public:
@@ -130,9 +133,11 @@
             return;
         }
         const std::string reader = placed->read ? placed->read->target.id : placed->run.target.id;
-        const Duration reading = readingOn(reader, parts, tokens);
-        const TimePoint read = std::max(m_free[reader], m_now) + reading;
-        m_free[reader] = read;
+        const std::uint64_t covered = coveredOn(reader, *placed, parts);
+        const EngineRole role = m_roles.at(reader);
+        const TimePoint begun = std::max(m_free[reader], m_now);
+        m_free[reader] = begun + readingWork({}, role, tokens - covered, covered);
+        const TimePoint read = begun + readingTime({}, role, tokens - covered, covered);
         const TimePoint arrived = m_now;
         const TimePoint first = placed->read ? std::max(m_free[placed->run.target.id], read) + milliseconds(20) : read;
         const bool inPatience = first - arrived <= patienceOf(route, m_load.admission);
@@ -151,12 +156,14 @@
         });
     }
 
-    /** True reading time: what an engine keeps is known here exactly. */
-    Duration readingOn(const std::string &engine, const std::vector<PrefixBlock> &parts, std::uint64_t tokens)
+    /** What engines keep is known here exactly; an engine keeps what it has read, fetched or run. */
+    std::uint64_t coveredOn(const std::string &reader, const PlacedPrompt &placed, const std::vector<PrefixBlock> &parts)
     {
-        const bool kept = !m_kept.emplace(engine, parts.front().hash).second;
-        const std::uint64_t covered = kept && parts.size() > 1 ? parts.front().tokens : 0;
-        return readingTime({}, m_roles.at(engine), tokens - covered, covered);
+        const auto part = parts.front().hash;
+        const bool fetched = placed.fetchFrom && m_kept.contains({placed.fetchFrom->id, part});
+        const bool kept = !m_kept.emplace(reader, part).second;
+        m_kept.emplace(placed.run.target.id, part);
+        return (kept || fetched) && parts.size() > 1 ? parts.front().tokens : 0;
     }
 
     void at(double time, std::function<void()> action)
--- a/tests/proofs/directpathtest.cpp
+++ b/tests/proofs/directpathtest.cpp
@@ -26,7 +26,9 @@
     ReadyHost() : DirectHost(usualTargets(), 1)
     {
         publish(usualConfiguration(1));
-        REQUIRE(waitUntilReady(0));
+        const bool ready = waitUntilReady(0);
+        INFO(logOf(0));
+        REQUIRE(ready);
     }
 };
 
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,76 @@
+#include "soakrun.h"
+
+#include <popt.h>
+
+#include <iostream>
+
+using namespace snipehill;
+using namespace snipehill::soak;
+
+namespace
+{
+
+/** What the command line asks for. */
+struct SoakOptions
+{
+    long long firstSeed = 1;
+    int seeds = 1;
+    int entries = 3;
+    int callers = 12;
+    int seconds = 10;
+    int faults = 12;
+};
+
+bool parseOptions(int argc, const char **argv, SoakOptions &options)
+{
+    const poptOption table[] = {
+        {"seed", 's', POPT_ARG_LONGLONG, &options.firstSeed, 0, "first seed", "NUMBER"},
+        {"seeds", 'n', POPT_ARG_INT, &options.seeds, 0, "seeds to play, one after the other", "COUNT"},
+        {"entries", 'e', POPT_ARG_INT, &options.entries, 0, "entry processes", "COUNT"},
+        {"callers", 'c', POPT_ARG_INT, &options.callers, 0, "callers, each with a kept connection", "COUNT"},
+        {"seconds", 't', POPT_ARG_INT, &options.seconds, 0, "time in which faults are in force", "SECONDS"},
+        {"faults", 'f', POPT_ARG_INT, &options.faults, 0, "faults of one run", "COUNT"},
+        POPT_AUTOHELP POPT_TABLEEND,
+    };
+    poptContext context = poptGetContext(nullptr, argc, argv, table, 0);
+    const int end = poptGetNextOpt(context);
+    const bool rest = poptPeekArg(context) != nullptr;
+    poptFreeContext(context);
+    return end == -1 && !rest && options.seeds > 0 && options.entries > 0 && options.callers > 0 && options.seconds > 2 && options.faults >= 0;
+}
+
+} // namespace
+
+int main(int argc, const char **argv)
+{
+    SoakOptions options;
+    if (!parseOptions(argc, argv, options)) {
+        std::cerr << "soak: bad options, see --help\n";
+        return 2;
+    }
+    SoakSize size;
+    size.entries = static_cast<std::size_t>(options.entries);
+    size.callers = static_cast<std::size_t>(options.callers);
+    size.length = std::chrono::seconds(options.seconds);
+    size.faults = static_cast<std::size_t>(options.faults);
+    int failed = 0;
+    for (int i = 0; i < options.seeds; ++i) {
+        const auto seed = static_cast<std::uint64_t>(options.firstSeed + i);
+        const SoakOutcome outcome = runSoak(seed, size);
+        std::cout << "seed " << seed << ": " << outcome.requests << " requests, " << outcome.served << " served, " << outcome.violations.size() << " violations"
+                  << std::endl;
+        if (outcome.violations.empty()) {
+            continue;
+        }
+        ++failed;
+        for (const std::string &fault : outcome.faults) {
+            std::cout << "  " << fault << '\n';
+        }
+        for (const std::string &violation : outcome.violations) {
+            std::cout << "  VIOLATED: " << violation << '\n';
+        }
+        std::cout << "  logs and journals: " << outcome.files << std::endl;
+    }
+    std::cout << options.seeds - failed << " of " << options.seeds << " seeds without violation\n";
+    return failed == 0 ? 0 : 1;
+}
--- a/tests/standins/platformserver.cpp
+++ b/tests/standins/platformserver.cpp
@@ -41,6 +41,9 @@
         } else if (!expected.empty() && expected != faults.text("id", "")) {
             headers.emplace_back("Not-Executed", "1");
             co_await exchange.respond(421, std::move(headers), "");
+        } else if (entry["path"] == "/api/order") {
+            journal.add("order", entry);
+            co_await exchange.respond(static_cast<unsigned>(faults.number("", "orderStatus", 400)), {}, "");
         } else if (faults.flag("", "refuse")) {
             headers.emplace_back("Not-Executed", "1");
             co_await exchange.respond(503, std::move(headers), "");
--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -41,7 +41,7 @@
 };
 
 /**
- * The platform's store: append with conditions and sequence numbers, read with wait, newest of each key, trim.
+ * The platform's store, with the usage interface beside it: append with conditions and sequence numbers, read with wait, newest of each key, trim.
  * Faults: down (503), silent (no answer), loseAnswers (the next N appends take effect, then the connection closes).
  */
 class PlatformStore : public StandIn
@@ -67,12 +67,23 @@
         } else if (target.path == "/api/log-trim") {
             topic.first = std::min(topic.records.size(), static_cast<std::size_t>(queryNumber(target, "before_offset", 0)));
             co_await respondJson(exchange, 200, Json::Value(Json::objectValue));
+        } else if (target.path == "/usage") {
+            co_await usage(exchange);
         } else {
             co_await respondJson(exchange, 404, Json::Value(Json::objectValue));
         }
     }
 
 private:
+    asio::awaitable<void> usage(HttpExchange &exchange)
+    {
+        Json::Value entry;
+        entry["headers"] = headersOf(exchange);
+        entry["report"] = parseJson(exchange.request().body()).value_or(Json::Value());
+        journal.add("usage", entry);
+        co_await respondJson(exchange, 200, Json::Value(Json::objectValue));
+    }
+
     static std::string queryText(const Target &target, std::string_view name)
     {
         const std::string key = std::string(name) + "=";
--- a/tests/support/directhost.cpp
+++ b/tests/support/directhost.cpp
@@ -36,51 +36,149 @@
 
 } // namespace
 
-DirectHost::DirectHost(std::vector<DirectTarget> targets, std::size_t entryCount) : m_targets(std::move(targets)), m_store(loopback())
+DirectHost::DirectHost(std::vector<DirectTarget> targets, std::size_t entryCount) : DirectHost(std::move(targets), DirectLayout{.entries = entryCount}) { }
+
+DirectHost::DirectHost(std::vector<DirectTarget> targets, const DirectLayout &layout) : m_targets(std::move(targets)), m_store(loopback())
 {
-    startStandIns();
+    m_controls["store"] = loopback();
+    for (const DirectTarget &target : m_targets) {
+        m_addresses[target.id] = loopback();
+        m_controls[target.id] = loopback();
+    }
+    if (layout.relayed) {
+        startSeparately();
+    } else {
+        startTogether();
+    }
+    waitForStandIns();
     for (const DirectTarget &target : m_targets) {
         setFaults(target.id, R"({"id": ")" + target.id + "\"}");
         registerTarget(target, "ready");
     }
-    for (std::size_t entry = 0; entry < entryCount; ++entry) {
+    for (std::size_t entry = 0; entry < layout.entries; ++entry) {
         m_callers.push_back(loopback());
         m_readiness.push_back(loopback());
+        m_newsPorts.push_back(freePort());
+        if (layout.relayed) {
+            m_storeRelays.push_back(std::make_unique<Relay>(m_store));
+        }
         startEntry(entry);
     }
 }
 
-void DirectHost::startStandIns()
+void DirectHost::startTogether()
 {
-    m_controls["store"] = loopback();
     std::vector<std::string> arguments{
         "--kind", "platform-store", "--name", "store", "--listen", toString(m_store), "--control", toString(m_controls["store"])};
     for (const DirectTarget &target : m_targets) {
-        m_addresses[target.id] = loopback();
-        m_controls[target.id] = loopback();
         arguments.insert(
             arguments.end(),
             {"--kind", "platform-server", "--name", target.id, "--listen", toString(m_addresses[target.id]), "--control", toString(m_controls[target.id])});
     }
     m_standIns.emplace_back(standInProgram, arguments, m_folder.file("standins.out"));
+}
+
+void DirectHost::startSeparately()
+{
+    m_standIns.push_back(startStandIn("store", "platform-store", m_store));
+    for (const DirectTarget &target : m_targets) {
+        m_targetRelays[target.id] = std::make_unique<Relay>(m_addresses[target.id]);
+        targetProcesses.emplace(target.id, startStandIn(target.id, "platform-server", m_addresses[target.id]));
+    }
+}
+
+ChildProcess DirectHost::startStandIn(const std::string &name, const std::string &kind, const Endpoint &listen)
+{
+    const std::vector<std::string> arguments{
+        "--kind", kind, "--name", name, "--listen", toString(listen), "--control", toString(m_controls.at(name)), "--journal", journalFile(name)};
+    return {standInProgram, arguments, m_folder.file(name + ".out")};
+}
+
+void DirectHost::waitForStandIn(const std::string &name)
+{
+    waitUntil([this, &name] {
+        return callOnce(m_controls.at(name), {.target = "/faults"}).whole;
+    });
+}
+
+void DirectHost::waitForStandIns()
+{
     for (const auto &[name, control] : m_controls) {
-        const Endpoint endpoint = control;
-        waitUntil([endpoint] {
-            return callOnce(endpoint, {.target = "/faults"}).whole;
-        });
+        waitForStandIn(name);
     }
 }
 
-void DirectHost::startEntry(std::size_t entry)
+std::string DirectHost::journalFile(const std::string &name) const
+{
+    return m_folder.file(name + ".journal");
+}
+
+std::string DirectHost::writeSettings(std::size_t entry)
 {
     const std::string name = "entry-" + std::to_string(entry + 1);
-    const std::string file = m_folder.file(name + ".toml");
-    const std::uint16_t port = freePort();
-    std::ofstream(file) << "node_name = \"" << name << "\"\nzone = \"fd-a\"\nregion = \"r1\"\nport_range = [" << port << "," << port
+    const Endpoint store = m_storeRelays.empty() ? m_store : m_storeRelays[entry]->endpoint();
+    std::string file = m_folder.file(name + ".toml");
+    std::ofstream(file) << "node_name = \"" << name << "\"\nzone = \"fd-a\"\nregion = \"r1\"\nport_range = [" << m_newsPorts[entry] << "," << m_newsPorts[entry]
                         << "]\n[listen]\nfront = " << quoted(m_callers[entry]) << "\nready = " << quoted(m_readiness[entry])
-                        << "\n[bounds]\ngrace_s = 8\nbudget_ratio = 0.2\nbudget_slack = 50\n[platform]\naddress = " << quoted(m_store) << "\n";
-    ::setenv("SNIPEHILL_SETTINGS", file.c_str(), 1);
-    entries.emplace_back(daemonProgram, std::vector<std::string>{"--platform-entry"}, m_folder.file(name + ".out"));
+                        << "\n[bounds]\ngrace_s = 8\nbudget_ratio = 0.2\nbudget_slack = 50\nlease_ms = 1000\nreport_window_s = 2\nusage_late_s = 6\n"
+                        << "[platform]\naddress = " << quoted(store) << "\n[cloud]\naddress = " << quoted(m_store) << "\nduties = [\"usage_report\"]\n";
+    return file;
+}
+
+void DirectHost::startEntry(std::size_t entry)
+{
+    ::setenv("SNIPEHILL_SETTINGS", writeSettings(entry).c_str(), 1);
+    ChildProcess process(daemonProgram, std::vector<std::string>{"--platform-entry"}, m_folder.file("entry-" + std::to_string(entry + 1) + ".out"));
+    if (entry < entries.size()) {
+        entries[entry] = std::move(process);
+    } else {
+        entries.push_back(std::move(process));
+    }
+}
+
+void DirectHost::restartEntry(std::size_t entry)
+{
+    startEntry(entry);
+}
+
+void DirectHost::restartTarget(const std::string &id)
+{
+    targetProcesses.at(id) = startStandIn(id, "platform-server", m_addresses.at(id));
+    waitForStandIn(id);
+    setFaults(id, R"({"id": ")" + id + "\"}");
+}
+
+Relay &DirectHost::targetRelay(const std::string &id)
+{
+    return *m_targetRelays.at(id);
+}
+
+Relay &DirectHost::storeRelay(std::size_t entry)
+{
+    return *m_storeRelays.at(entry);
+}
+
+Journal DirectHost::journal() const
+{
+    std::vector<Journal> journals;
+    for (const auto &[name, control] : m_controls) {
+        std::ifstream file(journalFile(name));
+        std::ostringstream text;
+        text << file.rdbuf();
+        journals.push_back(parseJournal(text.str()));
+    }
+    return mergeJournals(journals);
+}
+
+const Endpoint &DirectHost::callers(std::size_t entry) const
+{
+    return m_callers.at(entry);
+}
+
+std::string DirectHost::keepFiles()
+{
+    m_folder.keep();
+    return m_folder.file("");
 }
 
 void DirectHost::append(const std::string &topic, const std::string &key, const std::string &value)
@@ -98,8 +196,9 @@
 void DirectHost::registerTarget(const DirectTarget &target, const std::string &state)
 {
     const std::string role = target.role.empty() ? "" : R"(,"stage":")" + target.role + "\"";
-    const std::string entry = R"({"service":")" + target.group + R"(","address":")" + toString(m_addresses[target.id])
-        + R"(","zone":"fd-a","slots":8,"born":1,"state":")" + state + "\"" + role + "}";
+    const std::string entry = R"({"service":")" + target.group + R"(","address":")"
+        + toString(m_targetRelays.empty() ? m_addresses[target.id] : targetRelay(target.id).endpoint()) + R"(","zone":"fd-a","slots":8,"born":1,"state":")"
+        + state + "\"" + role + "}";
     append("keyed.servers", target.id, state.empty() ? "" : entry);
 }
 
@@ -112,7 +211,8 @@
 
 void DirectHost::setFaults(const std::string &name, const std::string &json)
 {
-    callOnce(m_controls.at(name), {.method = "POST", .target = "/faults", .body = json});
+    // A stand-in that is paused or down doesn't take it.
+    callOnce(m_controls.at(name), {.method = "POST", .target = "/faults", .body = json, .timeout = milliseconds(500)});
 }
 
 std::vector<Json::Value> DirectHost::events(const std::string &target, const std::string &event)
--- a/tests/support/directhost.h
+++ b/tests/support/directhost.h
@@ -2,6 +2,8 @@
 
 #include "support/childprocess.h"
 #include "support/client.h"
+#include "support/journal.h"
+#include "support/relay.h"
 
 #include <connection/endpoint.h>
 #include <json/value.h>
@@ -22,6 +24,13 @@
     std::string role; //!< as its entry says; empty for plain services
 };
 
+/** How a deployment under test is laid out. */
+struct DirectLayout
+{
+    std::size_t entries = 1;
+    bool relayed = false; //!< every stand-in is a process of its own, and entries reach the store and the targets through relays
+};
+
 /**
  * A deployment on the users' platform: the store, targets and entries as processes on loopback ports, with settings files as
  * the platform writes them. Used by the test's main thread.
@@ -30,6 +39,7 @@
 {
 public:
     DirectHost(std::vector<DirectTarget> targets, std::size_t entryCount);
+    DirectHost(std::vector<DirectTarget> targets, const DirectLayout &layout);
 
     /** Puts a configuration into the store, as the operator does. */
     void publish(const std::string &configuration);
@@ -43,14 +53,34 @@
     std::vector<Json::Value> events(const std::string &target, const std::string &event);
     /** Sends a caller's request to an entry. */
     Answer call(std::size_t entry, const Call &request);
-    /** What an entry has logged so far. */
+    /** What an entry has logged so far, all its runs. */
     std::string logOf(std::size_t entry) const;
+    /** Starts an entry again after its process has ended. */
+    void restartEntry(std::size_t entry);
+    /** Starts a target's stand-in again after its process has ended; relayed layout only. */
+    void restartTarget(const std::string &id);
+    /** Between the entries and a target; relayed layout only. */
+    Relay &targetRelay(const std::string &id);
+    /** Between one entry and the store; relayed layout only. */
+    Relay &storeRelay(std::size_t entry);
+    /** Everything that the stand-ins have seen, over all their runs; relayed layout only. */
+    Journal journal() const;
+    const Endpoint &callers(std::size_t entry) const;
+    /** Leaves logs and journals where they are and returns the folder. */
+    std::string keepFiles();
 
     std::vector<ChildProcess> entries;
+    std::map<std::string, ChildProcess> targetProcesses; //!< relayed layout only
 
 private:
-    void startStandIns();
+    void startTogether();
+    void startSeparately();
+    ChildProcess startStandIn(const std::string &name, const std::string &kind, const Endpoint &listen);
+    void waitForStandIn(const std::string &name);
+    void waitForStandIns();
     void startEntry(std::size_t entry);
+    std::string writeSettings(std::size_t entry);
+    std::string journalFile(const std::string &name) const;
     void append(const std::string &topic, const std::string &key, const std::string &value);
 
     TemporaryFolder m_folder;
@@ -61,6 +91,9 @@
     std::vector<Endpoint> m_callers;
     std::vector<Endpoint> m_readiness;
     std::vector<ChildProcess> m_standIns;
+    std::map<std::string, std::unique_ptr<Relay>> m_targetRelays;
+    std::vector<std::unique_ptr<Relay>> m_storeRelays; //!< by entry
+    std::vector<std::uint16_t> m_newsPorts; //!< by entry
 };
 
 /** A caller's request with the headers that the platform's clients send. */
