--- a/src/process/src/leasekeeper.cpp
+++ b/src/process/src/leasekeeper.cpp
@@ -28,7 +28,7 @@
 constexpr milliseconds retryPause{200};
 constexpr milliseconds tickInterval{50};
 constexpr milliseconds minCandidatePause{1000}; // between reads of a process that neither holds nor claims anything
-constexpr milliseconds maxCandidatePause{5000};
+constexpr int pausesPerLease = 2; // at least so many reads in the time of a lease: a candidate that missed its renewal would claim in vain
 constexpr milliseconds pausePerCandidate{200}; // keeps the reads of all candidates together at about five a second
 
 } // namespace
@@ -202,7 +202,9 @@
             continue;
         }
         state->applyPage(*page, from, bootNow());
-        const milliseconds pause = std::clamp(pausePerCandidate * static_cast<std::int64_t>(state->candidates), minCandidatePause, maxCandidatePause);
+        const milliseconds pause = std::clamp(pausePerCandidate * static_cast<std::int64_t>(state->candidates),
+                                              minCandidatePause,
+                                              std::max(minCandidatePause, state->settings.duration / pausesPerLease));
         for (milliseconds paused{0}; paused < pause && !state->isActive(); paused += tickInterval) {
             co_await pauseFor(tickInterval);
         }
