Wait until a paused process stands still

SIGSTOP takes effect when one of the process's threads gets to run, so on a busy machine the entry went on for a moment after pause() had returned and served the request as it should.

Ruled out: the check for callers that left (it saw the end of the connection in all runs on an idle machine). The new test '[support]' fails before.

--- a/tests/proofs/supporttest.cpp
+++ b/tests/proofs/supporttest.cpp
@@ -4,6 +4,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
+#include <filesystem>
+#include <fstream>
 #include <thread>
 
 using namespace snipehill;
@@ -53,6 +56,43 @@
     CHECK(eventsOf(cluster.targetJournal(), "received").size() == 3);
 }
 
+// The kernel stops a process when one of its threads gets to run, which takes a while on a busy machine.
+TEST_CASE("A process stands still when its pause has begun, also beside load", "[support]")
+{
+    const auto stoppedThreads = [](pid_t id) {
+        std::size_t running = 0;
+        for (const auto &thread : std::filesystem::directory_iterator("/proc/" + std::to_string(id) + "/task")) {
+            std::ifstream file(thread.path() / "stat");
+            std::string text;
+            std::getline(file, text);
+            running += text.substr(text.rfind(')') + 2, 1) == "T" ? 0 : 1;
+        }
+        return running == 0;
+    };
+    Cluster cluster(twoTargets());
+    cluster.startStandIn(cluster.targets[0]);
+    ChildProcess &process = *cluster.targets[0].process;
+    std::atomic<bool> done{false};
+    std::vector<std::thread> load;
+    for (unsigned i = 0; i < 3 * std::thread::hardware_concurrency(); ++i) {
+        load.emplace_back([&done] {
+            while (!done) { }
+        });
+    }
+    int moving = 0;
+    for (int i = 0; i < 50; ++i) {
+        process.pause();
+        moving += stoppedThreads(process.id()) ? 0 : 1;
+        process.resume();
+        letPass(milliseconds(2));
+    }
+    done = true;
+    for (std::thread &thread : load) {
+        thread.join();
+    }
+    CHECK(moving == 0);
+}
+
 TEST_CASE("The relay drops, silences and refuses connections", "[support]")
 {
     Cluster cluster(twoTargets());
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -69,7 +69,7 @@
     kill();
 }
 
-ChildProcess::ChildProcess(ChildProcess &&other) noexcept : m_id(std::exchange(other.m_id, -1)), m_exitCode(other.m_exitCode) { }
+ChildProcess::ChildProcess(ChildProcess &&other) noexcept : m_id(std::exchange(other.m_id, -1)), m_exitCode(other.m_exitCode), m_paused(other.m_paused) { }
 
 ChildProcess &ChildProcess::operator=(ChildProcess &&other) noexcept
 {
@@ -77,6 +77,7 @@
         kill();
         m_id = std::exchange(other.m_id, -1);
         m_exitCode = other.m_exitCode;
+        m_paused = other.m_paused;
     }
     return *this;
 }
@@ -92,9 +93,14 @@
     if (m_id < 0 || waitpid(m_id, &status, options) != m_id) {
         return m_id < 0;
     }
+    noteEnd(status);
+    return true;
+}
+
+void ChildProcess::noteEnd(int status)
+{
     m_id = -1;
     m_exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
-    return true;
 }
 
 bool ChildProcess::running()
@@ -111,11 +117,20 @@
 
 void ChildProcess::pause()
 {
-    signal(SIGSTOP);
+    if (m_paused || !running()) {
+        return;
+    }
+    ::kill(m_id, SIGSTOP);
+    int status = 0;
+    m_paused = waitpid(m_id, &status, WUNTRACED) == m_id && WIFSTOPPED(status);
+    if (!m_paused) {
+        noteEnd(status);
+    }
 }
 
 void ChildProcess::resume()
 {
+    m_paused = false;
     signal(SIGCONT);
 }
 
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -30,8 +30,9 @@
     bool running();
     /** Sends a signal, unless the process has ended. */
     void signal(int number);
-    /** SIGSTOP and SIGCONT. */
+    /** SIGSTOP, and waits until the process stands still. Nothing happens when it does already. */
     void pause();
+    /** SIGCONT. */
     void resume();
     /** SIGKILL, and waits for the end. */
     void kill();
@@ -40,9 +41,11 @@
 
 private:
     bool reap(int options);
+    void noteEnd(int status);
 
     pid_t m_id = -1; //!< -1: reaped
     int m_exitCode = -1;
+    bool m_paused = false;
 };
 
 /** A port of 127.0.0.1 that was free a moment ago; not given twice by one test program. */
