Say when an entry ends by itself in the soak

The entries' logs have one start each, the restart came at 03:16:07.4, and the program was being linked from 03:16:06.9 to 03:16:08.6 (build log), so it could not be started. Ruled out: an entry that starts and fails (nothing logged).

An entry that ends by itself is now named with its code; the switches of stand-ins stand in a file of their own.

--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -1,5 +1,7 @@
 #include "soakrun.h"
 
+#include "soakswitches.h"
+
 #include "support/callers.h"
 #include "support/directhost.h"
 #include "support/wait.h"
@@ -33,24 +35,6 @@
                                         {"e3", "engines", "decode"},
                                         {"e4", "engines", "decode"}};
 
-/** Faults that a stand-in does itself. */
-struct Switch
-{
-    bool ofStore = false; //!< else of the fault's target
-    const char *on;
-    const char *off;
-};
-
-const std::map<FaultKind, Switch> switches{
-    {FaultKind::RefuseWork, {false, R"({"refuse": true})", R"({"refuse": null})"}},
-    {FaultKind::FailWork, {false, R"({"status": 500})", R"({"status": null})"}},
-    {FaultKind::BreakStream, {false, R"({"cutAfter": 2})", R"({"cutAfter": null})"}},
-    {FaultKind::ExtraAnswers, {false, R"({"extraAnswer": 3})", R"({"extraAnswer": null})"}},
-    {FaultKind::SlowTarget, {false, R"({"beforeMs": 400, "readMs": 400, "eventMs": 100})", R"({"beforeMs": null, "readMs": null, "eventMs": null})"}},
-    {FaultKind::StoreDown, {true, R"({"down": true})", R"({"down": null})"}},
-    {FaultKind::LoseStoreAnswers, {true, R"({"loseAnswers": 5})", R"({"loseAnswers": null})"}},
-};
-
 /** One run: the deployment, the traffic, and what has been done to it. Used by the main thread. */
 class Soak
 {
@@ -73,6 +57,7 @@
             schedule(fault);
         }
         passTime();
+        checkRunning();
         checkRecovery();
         const std::vector<CallerRecord> records = callers.stop();
         check(records);
@@ -124,6 +109,16 @@
         });
     }
 
+    /** An entry ends only when it is killed or told to stop. */
+    void checkRunning()
+    {
+        for (std::size_t entry = 0; entry < m_size.entries; ++entry) {
+            if (const auto code = m_host.entries[entry].waitForEnd(milliseconds(0))) {
+                note("entry " + std::to_string(entry + 1) + " ended by itself with code " + std::to_string(*code));
+            }
+        }
+    }
+
     void passTime()
     {
         while (!m_actions.empty() || !m_stopping.empty() || Clock::now() < m_began + m_size.length) {
@@ -153,9 +148,8 @@
 
     void setSwitch(const Fault &fault, const char *Switch::*state)
     {
-        const auto found = switches.find(fault.kind);
-        if (found != switches.end()) {
-            m_host.setFaults(found->second.ofStore ? "store" : targetOf(fault).id, found->second.*state);
+        if (const Switch *found = switchOf(fault.kind)) {
+            m_host.setFaults(found->ofStore ? "store" : targetOf(fault).id, found->*state);
         }
     }
 
