Log an engine's role change where it is learnt from news

Cause: on-call engineers want one line for each change of what a process believes; entries stopped placing prompts on an engine under a role order without saying so. Ruled out: a line each news (the book tells only what it did not know). No decision changes. Test: '[targets]' role changes.

--- a/src/process/include/process/targetbook.h
+++ b/src/process/include/process/targetbook.h
@@ -137,8 +137,8 @@
 
     /** Adds this entry's load and what it has placed since the last call to news for the other entries. */
     void fillNews(PeerNews &news, TimePoint now);
-    /** Takes what another entry told. */
-    void takeNews(const PeerNews &news, TimePoint now);
+    /** Takes what another entry told. Returns the engines that are learnt to change their role. */
+    std::vector<std::string> takeNews(const PeerNews &news, TimePoint now);
 
 private:
     struct Target;
--- a/src/process/src/targetbooknews.cpp
+++ b/src/process/src/targetbooknews.cpp
@@ -29,8 +29,9 @@
     }
 }
 
-void TargetBook::takeNews(const PeerNews &news, TimePoint now)
+std::vector<std::string> TargetBook::takeNews(const PeerNews &news, TimePoint now)
 {
+    std::vector<std::string> changing;
     for (const auto &shard : shards()) {
         const std::lock_guard lock(shard->lock);
         std::map<TargetHash, std::string_view> ids;
@@ -47,9 +48,13 @@
             const auto id = ids.find(hash);
             if (id != ids.end()) {
                 Target &target = shard->targets.find(id->second)->second;
+                const bool known = isChanging(target, now);
                 target.orderedRole = change.role;
                 target.changingUntil = now + change.remaining;
                 target.orderedHere = false;
+                if (!known && isChanging(target, now)) {
+                    changing.push_back(target.entry.id);
+                }
             }
         }
         for (const TargetReads &reads : news.reads) {
@@ -59,6 +64,7 @@
             }
         }
     }
+    return changing;
 }
 
 } // namespace snipehill
--- a/src/serving/src/directpeers.cpp
+++ b/src/serving/src/directpeers.cpp
@@ -176,7 +176,9 @@
         }
         peer.endpoint = from;
         peer.heard = now;
-        talk->context.targets.takeNews(*news, now);
+        for (const std::string &engine : talk->context.targets.takeNews(*news, now)) {
+            logEvent(Part::Roles, Level::Info, "engine changes its role", {{"target", engine}, {"toldBy", news->sender.instance}});
+        }
         takeUsage(talk->context.counts, *news, now);
         for (const auto &[fingerprint, losses] : news->losses) {
             talk->context.crashes.notePeerLosses(fingerprint, losses, now);
--- a/tests/process/targetbooktest.cpp
+++ b/tests/process/targetbooktest.cpp
@@ -170,7 +170,8 @@
     orderer.noteRoleChange("changing", EngineRole::Prefill, start + seconds(6));
     PeerNews news{.sender = {"entry-1", 1}};
     orderer.fillNews(news, start);
-    other.takeNews(news, start);
+    CHECK(other.takeNews(news, start) == std::vector<std::string>{"changing"});
+    CHECK(other.takeNews(news, start).empty());
     for (TargetBook *book : {&orderer, &other}) {
         CHECK(placeShort(*book, start + seconds(5)) == "steady");
         CHECK(placeShort(*book, start + seconds(7)) == "changing");
