Keep one copy of writing and parsing JSON text

Cause: directusage.cpp repeated the two functions of platformcall.cpp; they stand in core/jsontext.h now. Ruled out: the strict reader of records, which refuses what these accept.

--- a/src/process/src/platformcall.cpp
+++ b/src/process/src/platformcall.cpp
@@ -1,41 +1,14 @@
 #include "platformcall.h"
 
 #include <connection/httpclient.h>
+#include <core/jsontext.h>
 #include <process/logclient.h>
 
-#include <json/reader.h>
-#include <json/writer.h>
-
-#include <memory>
-
 namespace snipehill
 {
 
 namespace asio = boost::asio;
 
-namespace
-{
-
-std::string write(const Json::Value &value)
-{
-    Json::StreamWriterBuilder writer;
-    writer["indentation"] = "";
-    return Json::writeString(writer, value);
-}
-
-std::optional<Json::Value> parse(const std::string &text)
-{
-    const Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value value;
-    if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr) || !value.isObject()) {
-        return std::nullopt;
-    }
-    return value;
-}
-
-} // namespace
-
 asio::awaitable<std::optional<Json::Value>> callPlatform(LeaseKeeper &leases, PlatformCall call, Reason &reason)
 {
     const std::optional<Offset> epoch = leases.epoch(call.scope);
@@ -47,7 +20,7 @@
     call.body["epoch"] = Json::Int64(*epoch);
     HttpCall http{.peer = call.service, .method = boost::beast::http::verb::post, .timeout = call.bound, .step = call.step};
     http.target = call.path;
-    http.body = write(call.body);
+    http.body = writeJsonText(call.body);
     http.maySend = [&leases, scope = call.scope, bound = call.bound, epoch] {
         return leases.epoch(scope) == epoch && leases.mayCall(scope, bound);
     };
@@ -59,7 +32,11 @@
         reason = {call.step, toString(call.service), "platform answered " + std::to_string(response->result_int())};
         co_return std::nullopt;
     }
-    co_return parse(response->body());
+    auto answer = parseJsonText(response->body());
+    if (answer && !answer->isObject()) {
+        co_return std::nullopt;
+    }
+    co_return answer;
 }
 
 asio::awaitable<bool> readLogToEnd(LogReader &reader, Reason &reason)
--- a/src/serving/src/directusage.cpp
+++ b/src/serving/src/directusage.cpp
@@ -1,14 +1,12 @@
 #include "directusage.h"
 
 #include <connection/httpclient.h>
+#include <core/jsontext.h>
 #include <platform/messages.h>
 #include <process/log.h>
 #include <process/metrics.h>
 #include <process/pause.h>
 
-#include <json/reader.h>
-#include <json/writer.h>
-
 namespace snipehill
 {
 
@@ -29,24 +27,6 @@
 constexpr WindowNumber keptWindows = 12; // of this entry's own counts; reports of older ones are overdue
 constexpr unsigned statusOk = 200;
 
-std::string write(const Json::Value &value)
-{
-    Json::StreamWriterBuilder writer;
-    writer["indentation"] = "";
-    return Json::writeString(writer, value);
-}
-
-std::optional<Json::Value> parse(const std::string &text)
-{
-    const Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value value;
-    if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr)) {
-        return std::nullopt;
-    }
-    return value;
-}
-
 /** Reads a stream from where the last call ended. */
 struct StreamReader
 {
@@ -214,7 +194,7 @@
         }
         LogPage converted{.firstRetained = page->first, .next = page->next};
         for (const platform::StoreRecord &record : page->records) {
-            if (auto value = parse(record.value)) {
+            if (auto value = parseJsonText(record.value)) {
                 converted.records.push_back({record.offset, std::move(*value)});
             }
         }
@@ -224,7 +204,7 @@
         std::vector<platform::StoreRecord> converted;
         converted.reserve(records.size());
         for (const Json::Value &record : records) {
-            converted.push_back({.value = write(record)});
+            converted.push_back({.value = writeJsonText(record)});
         }
         co_return co_await store.append(std::move(stream), std::move(converted), storeTimeout, reason);
     };
