Tell how each received request ended and why a retry was not granted

Nothing said for how long the target had been silent or which rule refused another attempt, exceptions that left a handler were swallowed, and requests in progress at the end of the process were counted but not named.

Added: `snipehill_requests_received_total` and `snipehill_requests_ended_total{end}`, counted by the HTTP server itself so that no path can skip them; "request handler failed" with the exception; "request cut by the end of the process" for each; `silentMs` and `notRetried` in "stream cut"; the reason in "not retried". A stream whose caller disconnects gets its final line once, it was written twice or not at all.

--- a/src/connection/include/connection/httpserver.h
+++ b/src/connection/include/connection/httpserver.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -68,6 +69,23 @@
 
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange &)>;
 
+/** How an exchange ended for the client. Each request that was received completely ends in exactly one of these ways. */
+enum class RequestEnd {
+    Answered, //!< the complete response was written
+    ClientLeft, //!< the client had disconnected before that
+    Cut, //!< the connection was closed without a complete response although the client was there
+};
+
+/** "answered", "client_left" or "cut". */
+const char *toString(RequestEnd end) noexcept;
+
+/** Observes the exchanges of a server. The functions are called on the strand of the connection and must not block. */
+struct HttpServerObserver
+{
+    std::function<void()> onReceived; //!< a request was received completely; may be empty
+    std::function<void(RequestEnd, std::string_view error)> onEnded; //!< error: exception that left the handler, else empty; may be empty
+};
+
 /**
  * HTTP/1.1 server with keep-alive; pipelined requests are handled one at a time and answered in order.
  *
@@ -77,7 +95,7 @@
 class HttpServer
 {
 public:
-    HttpServer(boost::asio::any_io_executor executor, HttpServerLimits limits, HttpHandler handler);
+    HttpServer(boost::asio::any_io_executor executor, HttpServerLimits limits, HttpHandler handler, HttpServerObserver observer = {});
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
--- a/src/connection/src/httpserver.cpp
+++ b/src/connection/src/httpserver.cpp
@@ -49,6 +49,7 @@
     std::mutex limitsLock;
     HttpServerLimits limits;
     HttpHandler handler;
+    HttpServerObserver observer;
     AcceptorPointer acceptor;
     std::uint16_t port = 0;
     std::atomic<bool> closing{false};
@@ -142,6 +143,7 @@
 
     void abort() override
     {
+        m_aborted = true;
         m_finished = false;
         m_keepAlive = false;
         boost::system::error_code ignored;
@@ -202,6 +204,14 @@
         return m_finished && m_keepAlive;
     }
 
+    RequestEnd end() const noexcept
+    {
+        if (m_finished) {
+            return RequestEnd::Answered;
+        }
+        return m_disconnected && !m_aborted ? RequestEnd::ClientLeft : RequestEnd::Cut;
+    }
+
 private:
     template<typename Response> void applyHeaders(Response &response, const HeaderList &headers)
     {
@@ -224,6 +234,7 @@
     bool m_chunked = false;
     bool m_responseStarted = false;
     bool m_finished = false;
+    bool m_aborted = false;
 };
 
 /** Registers a connection as idle for the lifetime of this object, so that stopAccepting() can close it. */
@@ -321,13 +332,18 @@
 handleExchange(const ServerStatePointer &state, const std::shared_ptr<Stream> &stream, boost::beast::flat_buffer &buffer, Exchange &exchange)
 {
     ++state->active;
+    if (state->observer.onReceived) {
+        state->observer.onReceived();
+    }
     const auto watcher = std::make_shared<DisconnectWatcher>(stream->get_executor());
     watchForDisconnect(watcher, stream, buffer, exchange);
     bool failed = false;
+    std::string error;
     try {
         co_await state->handler(exchange);
-    } catch (const std::exception &) {
+    } catch (const std::exception &exception) {
         failed = true;
+        error = exception.what();
     }
     if (failed && exchange.hasResponseStarted()) {
         exchange.abort();
@@ -336,6 +352,9 @@
         headers.emplace_back("Content-Type", "text/plain");
         co_await exchange.respond(500, std::move(headers), "internal error");
     }
+    if (state->observer.onEnded) {
+        state->observer.onEnded(exchange.end(), error);
+    }
     co_await stopWatching(watcher, stream);
     --state->active;
 }
@@ -379,11 +398,26 @@
 
 } // namespace
 
-HttpServer::HttpServer(asio::any_io_executor executor, HttpServerLimits limits, HttpHandler handler) : m_state(std::make_shared<State>())
+const char *toString(RequestEnd end) noexcept
+{
+    switch (end) {
+    case RequestEnd::Answered:
+        return "answered";
+    case RequestEnd::ClientLeft:
+        return "client_left";
+    case RequestEnd::Cut:
+        return "cut";
+    }
+    return "";
+}
+
+HttpServer::HttpServer(asio::any_io_executor executor, HttpServerLimits limits, HttpHandler handler, HttpServerObserver observer)
+    : m_state(std::make_shared<State>())
 {
     m_state->executor = std::move(executor);
     m_state->limits = limits;
     m_state->handler = std::move(handler);
+    m_state->observer = std::move(observer);
 }
 
 HttpServer::~HttpServer() = default;
--- a/src/process/include/process/metrics.h
+++ b/src/process/include/process/metrics.h
@@ -31,6 +31,8 @@
     Orders, //!< kind, result
     RoleChanges, //!< to, result
     UsageReports, //!< result
+    RequestsReceived,
+    RequestsEnded, //!< end; the sum equals RequestsReceived less the requests in progress
     Count,
 };
 
--- a/src/process/src/metrics.cpp
+++ b/src/process/src/metrics.cpp
@@ -57,6 +57,8 @@
         {CounterType, "snipehill_orders_total", "Orders to engines and to the target interface.", {"kind", "result"}},
         {CounterType, "snipehill_role_changes_total", "Role changes of engines.", {"to", "result"}},
         {CounterType, "snipehill_usage_reports_total", "Usage reports sent.", {"result"}},
+        {CounterType, "snipehill_requests_received_total", "Requests of callers that were received completely.", {}},
+        {CounterType, "snipehill_requests_ended_total", "Received requests, by how they ended for the caller.", {"end"}},
         {GaugeType, "snipehill_config_version", "Offset of the configuration in force.", {}},
         {GaugeType, "snipehill_config_age_seconds", "Time since the configuration was last known to be current.", {}},
         {GaugeType, "snipehill_lease_state", "0 free, 1 held by another process, 2 held by this one.", {"scope"}},
--- a/src/serving/src/directcall.cpp
+++ b/src/serving/src/directcall.cpp
@@ -34,6 +34,7 @@
     std::optional<BufferedResponse> response; //!< latest usable response
     std::uint32_t unreachableTargets = 0;
     bool refusedByTarget = false;
+    RetryDenial denial = RetryDenial::None; //!< of the latest retry
     Reason reason;
 };
 
@@ -117,22 +118,39 @@
     co_return false;
 }
 
-/** Whether another target may be tried after an attempt that did not complete the call. */
-bool mayRetry(DirectRequest &request, const CallProgress &progress, std::uint32_t sendsBefore)
+/** Decides whether another target may be tried after an attempt that did not complete the call. */
+RetryDenial decideRetry(DirectRequest &request, const CallProgress &progress, std::uint32_t sendsBefore)
 {
-    if (hasTimedOut(request) || request.exchange.isDisconnected() || progress.unreachableTargets > maxUnreachableTargets) {
-        return false;
+    if (hasTimedOut(request)) {
+        return RetryDenial::DeadlinePassed;
+    }
+    if (request.exchange.isDisconnected()) {
+        return RetryDenial::CallerLeft;
+    }
+    if (progress.unreachableTargets > maxUnreachableTargets) {
+        return RetryDenial::PlacementsUsed;
     }
     if (request.sendCount == sendsBefore) {
-        return true; // no target received the request, so this is not a retry
+        return RetryDenial::None; // no target received the request, so this is not a retry
+    }
+    if (request.mayHaveRun && !mayRepeat(*request.route)) {
+        return RetryDenial::MustNotRepeat;
     }
-    if (request.sendCount >= request.route->maxAttempts || (request.mayHaveRun && !mayRepeat(*request.route))) {
-        return false;
+    if (request.sendCount >= request.route->maxAttempts) {
+        return RetryDenial::AttemptsUsed;
     }
-    const bool granted = request.context.budgets.tryConsume(request.group->name);
-    processMetrics().count(Counter::Retries, {granted ? "granted" : "no_budget"});
-    logRequest(request, LogLevel::Info, granted ? "repeated at another target" : "not retried, retry budget exhausted", {{"detail", progress.reason.detail}});
-    return granted;
+    return request.context.budgets.tryConsume(request.group->name) ? RetryDenial::None : RetryDenial::NoBudget;
+}
+
+bool mayRetry(DirectRequest &request, CallProgress &progress, std::uint32_t sendsBefore)
+{
+    progress.denial = decideRetry(request, progress, sendsBefore);
+    processMetrics().count(Counter::Retries, {toString(progress.denial)});
+    logRequest(request,
+               LogLevel::Info,
+               progress.denial == RetryDenial::None ? "repeated at another target" : "not retried",
+               {{"why", toString(progress.denial)}, {"detail", progress.reason.detail}});
+    return progress.denial == RetryDenial::None;
 }
 
 asio::awaitable<void> deliver(DirectRequest &request, BufferedResponse response)
--- a/src/serving/src/directcontext.h
+++ b/src/serving/src/directcontext.h
@@ -14,6 +14,7 @@
 #include <mutex>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace snipehill
 {
@@ -103,6 +104,39 @@
     std::map<std::uint64_t, std::uint32_t> m_unsentLosses;
 };
 
+/** Requests that this entry is serving, so that those cut by the end of the process can be named. Thread-safe. */
+class ActiveRequests
+{
+public:
+    /** Returns a number for remove(). */
+    std::uint64_t add(std::string requestId, TimePoint received)
+    {
+        const std::lock_guard lock(m_lock);
+        m_requests.emplace(m_next, std::pair(std::move(requestId), received));
+        return m_next++;
+    }
+    void remove(std::uint64_t number)
+    {
+        const std::lock_guard lock(m_lock);
+        m_requests.erase(number);
+    }
+    /** Request id and time of arrival of each. */
+    std::vector<std::pair<std::string, TimePoint>> all() const
+    {
+        const std::lock_guard lock(m_lock);
+        std::vector<std::pair<std::string, TimePoint>> requests;
+        for (const auto &[number, request] : m_requests) {
+            requests.push_back(request);
+        }
+        return requests;
+    }
+
+private:
+    mutable std::mutex m_lock;
+    std::map<std::uint64_t, std::pair<std::string, TimePoint>> m_requests;
+    std::uint64_t m_next = 0;
+};
+
 /** State shared by all requests of a direct entry. Owned by the entry, outlives its requests. */
 struct DirectContext
 {
@@ -113,6 +147,7 @@
     GroupRetryBudgets &budgets;
     CrashGuard &crashes;
     UsageCounter &usage;
+    ActiveRequests &activeRequests;
 };
 
 } // namespace snipehill
--- a/src/serving/src/directentry.cpp
+++ b/src/serving/src/directentry.cpp
@@ -69,6 +69,19 @@
 
 } // namespace
 
+void recordReceived()
+{
+    processMetrics().count(Counter::RequestsReceived);
+}
+
+void recordEnd(RequestEnd end, std::string_view error)
+{
+    processMetrics().count(Counter::RequestsEnded, {toString(end)});
+    if (!error.empty()) {
+        logEvent(LogComponent::Entry, LogLevel::Error, "request handler failed", {{"end", toString(end)}, {"detail", error}});
+    }
+}
+
 /** All components of one direct entry. */
 struct DirectEntry
 {
@@ -78,7 +91,7 @@
         , targets(registrySettings(settings))
         , budgets(settings)
         , usage({settings.instance, randomId()}, settings.usageWindow)
-        , requestContext{settings, routing, targets, connections, budgets, crashes, usage}
+        , requestContext{settings, routing, targets, connections, budgets, crashes, usage, activeRequests}
         , watchContext{settings,
                        store,
                        routing,
@@ -94,7 +107,8 @@
                   limitsFrom({}),
                   [this](HttpExchange &exchange) {
                       return serveDirect(requestContext, exchange);
-                  })
+                  },
+                  {recordReceived, recordEnd})
         , readiness(control.get_executor(),
                     {},
                     [this](HttpExchange &exchange) {
@@ -131,6 +145,7 @@
     GroupRetryBudgets budgets;
     CrashGuard crashes;
     UsageCounter usage;
+    ActiveRequests activeRequests;
     MergedUsage counts;
     DirectContext requestContext;
     WatchContext watchContext;
@@ -230,6 +245,11 @@
     entry.roleContext.stopped = true;
     entry.peerContext.stopped = true;
     co_await flushUsage(entry.usageContext);
+    for (const auto &[id, received] : entry.activeRequests.all()) {
+        const auto age = std::chrono::duration_cast<milliseconds>(Clock::now() - received);
+        processMetrics().count(Counter::RequestsEnded, {"process_ended"});
+        logRequestEvent(LogComponent::Entry, LogLevel::Warning, "request cut by the end of the process", id, {{"tookMs", age.count()}});
+    }
     logEvent(LogComponent::Process, LogLevel::Info, "ended", {{"cut", entry.callers.activeExchanges()}});
     entry.serving.stop();
     entry.control.stop();
--- a/src/serving/src/directrequest.cpp
+++ b/src/serving/src/directrequest.cpp
@@ -139,6 +139,26 @@
     return std::nullopt;
 }
 
+/** Keeps a request in the list of active ones while it is served. */
+class ActiveRegistration
+{
+public:
+    ActiveRegistration(ActiveRequests &requests, const DirectRequest &request)
+        : m_requests(requests), m_number(requests.add(request.caller.id, request.received))
+    {
+    }
+    ~ActiveRegistration()
+    {
+        m_requests.remove(m_number);
+    }
+    ActiveRegistration(const ActiveRegistration &) = delete;
+    ActiveRegistration &operator=(const ActiveRegistration &) = delete;
+
+private:
+    ActiveRequests &m_requests;
+    std::uint64_t m_number;
+};
+
 void prepare(DirectRequest &request)
 {
     thread_local std::minstd_rand generator(std::random_device{}());
@@ -153,6 +173,27 @@
 
 } // namespace
 
+const char *toString(RetryDenial denial) noexcept
+{
+    switch (denial) {
+    case RetryDenial::None:
+        return "granted";
+    case RetryDenial::DeadlinePassed:
+        return "deadline";
+    case RetryDenial::CallerLeft:
+        return "caller_left";
+    case RetryDenial::PlacementsUsed:
+        return "placements";
+    case RetryDenial::AttemptsUsed:
+        return "attempts";
+    case RetryDenial::MustNotRepeat:
+        return "not_repeatable";
+    case RetryDenial::NoBudget:
+        return "no_budget";
+    }
+    return "";
+}
+
 asio::awaitable<void> serveDirect(DirectContext &context, HttpExchange &exchange)
 {
     DirectRequest request{.context = context, .exchange = exchange, .routing = context.routing.current(), .received = exchange.received()};
@@ -164,6 +205,7 @@
         co_return;
     }
     request.caller = std::move(*caller);
+    const ActiveRegistration registration(context.activeRequests, request);
     if (!request.routing) {
         const DirectRefusal refusal{unavailable, {Step::Config, "", "no configuration was read yet"}, noConfigurationRetry};
         co_await refuse(request, refusal);
--- a/src/serving/src/directrequest.h
+++ b/src/serving/src/directrequest.h
@@ -42,6 +42,20 @@
     milliseconds retryAfter{0}; //!< 0: no Retry-After header
 };
 
+/** Why a request got no further attempt. */
+enum class RetryDenial {
+    None, //!< it was granted
+    DeadlinePassed,
+    CallerLeft,
+    PlacementsUsed, //!< the limit of placements or of unreachable targets is reached
+    AttemptsUsed, //!< the limit of the route is reached
+    MustNotRepeat, //!< it may have run, and its route allows one run
+    NoBudget, //!< the retry budget of the group is used up
+};
+
+/** "no_budget" and so on, for logs and metrics. */
+const char *toString(RetryDenial denial) noexcept;
+
 /** Serves one caller request; always responds unless the caller has disconnected. */
 boost::asio::awaitable<void> serveDirect(DirectContext &context, HttpExchange &exchange);
 
--- a/src/serving/src/directstream.cpp
+++ b/src/serving/src/directstream.cpp
@@ -31,7 +31,7 @@
 
 /** Outcome of one placement. */
 enum class PlacementOutcome {
-    Done, //!< the caller has the response or has disconnected
+    Done, //!< the caller has the response or has disconnected; the outcome is recorded
     NotRun, //!< no engine ran it
     Interrupted, //!< an engine may have run it without a complete response
 };
@@ -45,6 +45,7 @@
     bool allowDisaggregation = true; //!< prefill may run on a different engine than decode
     TimePoint lastEvent{};
     Duration longestGap{}; //!< between two forwarded events
+    RetryDenial denial = RetryDenial::None; //!< of the latest retry
     Reason reason;
 };
 
@@ -137,6 +138,11 @@
     co_return PlacementOutcome::Done;
 }
 
+milliseconds::rep millisecondsSince(TimePoint time)
+{
+    return std::chrono::duration_cast<milliseconds>(Clock::now() - time).count();
+}
+
 /** Updates the longest gap between events. */
 void recordGap(StreamProgress &progress, bool event, TimePoint now)
 {
@@ -169,7 +175,11 @@
         if (!piece) {
             abortExchange(request, exchange);
             recordTargetFailure(request, exchange.target, SendResult::OutcomeUnknown, progress.reason);
-            co_return request.exchange.isDisconnected() ? PlacementOutcome::Done : PlacementOutcome::Interrupted;
+            if (!request.exchange.isDisconnected()) {
+                co_return PlacementOutcome::Interrupted;
+            }
+            recordOutcome(request, "caller_left", 0);
+            co_return PlacementOutcome::Done;
         }
         if (piece->empty()) {
             if (progress.events.hasPartial()) {
@@ -201,10 +211,12 @@
         const std::string wholeEvents = progress.events.append(*piece);
         recordGap(progress, !wholeEvents.empty(), Clock::now());
         if (!wholeEvents.empty() && !co_await request.exchange.write(wholeEvents)) {
+            logRequest(request, LogLevel::Info, "cannot write to the caller", {{"events", progress.events.events()}});
             break;
         }
     }
     abortExchange(request, exchange);
+    recordOutcome(request, "caller_left", 0);
     co_return PlacementOutcome::Done;
 }
 
@@ -297,19 +309,36 @@
     co_return outcome;
 }
 
-/** Whether the request may be placed again after a placement that did not complete it. */
-bool mayRetryPlacement(DirectRequest &request, const StreamProgress &progress, std::uint32_t placements)
+/** Decides whether the request may be placed again after a placement that did not complete it. */
+RetryDenial decideRetry(DirectRequest &request, std::uint32_t placements)
 {
-    if (hasTimedOut(request) || request.exchange.isDisconnected() || placements >= maxPlacements) {
-        return false;
+    if (hasTimedOut(request)) {
+        return RetryDenial::DeadlinePassed;
+    }
+    if (request.exchange.isDisconnected()) {
+        return RetryDenial::CallerLeft;
     }
-    if (request.mayHaveRun && (!mayRepeat(*request.route) || request.sendCount >= request.route->maxAttempts)) {
-        return false;
+    if (placements >= maxPlacements) {
+        return RetryDenial::PlacementsUsed;
     }
-    const bool granted = request.context.budgets.tryConsume(request.group->name);
-    processMetrics().count(Counter::Retries, {granted ? "granted" : "no_budget"});
-    logRequest(request, LogLevel::Info, granted ? "retried on another placement" : "not retried, retry budget exhausted", {{"detail", progress.reason.detail}});
-    return granted;
+    if (request.mayHaveRun && !mayRepeat(*request.route)) {
+        return RetryDenial::MustNotRepeat;
+    }
+    if (request.mayHaveRun && request.sendCount >= request.route->maxAttempts) {
+        return RetryDenial::AttemptsUsed;
+    }
+    return request.context.budgets.tryConsume(request.group->name) ? RetryDenial::None : RetryDenial::NoBudget;
+}
+
+bool mayRetryPlacement(DirectRequest &request, StreamProgress &progress, std::uint32_t placements)
+{
+    progress.denial = decideRetry(request, placements);
+    processMetrics().count(Counter::Retries, {toString(progress.denial)});
+    logRequest(request,
+               LogLevel::Info,
+               progress.denial == RetryDenial::None ? "retried on another placement" : "not retried",
+               {{"why", toString(progress.denial)}, {"detail", progress.reason.detail}});
+    return progress.denial == RetryDenial::None;
 }
 
 /** Ends a request that cannot be placed again: cuts a stream that has begun, else refuses the request. */
@@ -318,7 +347,13 @@
     if (request.exchange.isDisconnected()) {
         recordOutcome(request, "caller_left", 0);
     } else if (progress.headSent) {
-        logRequest(request, LogLevel::Warning, "stream cut", {{"detail", progress.reason.detail}, {"events", progress.events.events()}});
+        logRequest(request,
+                   LogLevel::Warning,
+                   "stream cut",
+                   {{"detail", progress.reason.detail},
+                    {"events", progress.events.events()},
+                    {"silentMs", millisecondsSince(progress.lastEvent == TimePoint{} ? request.received : progress.lastEvent)},
+                    {"notRetried", toString(progress.denial)}});
         request.exchange.abort();
         recordOutcome(request, "cut", badGateway);
     } else if (hasTimedOut(request)) {
@@ -368,9 +403,6 @@
         }
         const PlacementOutcome outcome = co_await runPlacement(request, *placed, progress);
         if (outcome == PlacementOutcome::Done) {
-            if (request.exchange.isDisconnected()) {
-                recordOutcome(request, "caller_left", 0);
-            }
             co_return;
         }
         progress.events.dropPartial();
