--- a/tests/standins/platformserver.cpp
+++ b/tests/standins/platformserver.cpp
@@ -17,7 +17,8 @@
  * Target on the users' platform: plain responses, event streams and separate prefill. The fault "id" sets its instance id.
  * Further faults: refuse (503 with Not-Executed), status (of plain responses), orderStatus (of the response to an order),
  * cutAfter (aborts the next stream after N events), extraAnswer (the next N responses are followed by an unsolicited one),
- * eventMs (pause between events), beforeMs (delay before the response), readMs (prefill time of a prompt).
+ * eventMs (pause between events), beforeMs (delay before the response), readMs (prefill time of a prompt),
+ * silences (the next N runs are silent for silentMs after silentAfter events, or before the response for 0, and then go on).
  */
 class PlatformServer : public StandIn
 {
@@ -71,7 +72,9 @@
     asio::awaitable<void> run(HttpExchange &exchange, HeaderList headers, Json::Value entry)
     {
         journal.add("run", entry);
-        co_await pause(faults.delay("", "beforeMs"));
+        const milliseconds silence = faults.consume("", "silences") ? faults.delay("", "silentMs") : milliseconds(0);
+        const std::int64_t silentAfter = faults.number("", "silentAfter", 0);
+        co_await pause(faults.delay("", "beforeMs") + (silentAfter == 0 ? silence : milliseconds(0)));
         headers.emplace_back("Server-Seal", "seal-" + name);
         headers.emplace_back("Server-Load", "1,0,8");
         const bool stream = !header(exchange, "Token-Counts").empty();
@@ -80,14 +83,14 @@
             co_await exchange.respond(status, std::move(headers), "ran " + entry["id"].asString() + " at " + name);
         } else {
             headers.emplace_back("Content-Type", "text/event-stream");
-            co_await sendEvents(exchange, std::move(headers));
+            co_await sendEvents(exchange, std::move(headers), silentAfter, silence);
         }
         if (faults.consume("", "extraAnswer")) {
             co_await exchange.write("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nServer-Seal: x\r\nContent-Length: 5\r\n\r\nother");
         }
     }
 
-    asio::awaitable<void> sendEvents(HttpExchange &exchange, HeaderList headers)
+    asio::awaitable<void> sendEvents(HttpExchange &exchange, HeaderList headers, std::int64_t silentAfter, milliseconds silence)
     {
         const std::string last = header(exchange, "Last-Event-Id");
         const int first = last.empty() ? 1 : std::stoi(last) + 1;
@@ -101,6 +104,9 @@
                 exchange.abort();
                 co_return;
             }
+            if (silentAfter > 0 && event - first == silentAfter) {
+                co_await pause(silence);
+            }
             co_await exchange.write("id: " + std::to_string(event) + "\ndata: token " + std::to_string(event) + "\n\n");
             co_await pause(faults.delay("", "eventMs"));
         }
