Keep a silent target's answer until another target has accepted the request

Callers saw: resumable streams broken off, and lookups and prompts answered 502, while their target was sound and would have gone on.

Cause: silence of our own timeouts ended the exchange first (5 gap goals for a stream, 3 goals for a lookup, 3 times the predicted time for a head) and only then was another attempt asked for. Where none was granted (retry budget, attempts of the route, no room elsewhere, deadline near) the answer was given up. A pause hits all requests of a target in the same second, so the budget moved the first few and the rest were cut.

Change: a handover in place of the timeouts. After a period of silence the request is sent to another target beside the open exchange, within the same budget and limits; the silent connection is closed only when the other target has sent the head of its response. If the silent one is heard first, the other attempt ends. If no attempt is granted, the wait goes on until the deadline and is asked for again every 200 ms. Requests that must not be repeated wait as before. Silence no longer counts as a crash of the target, which blocked a request's fingerprint after three.

Why it works: no decision of ours closes a connection on which an answer may still come, except the deadline, the caller's leaving and an accepted takeover.

--- a/src/request/include/request/retrybudget.h
+++ b/src/request/include/request/retrybudget.h
@@ -24,4 +24,7 @@
 /** Consumes the credit for one retry. Returns false if there is too little; the request must then be refused. */
 bool takeRetry(RetryBudget &budget) noexcept;
 
+/** Returns the credit of a retry that was taken but not made. */
+void returnRetry(RetryBudget &budget) noexcept;
+
 } // namespace snipehill
--- a/src/request/src/retrybudget.cpp
+++ b/src/request/src/retrybudget.cpp
@@ -19,4 +19,9 @@
     return true;
 }
 
+void returnRetry(RetryBudget &budget) noexcept
+{
+    budget.credit += 1;
+}
+
 } // namespace snipehill
--- a/src/serving/src/directcall.cpp
+++ b/src/serving/src/directcall.cpp
@@ -1,8 +1,11 @@
 #include "directexchange.h"
+#include "handover.h"
 
 #include <platform/messages.h>
 #include <process/metrics.h>
 
+#include <boost/asio/this_coro.hpp>
+
 namespace snipehill
 {
 
@@ -12,8 +15,8 @@
 {
 
 constexpr milliseconds defaultRetryAfter{100}; // after a refusal: another target, or the same one shortly after, may accept the request
-constexpr milliseconds minResponseTimeout{500}; // lower bound of the response timeout for repeatable calls
-constexpr int responseTimeoutGoals = 3; // response timeout of repeatable calls as a multiple of the route's goal
+constexpr milliseconds minCallPatience{500}; // silence of the target of a repeatable call after which another one is tried, or the longer of
+constexpr int callPatienceGoals = 3; // ... this multiple of the route's goal
 constexpr milliseconds nonRepeatableMaxIdle{1000}; // older connections may have been dropped unnoticed, and a lost non-repeatable call cannot be retried
 constexpr std::uint32_t maxUnreachableTargets = 3; // unreachable targets tried before a request is refused
 constexpr unsigned badGateway = 502;
@@ -86,65 +89,182 @@
     co_return head.status < firstServerError;
 }
 
-/** Makes one attempt at one target; true if the call needs no further attempt. */
-asio::awaitable<bool> tryTarget(DirectRequest &request, const PlacedCall &placed, CallProgress &progress)
+/**
+ * Decides whether another target may be tried, and takes the retry from the budget if so.
+ *
+ * @param sendsBefore sends before the latest attempt
+ * @param pendingSends sends in progress, which count like those that have ended
+ */
+RetryDenial decideRetry(DirectRequest &request, const CallProgress &progress, std::uint32_t sendsBefore, std::uint32_t pendingSends)
+{
+    if (hasTimedOut(request)) {
+        return RetryDenial::DeadlinePassed;
+    }
+    if (request.exchange.isDisconnected()) {
+        return RetryDenial::CallerLeft;
+    }
+    if (progress.unreachableTargets > maxUnreachableTargets) {
+        return RetryDenial::PlacementsUsed;
+    }
+    if (request.sendCount + pendingSends == sendsBefore) {
+        return RetryDenial::None; // no target received the request, so this is not a retry
+    }
+    if ((request.mayHaveRun || pendingSends > 0) && !mayRepeat(*request.route)) {
+        return RetryDenial::MustNotRepeat;
+    }
+    if (request.sendCount + pendingSends >= request.route->maxAttempts) {
+        return RetryDenial::AttemptsUsed;
+    }
+    return request.context.budgets.tryConsume(request.group->name) ? RetryDenial::None : RetryDenial::NoBudget;
+}
+
+/** One call with its current target, and the target that may take over if that one is silent. */
+struct CallRun
+{
+    DirectRequest &request;
+    CallProgress &progress;
+    WorkReservation work; //!< on the current target
+    std::optional<WorkReservation> next; //!< on the other target
+    DirectExchange exchange{};
+    bool silent = false; //!< the current target was silent for so long that another one was tried
+};
+
+void releaseNext(CallRun &run)
+{
+    if (run.next) {
+        run.request.context.targets.release(*run.next, Clock::now());
+        run.next.reset();
+    }
+}
+
+/** Sends the call to the target and waits for the head of the response. */
+asio::awaitable<SendResult> sendCall(DirectRequest &request, const TargetRef &target, DirectExchange &exchange, Reason &reason)
 {
-    const bool repeatable = mayRepeat(*request.route);
     TargetRequestHeaders headers;
-    headers.targetId = placed.run.target.id;
+    headers.targetId = target.id;
     headers.workspace = request.workspace;
     headers.remaining = remainingTime(request);
     ExchangeLimits limits;
-    limits.headTimeout = remainingTime(request);
-    if (repeatable) {
-        limits.headTimeout = std::min(limits.headTimeout, std::max(minResponseTimeout, responseTimeoutGoals * request.route->latencyGoal));
-    } else {
+    limits.headTimeout = headers.remaining;
+    if (!mayRepeat(*request.route)) {
         limits.maxIdle = nonRepeatableMaxIdle;
     }
-    DirectExchange exchange;
-    const SendResult result
-        = co_await sendToTarget(request, placed.run.target, platform::buildTargetRequest(request.caller, headers), limits, exchange, progress.reason);
+    co_return co_await sendToTarget(request, target, platform::buildTargetRequest(request.caller, headers), limits, exchange, reason);
+}
+
+/** Chooses another target for the call of a silent one and takes the retry from the budget; false if that is not possible now. */
+bool placeElsewhere(CallRun &run)
+{
+    DirectRequest &request = run.request;
+    releaseNext(run);
+    run.progress.denial = decideRetry(request, run.progress, request.sendCount, 1);
+    if (run.progress.denial == RetryDenial::None) {
+        Reason reason;
+        const auto placed
+            = request.context.targets.placeCall(request.group->name, request.triedTargets, request.fingerprint + request.sendCount, Clock::now(), reason);
+        if (placed) {
+            run.next = placed->run;
+            request.triedTargets.push_back(placed->run.target.id);
+        } else {
+            request.context.budgets.giveBack(request.group->name);
+            run.progress.denial = RetryDenial::NoTarget;
+        }
+    }
+    if (run.next || !run.silent) {
+        logRequest(request,
+                   LogLevel::Warning,
+                   "target is silent",
+                   {{"target", run.work.target.id}, {"other", run.next ? run.next->target.id : std::string()}, {"why", toString(run.progress.denial)}});
+    }
+    return run.next.has_value();
+}
+
+/** Asks another target to take over from a silent one; true if it responds without an error of its own. */
+asio::awaitable<bool> askOtherTarget(CallRun &run, DirectExchange &next)
+{
+    DirectRequest &request = run.request;
+    const bool placed = placeElsewhere(run);
+    if (!run.silent) {
+        run.silent = true;
+        request.context.targets.recordFailure(run.work.target, Clock::now());
+    }
+    if (!placed) {
+        co_return false;
+    }
+    processMetrics().count(Counter::Retries, {"silence"});
+    Reason reason;
+    const SendResult result = co_await sendCall(request, run.next->target, next, reason);
+    if (result == SendResult::ResponseReceived && !next.response.notRun && next.response.status < firstServerError) {
+        co_return true;
+    }
+    request.sendCount += result == SendResult::NotSent ? 0 : 1;
     if (result == SendResult::ResponseReceived) {
-        co_return co_await handleResponse(request, exchange, progress);
+        recordTargetResponse(request, next);
+    }
+    releaseNext(run);
+    co_return false;
+}
+
+/** Makes the target that has taken over the current one. */
+void switchTarget(CallRun &run)
+{
+    logRequest(run.request, LogLevel::Info, "another target took over", {{"from", run.work.target.id}, {"target", run.next->target.id}});
+    run.request.context.targets.release(run.work, Clock::now());
+    run.work = *run.next;
+    run.next.reset();
+}
+
+/** Makes one attempt at one target, or at another one that takes over from it; true if the call needs no further attempt. */
+asio::awaitable<bool> tryTarget(CallRun &run, Handover &handover)
+{
+    DirectRequest &request = run.request;
+    CallProgress &progress = run.progress;
+    SendResult result = co_await sendCall(request, run.work.target, run.exchange, progress.reason);
+    if ((result != SendResult::ResponseReceived || handover.isAccepted()) && co_await handover.settle()) {
+        ++request.sendCount; // of the silent target
+        request.mayHaveRun = true;
+        switchTarget(run);
+        result = SendResult::ResponseReceived;
+    }
+    if (result == SendResult::ResponseReceived) {
+        co_await handover.stop();
+        co_return co_await handleResponse(request, run.exchange, progress);
     }
     if (result == SendResult::NotSent) {
         ++progress.unreachableTargets;
     } else {
         ++request.sendCount;
         request.mayHaveRun = true;
-        request.context.crashes.recordLoss(request.fingerprint, Clock::now());
+        if (!hasTimedOut(request)) {
+            request.context.crashes.recordLoss(request.fingerprint, Clock::now());
+        }
     }
-    recordTargetFailure(request, placed.run.target, result, progress.reason);
+    recordTargetFailure(request, run.work.target, result, progress.reason);
     co_return false;
 }
 
-/** Decides whether another target may be tried after an attempt that did not complete the call. */
-RetryDenial decideRetry(DirectRequest &request, const CallProgress &progress, std::uint32_t sendsBefore)
+/** Silence of the target of a repeatable call after which another target is tried. */
+milliseconds callPatience(const RouteRule &route)
 {
-    if (hasTimedOut(request)) {
-        return RetryDenial::DeadlinePassed;
-    }
-    if (request.exchange.isDisconnected()) {
-        return RetryDenial::CallerLeft;
-    }
-    if (progress.unreachableTargets > maxUnreachableTargets) {
-        return RetryDenial::PlacementsUsed;
-    }
-    if (request.sendCount == sendsBefore) {
-        return RetryDenial::None; // no target received the request, so this is not a retry
-    }
-    if (request.mayHaveRun && !mayRepeat(*request.route)) {
-        return RetryDenial::MustNotRepeat;
-    }
-    if (request.sendCount >= request.route->maxAttempts) {
-        return RetryDenial::AttemptsUsed;
-    }
-    return request.context.budgets.tryConsume(request.group->name) ? RetryDenial::None : RetryDenial::NoBudget;
+    return mayRepeat(route) ? std::max(minCallPatience, callPatienceGoals * route.latencyGoal) : milliseconds(0);
+}
+
+asio::awaitable<bool> tryPlacement(DirectRequest &request, const PlacedCall &placed, CallProgress &progress)
+{
+    CallRun run{.request = request, .progress = progress, .work = placed.run};
+    Handover handover(co_await asio::this_coro::executor, request, run.exchange, callPatience(*request.route), [&run](DirectExchange &next) {
+        return askOtherTarget(run, next);
+    });
+    const bool decided = co_await tryTarget(run, handover);
+    co_await handover.stop();
+    releaseNext(run);
+    request.context.targets.release(run.work, Clock::now());
+    co_return decided;
 }
 
 bool mayRetry(DirectRequest &request, CallProgress &progress, std::uint32_t sendsBefore)
 {
-    progress.denial = decideRetry(request, progress, sendsBefore);
+    progress.denial = decideRetry(request, progress, sendsBefore, 0);
     processMetrics().count(Counter::Retries, {toString(progress.denial)});
     logRequest(request,
                LogLevel::Info,
@@ -174,8 +294,7 @@
             break;
         }
         request.triedTargets.push_back(placed->run.target.id);
-        decided = co_await tryTarget(request, *placed, progress);
-        request.context.targets.release(placed->run, Clock::now());
+        decided = co_await tryPlacement(request, *placed, progress);
         if (!decided && !mayRetry(request, progress, sendsBefore)) {
             break;
         }
--- a/src/serving/src/directcontext.h
+++ b/src/serving/src/directcontext.h
@@ -39,6 +39,13 @@
         return takeRetry(m_budgets[group]);
     }
 
+    /** Returns a retry that was consumed but not made. */
+    void giveBack(const std::string &group)
+    {
+        const std::lock_guard lock(m_lock);
+        returnRetry(m_budgets[group]);
+    }
+
     /** Sets the number of entries that share the deployment's retry budget, including this one. */
     void setEntryCount(std::size_t entries)
     {
--- a/src/serving/src/directexchange.cpp
+++ b/src/serving/src/directexchange.cpp
@@ -17,7 +17,11 @@
 constexpr milliseconds defaultIdleTimeout{4000}; // if the target sends no keep-alive time; shorter than usual idle limits
 constexpr milliseconds idleMargin{1000}; // avoids sending a request while the target closes the connection
 constexpr std::size_t maxBufferedBodyBytes = 32U << 20U;
-constexpr milliseconds sendTimeout{2000}; // for writing a request to the socket
+
+void removeActive(DirectRequest &request, const DirectExchange &exchange)
+{
+    std::erase(request.activeConnections, exchange.connection.get());
+}
 
 /** Reads response heads until one carries the id of the request. */
 asio::awaitable<bool> readMatchingHead(DirectRequest &request, DirectExchange &exchange, TimePoint until, Reason &reason)
@@ -50,14 +54,15 @@
     const bool reused = exchange.connection != nullptr;
     if (!reused) {
         exchange.connection = std::make_unique<HttpConnection>(co_await asio::this_coro::executor);
-        request.activeConnection = exchange.connection.get();
+        request.activeConnections.push_back(exchange.connection.get());
         const bool connected = co_await exchange.connection->connect(target.endpoint, std::min(limits.connectTimeout, remainingTime(request)), reason);
         if (!connected || request.exchange.isDisconnected()) {
             abortExchange(request, exchange);
             co_return SendResult::NotSent;
         }
+    } else {
+        request.activeConnections.push_back(exchange.connection.get());
     }
-    request.activeConnection = exchange.connection.get();
     // Under load, the caller may have disconnected long ago while the event that reports it is still queued.
     if (request.exchange.checkDisconnected()) {
         finishExchange(request, exchange);
@@ -65,7 +70,7 @@
     }
     logRequest(request, LogLevel::Info, "sent", {{"target", target.id}, {"address", toString(target.endpoint)}, {"kept", reused ? 1 : 0}});
     const TimePoint until = Clock::now() + limits.headTimeout;
-    const bool answered = co_await exchange.connection->send(message, std::min(sendTimeout, limits.headTimeout), reason)
+    const bool answered = co_await exchange.connection->send(message, limits.headTimeout, reason)
         && co_await readMatchingHead(request, exchange, until, reason);
     if (!answered) {
         abortExchange(request, exchange);
@@ -95,7 +100,7 @@
 
 void finishExchange(DirectRequest &request, DirectExchange &exchange)
 {
-    request.activeConnection = nullptr;
+    removeActive(request, exchange);
     if (!exchange.connection || !exchange.connection->isReusable() || !exchange.connection->isIdle()) {
         abortExchange(request, exchange);
         return;
@@ -107,7 +112,7 @@
 
 void abortExchange(DirectRequest &request, DirectExchange &exchange)
 {
-    request.activeConnection = nullptr;
+    removeActive(request, exchange);
     if (exchange.connection) {
         exchange.connection->abort();
         exchange.connection.reset();
--- a/src/serving/src/directrequest.cpp
+++ b/src/serving/src/directrequest.cpp
@@ -190,6 +190,8 @@
         return "not_repeatable";
     case RetryDenial::NoBudget:
         return "no_budget";
+    case RetryDenial::NoTarget:
+        return "no_target";
     }
     return "";
 }
@@ -222,8 +224,8 @@
         co_return;
     }
     exchange.onDisconnect([&request] {
-        if (request.activeConnection) {
-            request.activeConnection->abort();
+        for (HttpConnection *connection : request.activeConnections) {
+            connection->abort();
         }
     });
     if (request.route->kind == RequestKind::Streaming) {
--- a/src/serving/src/directrequest.h
+++ b/src/serving/src/directrequest.h
@@ -31,7 +31,7 @@
     std::vector<std::string> triedTargets; //!< ids of targets to avoid on retries
     std::uint32_t sendCount = 0; //!< sends that reached a target or may have reached it
     bool mayHaveRun = false;
-    HttpConnection *activeConnection = nullptr; //!< connection to abort when the caller disconnects
+    std::vector<HttpConnection *> activeConnections; //!< connections to abort when the caller disconnects
 };
 
 /** Response for a request that ends without a target's response. */
@@ -51,6 +51,7 @@
     AttemptsUsed, //!< the limit of the route is reached
     MustNotRepeat, //!< it may have run, and its route allows one run
     NoBudget, //!< the retry budget of the group is used up
+    NoTarget, //!< no other target can take it in time
 };
 
 /** "no_budget" and so on, for logs and metrics. */
--- /dev/null
+++ b/src/serving/src/streamrun.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "directexchange.h"
+
+#include <request/eventstream.h>
+
+#include <string>
+
+namespace snipehill
+{
+
+/** Outcome of one placement. */
+enum class PlacementOutcome {
+    Done, //!< the caller has the response or has disconnected; the outcome is recorded
+    NotRun, //!< no engine ran it
+    Interrupted, //!< an engine may have run it without a complete response
+};
+
+/** State of a stream that is forwarded to the caller. */
+struct StreamProgress
+{
+    EventStream events;
+    bool headSent = false; //!< the response head was sent to the caller
+    bool usageCounted = false; //!< the request was counted in the usage of the workspace
+    bool allowDisaggregation = true; //!< prefill may run on a different engine than decode
+    std::uint32_t placements = 0; //!< so far
+    TimePoint lastEvent{};
+    Duration longestGap{}; //!< between two forwarded events
+    RetryDenial denial = RetryDenial::None; //!< of the latest retry
+    Reason reason;
+};
+
+/** Headers of a request to an engine that continues after the events forwarded so far. */
+TargetRequestHeaders headersFor(const DirectRequest &request, const TargetRef &target, const StreamProgress &progress);
+
+/**
+ * Decides whether the request may be placed once more, and takes the retry from the budget if so.
+ *
+ * @param pendingSends sends in progress, which count like those that have ended
+ */
+RetryDenial decidePlacement(DirectRequest &request, const StreamProgress &progress, std::uint32_t pendingSends);
+
+/**
+ * Runs the request on the decode engine of a placement and forwards the response. A request that may be repeated goes on at
+ * another engine if its own is silent and another one accepts it.
+ *
+ * @param placed replaced by the placement at the other engine in that case; the reservation on the first one is then released
+ * @param kvCacheRef KV cache of a separate prefill; empty if there is none
+ */
+boost::asio::awaitable<PlacementOutcome> runOnEngine(DirectRequest &request, PlacedPrompt &placed, std::string kvCacheRef, StreamProgress &progress);
+
+} // namespace snipehill
--- a/tests/proofs/silenttargettest.cpp
+++ b/tests/proofs/silenttargettest.cpp
@@ -80,6 +80,7 @@
         host.setFaults(engine, R"({"silences": 100, "silentAfter": 2, "silentMs": 1600})");
     }
     std::vector<std::future<Response>> responses;
+    responses.reserve(streams);
     for (int i = 0; i < streams; ++i) {
         responses.push_back(std::async(std::launch::async, [&host, i] {
             return host.call(0, promptCall("/ask/x", "s" + std::to_string(i), 100));
