Count a target's silence only while its data is awaited

Found when reading the handover again, not reported: while a write to a slow caller blocks, nothing is read from the target, so a stream looked silent after 1.4 s and was run at a second engine although the first went on.

Two more guards without a failure seen: an exception in the attempt ends it with a log line instead of leaving settle() waiting, and an exception in the exchange waits for the attempt before its frame is destroyed, as the attempt refers to it.

--- a/src/serving/src/directcall.cpp
+++ b/src/serving/src/directcall.cpp
@@ -255,10 +255,20 @@
     Handover handover(co_await asio::this_coro::executor, request, run.exchange, callPatience(*request.route), [&run](DirectExchange &next) {
         return askOtherTarget(run, next);
     });
-    const bool decided = co_await tryTarget(run, handover);
+    bool decided = false;
+    std::exception_ptr failure;
+    try {
+        decided = co_await tryTarget(run, handover);
+    } catch (...) {
+        failure = std::current_exception();
+    }
+    // A pending attempt refers to this frame.
     co_await handover.stop();
     releaseNext(run);
     request.context.targets.release(run.work, Clock::now());
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
     co_return decided;
 }
 
--- a/src/serving/src/handover.cpp
+++ b/src/serving/src/handover.cpp
@@ -43,6 +43,7 @@
     TimePoint notBefore{}; //!< of the next attempt
     asio::steady_timer timer;
     asio::steady_timer ended; //!< cancelled when the pending attempt has ended
+    bool waiting = true; //!< for the current target
     bool running = false;
     bool accepted = false;
     bool cancelled = false; //!< the pending attempt is not needed any more
@@ -71,6 +72,9 @@
         if (error || state->stopped || state->running || state->accepted) {
             return;
         }
+        if (!state->waiting) {
+            state->lastProgress = Clock::now();
+        }
         if (Clock::now() < state->lastProgress + state->patience) {
             startTimer(state);
             return;
@@ -83,7 +87,12 @@
 
 asio::awaitable<void> Handover::runAttempt(std::shared_ptr<State> state)
 {
-    const bool accepted = co_await state->attempt(state->next);
+    bool accepted = false;
+    try {
+        accepted = co_await state->attempt(state->next);
+    } catch (const std::exception &error) {
+        logRequest(state->request, LogLevel::Error, "attempt at another target failed", {{"detail", error.what()}});
+    }
     state->running = false;
     if (accepted && !state->cancelled) {
         state->accepted = true;
@@ -105,9 +114,16 @@
     startTimer(m_state);
 }
 
+void Handover::beginWait()
+{
+    m_state->lastProgress = Clock::now();
+    m_state->waiting = true;
+}
+
 void Handover::recordProgress()
 {
     m_state->lastProgress = Clock::now();
+    m_state->waiting = false;
     if (m_state->running && !m_state->cancelled) {
         m_state->cancelled = true;
         if (m_state->next.connection) {
@@ -133,6 +149,7 @@
     m_state->current = std::move(m_state->next);
     m_state->next = {};
     m_state->accepted = false;
+    m_state->waiting = false;
     m_state->lastProgress = Clock::now();
     startTimer(m_state);
     co_return true;
--- a/src/serving/src/handover.h
+++ b/src/serving/src/handover.h
@@ -38,8 +38,10 @@
 
     /** Changes the period of silence after which an attempt is made. */
     void setPatience(milliseconds patience);
-    /** The current target has sent something; ends a pending attempt. */
+    /** The current target has sent something; ends a pending attempt. Its silence counts again from beginWait(). */
     void recordProgress();
+    /** The next bytes of the current target are awaited. Until then, its data may be delayed by a slow caller. */
+    void beginWait();
     /** Whether another target has accepted the request; what still arrives from the current one must not be used. */
     bool isAccepted() const;
     /**
--- a/src/serving/src/streamrun.cpp
+++ b/src/serving/src/streamrun.cpp
@@ -300,6 +300,7 @@
     }
     bool first = true;
     while (!request.exchange.isDisconnected()) {
+        handover.beginWait();
         const auto piece = co_await run.exchange.connection->readSome(remainingTime(request), progress.reason);
         // The other engine repeats what the current one sends after the other was asked.
         const bool unfinished = piece && piece->empty() && progress.events.hasPartial();
@@ -404,10 +405,20 @@
     Handover handover(co_await asio::this_coro::executor, request, run.exchange, patience, [&run](DirectExchange &next) {
         return askOtherEngine(run, next);
     });
-    const PlacementOutcome outcome = co_await runAndForward(run, handover, std::move(kvCacheRef));
+    PlacementOutcome outcome = PlacementOutcome::Interrupted;
+    std::exception_ptr failure;
+    try {
+        outcome = co_await runAndForward(run, handover, std::move(kvCacheRef));
+    } catch (...) {
+        failure = std::current_exception();
+    }
+    // A pending attempt refers to this frame.
     co_await handover.stop();
     releaseNext(run);
     placed = run.placed;
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
     co_return outcome;
 }
 
--- a/tests/proofs/silenttargettest.cpp
+++ b/tests/proofs/silenttargettest.cpp
@@ -5,6 +5,7 @@
 
 #include <future>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace snipehill;
@@ -116,3 +117,23 @@
     CHECK(response.ended - response.sent < callerPatience);
     CHECK(host.events("e2", "run").size() == 1);
 }
+
+// Guards against taking a caller that reads slowly for a silent target: the run is not repeated elsewhere.
+TEST_CASE("A slow caller does not make its target look silent", "[direct][silence]")
+{
+    DirectCluster host({{"e1", "engines", "decode"}, {"e2", "engines", "decode"}}, 1);
+    makeReady(host);
+    for (const char *engine : {"e1", "e2"}) {
+        host.setFaults(engine, R"({"eventBytes": 1500000})");
+    }
+    Call call = promptCall("/ask/x", "s1", 100);
+    bool paused = false;
+    call.onData = [&paused](std::string_view) {
+        if (!std::exchange(paused, true)) {
+            sleepFor(milliseconds(2500)); // longer than the silence after which another engine is tried
+        }
+    };
+    const Response response = host.call(0, call);
+    CHECK(response.complete);
+    CHECK(host.events("e1", "run").size() + host.events("e2", "run").size() == 1);
+}
--- a/tests/standins/platformserver.cpp
+++ b/tests/standins/platformserver.cpp
@@ -18,7 +18,7 @@
  * Further faults: refuse (503 with Not-Executed), status (of plain responses), orderStatus (of the response to an order),
  * cutAfter (aborts the next stream after N events), extraAnswer (the next N responses are followed by an unsolicited one),
  * eventMs (pause between events), beforeMs (delay before the response), readMs (prefill time of a prompt),
- * silences (the next N runs are silent for silentMs after silentAfter events, or before the response for 0, and then go on).
+ * eventBytes (padding of each event), silences (the next N runs are silent for silentMs after silentAfter events, or before the response for 0, and then go on).
  */
 class PlatformServer : public StandIn
 {
@@ -107,7 +107,8 @@
             if (silentAfter > 0 && event - first == silentAfter) {
                 co_await pause(silence);
             }
-            co_await exchange.write("id: " + std::to_string(event) + "\ndata: token " + std::to_string(event) + "\n\n");
+            co_await exchange.write("id: " + std::to_string(event) + "\ndata: token " + std::to_string(event)
+                                    + std::string(static_cast<std::size_t>(faults.number("", "eventBytes", 0)), ' ') + "\n\n");
             co_await pause(faults.delay("", "eventMs"));
         }
         co_await exchange.finish();
