Move the disconnect watcher out of the HTTP server's file

The watcher gets a callback instead of the exchange; what it does is unchanged. The existing tests of the server pass.

--- a/src/connection/src/httpserver.cpp
+++ b/src/connection/src/httpserver.cpp
@@ -1,5 +1,6 @@
 #include <connection/httpserver.h>
 
+#include "disconnectwatcher.h"
 #include "httpinput.h"
 #include "listener.h"
 
@@ -7,7 +8,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
@@ -277,56 +277,6 @@
     co_return !error;
 }
 
-/** State of the read that detects a disconnect while a handler runs. Used on the connection's strand. */
-struct DisconnectWatcher
-{
-    explicit DisconnectWatcher(const asio::any_io_executor &executor) : stopped(executor, TimePoint::max()) { }
-
-    asio::steady_timer stopped; //!< never expires; cancelled to signal that the pending read has ended
-    bool reading = false;
-    bool stopping = false;
-};
-
-/** Limit for data of pipelined requests that is read while a handler runs. */
-constexpr std::size_t readAheadBytes = 65536;
-
-/** Reads while the handler runs. Data is kept for the next request; an error or end of file means that the client has disconnected. */
-void watchForDisconnect(const std::shared_ptr<DisconnectWatcher> &watcher,
-                        const std::shared_ptr<Stream> &stream,
-                        boost::beast::flat_buffer &buffer,
-                        Exchange &exchange)
-{
-    if (buffer.size() >= readAheadBytes) {
-        return;
-    }
-    watcher->reading = true;
-    stream->socket().async_read_some(buffer.prepare(4096), [watcher, stream, &buffer, &exchange](const boost::system::error_code &error, std::size_t read) {
-        buffer.commit(read);
-        watcher->reading = false;
-        if (watcher->stopping) {
-            watcher->stopped.cancel();
-        } else if (error) {
-            exchange.handleDisconnect();
-        } else {
-            watchForDisconnect(watcher, stream, buffer, exchange);
-        }
-    });
-}
-
-/** Cancels the pending read and waits for its end, after which nothing refers to the buffer and the exchange. */
-asio::awaitable<void> stopWatching(const std::shared_ptr<DisconnectWatcher> &watcher, const std::shared_ptr<Stream> &stream)
-{
-    watcher->stopping = true;
-    if (!watcher->reading) {
-        co_return;
-    }
-    boost::system::error_code ignored;
-    stream->socket().cancel(ignored);
-    while (watcher->reading) {
-        co_await watcher->stopped.async_wait(useTuple);
-    }
-}
-
 /** Runs the handler. An exception aborts a response that has started, or is answered with status 500; other exchanges are not affected. */
 asio::awaitable<void>
 handleExchange(const ServerStatePointer &state, const std::shared_ptr<Stream> &stream, boost::beast::flat_buffer &buffer, Exchange &exchange)
@@ -336,7 +286,10 @@
         state->observer.onReceived();
     }
     const auto watcher = std::make_shared<DisconnectWatcher>(stream->get_executor());
-    watchForDisconnect(watcher, stream, buffer, exchange);
+    watcher->onDisconnect = [&exchange] {
+        exchange.handleDisconnect();
+    };
+    watchForDisconnect(watcher, stream, buffer);
     bool failed = false;
     std::string error;
     try {
