Close a caller's connection without destroying the response just written

Callers that were still sending when their response was written (a 413, 431 or 400 with the body on its way, or bytes behind a request with Connection: close) got a connection reset instead of the response. Cause: the socket was closed right after the response; the kernel answers unread or later bytes with a reset. Now the sending side is shut down, and what the caller still sends is discarded until it closes, for at most one second and 16 MiB.

--- a/src/connection/src/httpinput.cpp
+++ b/src/connection/src/httpinput.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace snipehill
 {
@@ -50,6 +51,8 @@
 };
 
 constexpr std::string_view headEnd = "\r\n\r\n";
+constexpr milliseconds closeTimeout{1000}; // enough for a round trip and short against a drain
+constexpr std::size_t maxDiscardedBytes = 16U << 20U;
 
 } // namespace
 
@@ -140,8 +143,6 @@
     response.prepare_payload();
     stream.expires_after(milliseconds(1000));
     co_await http::async_write(stream, response, useTuple);
-    boost::system::error_code ignored;
-    stream.socket().shutdown(asio::socket_base::shutdown_send, ignored);
 }
 
 asio::awaitable<void> sendInputError(HttpStream &stream, boost::system::error_code error)
@@ -151,4 +152,22 @@
     }
 }
 
+asio::awaitable<void> closeAfterResponse(HttpStream &stream)
+{
+    boost::system::error_code error;
+    stream.socket().shutdown(asio::socket_base::shutdown_send, error);
+    if (error) {
+        co_return;
+    }
+    stream.expires_after(closeTimeout);
+    std::array<char, 16384> discarded{};
+    for (std::size_t total = 0; total < maxDiscardedBytes;) {
+        auto [readError, read] = co_await stream.async_read_some(asio::buffer(discarded), useTuple);
+        if (readError) {
+            co_return;
+        }
+        total += read;
+    }
+}
+
 } // namespace snipehill
--- a/src/connection/src/httpinput.h
+++ b/src/connection/src/httpinput.h
@@ -35,10 +35,16 @@
 /** HTTP status for an error of reading or parsing a request. */
 unsigned statusForInput(const boost::system::error_code &error);
 
-/** Sends an error response as problem+json and shuts down the sending side of the connection. */
+/** Sends an error response as problem+json; the connection can't be used further. */
 boost::asio::awaitable<void> sendErrorResponse(HttpStream &stream, unsigned status, std::string detail);
 
 /** Sends the error response for a failed read, unless the client has closed the connection. */
 boost::asio::awaitable<void> sendInputError(HttpStream &stream, boost::system::error_code error);
 
+/**
+ * Shuts down the sending side, then reads and discards until the client closes the connection, within a short time and a limited size.
+ * Closing a socket with unread data resets the connection, and a client that is still sending would lose the response.
+ */
+boost::asio::awaitable<void> closeAfterResponse(HttpStream &stream);
+
 } // namespace snipehill
--- a/src/connection/src/httpserver.cpp
+++ b/src/connection/src/httpserver.cpp
@@ -312,38 +312,44 @@
     --state->active;
 }
 
+/** Reads one request and handles it, or answers it with an error; true if the connection can carry another request. */
+asio::awaitable<bool>
+serveRequest(const ServerStatePointer &state, const std::shared_ptr<Stream> &stream, boost::beast::flat_buffer &buffer, const std::string &client)
+{
+    const HttpServerLimits limits = state->currentLimits();
+    std::size_t headSize = 0;
+    boost::system::error_code error = co_await readRequestHead(stream, buffer, limits, headSize);
+    const TimePoint received = Clock::now();
+    if (!error && !isUnambiguousHead({static_cast<const char *>(buffer.data().data()), headSize})) {
+        error = http::error::bad_field;
+    }
+    HttpRequestParser parser;
+    parser.header_limit(limits.headerBytes);
+    parser.body_limit(limits.bodyBytes);
+    if (!error) {
+        error = co_await readRequest(stream, buffer, limits, parser);
+    }
+    if (error) {
+        co_await sendInputError(*stream, error);
+        co_return false;
+    }
+    const auto fields = std::distance(parser.get().begin(), parser.get().end());
+    if (fields > static_cast<std::ptrdiff_t>(limits.headerCount)) {
+        co_await sendErrorResponse(*stream, 431, "too many header fields");
+        co_return false;
+    }
+    Exchange exchange(*stream, *state, limits, parser.release(), client);
+    exchange.setReceived(received);
+    co_await handleExchange(state, stream, buffer, exchange);
+    co_return exchange.shouldKeepAlive();
+}
+
 asio::awaitable<void> serveConnection(ServerStatePointer state, std::shared_ptr<Stream> stream, std::string client)
 {
     boost::beast::flat_buffer buffer;
     while (co_await waitForRequest(state, stream, buffer)) {
-        const HttpServerLimits limits = state->currentLimits();
-        std::size_t headSize = 0;
-        boost::system::error_code error = co_await readRequestHead(stream, buffer, limits, headSize);
-        const TimePoint received = Clock::now();
-        if (!error && !isUnambiguousHead({static_cast<const char *>(buffer.data().data()), headSize})) {
-            error = http::error::bad_field;
-        }
-        HttpRequestParser parser;
-        parser.header_limit(limits.headerBytes);
-        parser.body_limit(limits.bodyBytes);
-        if (!error) {
-            error = co_await readRequest(stream, buffer, limits, parser);
-        }
-        if (error) {
-            co_await sendInputError(*stream, error);
-            co_return;
-        }
-        const auto fields = std::distance(parser.get().begin(), parser.get().end());
-        if (fields > static_cast<std::ptrdiff_t>(limits.headerCount)) {
-            co_await sendErrorResponse(*stream, 431, "too many header fields");
-            co_return;
-        }
-        Exchange exchange(*stream, *state, limits, parser.release(), client);
-        exchange.setReceived(received);
-        co_await handleExchange(state, stream, buffer, exchange);
-        if (!exchange.shouldKeepAlive()) {
-            boost::system::error_code ignored;
-            stream->socket().shutdown(Tcp::socket::shutdown_send, ignored);
+        if (!co_await serveRequest(state, stream, buffer, client)) {
+            co_await closeAfterResponse(*stream);
             co_return;
         }
     }
