--- a/src/connection/src/httpserver.cpp
+++ b/src/connection/src/httpserver.cpp
@@ -1,5 +1,6 @@
 #include <connection/httpserver.h>
 
+#include "disconnectwatcher.h"
 #include "httpinput.h"
 #include "listener.h"
 
@@ -7,7 +8,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
@@ -277,56 +277,6 @@
     co_return !error;
 }
 
-/** State of the read that detects a disconnect while a handler runs. Used on the connection's strand. */
-struct DisconnectWatcher
-{
-    explicit DisconnectWatcher(const asio::any_io_executor &executor) : stopped(executor, TimePoint::max()) { }
-
-    asio::steady_timer stopped; //!< never expires; cancelled to signal that the pending read has ended
-    bool reading = false;
-    bool stopping = false;
-};
-
-/** Limit for data of pipelined requests that is read while a handler runs. */
-constexpr std::size_t readAheadBytes = 65536;
-
-/** Reads while the handler runs. Data is kept for the next request; an error or end of file means that the client has disconnected. */
-void watchForDisconnect(const std::shared_ptr<DisconnectWatcher> &watcher,
-                        const std::shared_ptr<Stream> &stream,
-                        boost::beast::flat_buffer &buffer,
-                        Exchange &exchange)
-{
-    if (buffer.size() >= readAheadBytes) {
-        return;
-    }
-    watcher->reading = true;
-    stream->socket().async_read_some(buffer.prepare(4096), [watcher, stream, &buffer, &exchange](const boost::system::error_code &error, std::size_t read) {
-        buffer.commit(read);
-        watcher->reading = false;
-        if (watcher->stopping) {
-            watcher->stopped.cancel();
-        } else if (error) {
-            exchange.handleDisconnect();
-        } else {
-            watchForDisconnect(watcher, stream, buffer, exchange);
-        }
-    });
-}
-
-/** Cancels the pending read and waits for its end, after which nothing refers to the buffer and the exchange. */
-asio::awaitable<void> stopWatching(const std::shared_ptr<DisconnectWatcher> &watcher, const std::shared_ptr<Stream> &stream)
-{
-    watcher->stopping = true;
-    if (!watcher->reading) {
-        co_return;
-    }
-    boost::system::error_code ignored;
-    stream->socket().cancel(ignored);
-    while (watcher->reading) {
-        co_await watcher->stopped.async_wait(useTuple);
-    }
-}
-
 /** Runs the handler. An exception aborts a response that has started, or is answered with status 500; other exchanges are not affected. */
 asio::awaitable<void>
 handleExchange(const ServerStatePointer &state, const std::shared_ptr<Stream> &stream, boost::beast::flat_buffer &buffer, Exchange &exchange)
@@ -336,7 +286,10 @@
         state->observer.onReceived();
     }
     const auto watcher = std::make_shared<DisconnectWatcher>(stream->get_executor());
-    watchForDisconnect(watcher, stream, buffer, exchange);
+    watcher->onDisconnect = [&exchange] {
+        exchange.handleDisconnect();
+    };
+    watchForDisconnect(watcher, stream, buffer);
     bool failed = false;
     std::string error;
     try {
@@ -359,38 +312,44 @@
     --state->active;
 }
 
+/** Reads one request and handles it, or answers it with an error; true if the connection can carry another request. */
+asio::awaitable<bool>
+serveRequest(const ServerStatePointer &state, const std::shared_ptr<Stream> &stream, boost::beast::flat_buffer &buffer, const std::string &client)
+{
+    const HttpServerLimits limits = state->currentLimits();
+    std::size_t headSize = 0;
+    boost::system::error_code error = co_await readRequestHead(stream, buffer, limits, headSize);
+    const TimePoint received = Clock::now();
+    if (!error && !isUnambiguousHead({static_cast<const char *>(buffer.data().data()), headSize})) {
+        error = http::error::bad_field;
+    }
+    HttpRequestParser parser;
+    parser.header_limit(limits.headerBytes);
+    parser.body_limit(limits.bodyBytes);
+    if (!error) {
+        error = co_await readRequest(stream, buffer, limits, parser);
+    }
+    if (error) {
+        co_await sendInputError(*stream, error);
+        co_return false;
+    }
+    const auto fields = std::distance(parser.get().begin(), parser.get().end());
+    if (fields > static_cast<std::ptrdiff_t>(limits.headerCount)) {
+        co_await sendErrorResponse(*stream, 431, "too many header fields");
+        co_return false;
+    }
+    Exchange exchange(*stream, *state, limits, parser.release(), client);
+    exchange.setReceived(received);
+    co_await handleExchange(state, stream, buffer, exchange);
+    co_return exchange.shouldKeepAlive();
+}
+
 asio::awaitable<void> serveConnection(ServerStatePointer state, std::shared_ptr<Stream> stream, std::string client)
 {
     boost::beast::flat_buffer buffer;
     while (co_await waitForRequest(state, stream, buffer)) {
-        const HttpServerLimits limits = state->currentLimits();
-        std::size_t headSize = 0;
-        boost::system::error_code error = co_await readRequestHead(stream, buffer, limits, headSize);
-        const TimePoint received = Clock::now();
-        if (!error && !isUnambiguousHead({static_cast<const char *>(buffer.data().data()), headSize})) {
-            error = http::error::bad_field;
-        }
-        HttpRequestParser parser;
-        parser.header_limit(limits.headerBytes);
-        parser.body_limit(limits.bodyBytes);
-        if (!error) {
-            error = co_await readRequest(stream, buffer, limits, parser);
-        }
-        if (error) {
-            co_await sendInputError(*stream, error);
-            co_return;
-        }
-        const auto fields = std::distance(parser.get().begin(), parser.get().end());
-        if (fields > static_cast<std::ptrdiff_t>(limits.headerCount)) {
-            co_await sendErrorResponse(*stream, 431, "too many header fields");
-            co_return;
-        }
-        Exchange exchange(*stream, *state, limits, parser.release(), client);
-        exchange.setReceived(received);
-        co_await handleExchange(state, stream, buffer, exchange);
-        if (!exchange.shouldKeepAlive()) {
-            boost::system::error_code ignored;
-            stream->socket().shutdown(Tcp::socket::shutdown_send, ignored);
+        if (!co_await serveRequest(state, stream, buffer, client)) {
+            co_await closeAfterResponse(*stream);
             co_return;
         }
     }
