Drop the disconnect callback of a handler that has ended

A caller that left while the 500 for an exception of the handler was being written could bring the process down: the callback that the handler had registered refers to its request (serveDirect captures it by reference), which the exception has destroyed. Evidence: the new test queues the caller's close behind a handler that throws; it failed before, three times out of three: CHECK( lateCalls == 0 ), with expansion: 1 == 0. Now the exchange forgets the callback as soon as the handler has ended, before anything else is awaited.

--- a/src/connection/include/connection/httpserver.h
+++ b/src/connection/include/connection/httpserver.h
@@ -61,7 +61,7 @@
     virtual bool isDisconnected() const noexcept = 0;
     /** Like isDisconnected(), but also checks the socket, because a busy process may not have handled its close event yet. */
     virtual bool checkDisconnected() = 0;
-    /** Calls back once, on the connection's strand, when the client disconnects while the handler runs; at once if it already has. */
+    /** Calls back once, on the connection's strand, when the client disconnects while the handler runs; at once if it already has. Replaces an earlier callback. */
     virtual void onDisconnect(std::function<void()> callback) = 0;
     /** Time at which the header section of the request was complete. */
     virtual TimePoint received() const noexcept = 0;
--- a/src/connection/src/httpserver.cpp
+++ b/src/connection/src/httpserver.cpp
@@ -172,7 +172,7 @@
 
     void onDisconnect(std::function<void()> callback) override
     {
-        if (m_disconnected) {
+        if (m_disconnected && callback) {
             callback();
         } else {
             m_onDisconnect = std::move(callback);
@@ -298,6 +298,8 @@
         failed = true;
         error = exception.what();
     }
+    // The callback refers to objects of the handler, which are destroyed now.
+    exchange.onDisconnect(nullptr);
     if (failed && exchange.hasResponseStarted()) {
         exchange.abort();
     } else if (failed) {
--- a/tests/connection/httpresponsetest.cpp
+++ b/tests/connection/httpresponsetest.cpp
@@ -169,3 +169,47 @@
         return writeError.failed();
     }));
 }
+
+// Guards against a call of a callback whose handler has ended with an exception and whose captured state is destroyed.
+TEST_CASE("The disconnect callback of a handler that threw is never called", "[http]")
+{
+    std::atomic<int> started{0};
+    std::atomic<int> lateCalls{0};
+    std::atomic<bool> closed{false};
+    HandlerServer *running = nullptr;
+    HandlerServer server([&](HttpExchange &exchange) -> asio::awaitable<void> {
+        struct Frame
+        {
+            ~Frame()
+            {
+                *ended = true;
+            }
+            std::shared_ptr<bool> ended = std::make_shared<bool>(false);
+        };
+        const Frame frame;
+        exchange.onDisconnect([&lateCalls, ended = frame.ended] {
+            lateCalls += *ended ? 1 : 0;
+        });
+        ++started;
+        support::waitUntil([&] {
+            return closed.load();
+        });
+        // Queues the event of the close behind this handler on the strand, so that it is handled before the response to the exception is written.
+        running->pollOnOtherThread();
+        throw std::runtime_error("handler failed");
+        co_return;
+    });
+    running = &server;
+    asio::io_context context;
+    Tcp::socket socket = server.connect(context);
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    REQUIRE(support::waitUntil([&] {
+        return started > 0;
+    }));
+    socket.close();
+    closed = true;
+    REQUIRE(support::waitUntil([&] {
+        return server.activeExchanges() == 0;
+    }));
+    CHECK(lateCalls == 0);
+}
