Answer a request whose handler throws something other than std::exception

The caller got a closed connection without an answer. Such an exception left the connection's coroutine, where it was dropped, while the read that watches for a disconnect still referred to the destroyed exchange and the exchange counted as active for ever. Evidence: the new test failed before: CHECK( firstLine(received.bytes) == "HTTP/1.1 500 Internal Server Error" ), with expansion: "" == "HTTP/1.1 500 Internal Server Error". Now every type of exception is handled alike: 500, or an abort if the response has started. No handler of today is known to throw such a type.

--- a/src/connection/src/httpserver.cpp
+++ b/src/connection/src/httpserver.cpp
@@ -277,7 +277,7 @@
     co_return !error;
 }
 
-/** Runs the handler. An exception aborts a response that has started, or is answered with status 500; other exchanges are not affected. */
+/** Runs the handler. An exception of any type aborts a response that has started, or is answered with status 500; other exchanges are not affected. */
 asio::awaitable<void>
 handleExchange(const ServerStatePointer &state, const std::shared_ptr<Stream> &stream, boost::beast::flat_buffer &buffer, Exchange &exchange)
 {
@@ -297,6 +297,9 @@
     } catch (const std::exception &exception) {
         failed = true;
         error = exception.what();
+    } catch (...) {
+        failed = true;
+        error = "exception of an unknown type";
     }
     // The callback refers to objects of the handler, which are destroyed now.
     exchange.onDisconnect(nullptr);
--- a/tests/connection/httpresponsetest.cpp
+++ b/tests/connection/httpresponsetest.cpp
@@ -213,3 +213,14 @@
     }));
     CHECK(lateCalls == 0);
 }
+
+// Guards against a request without an answer because only std::exception was caught.
+TEST_CASE("A handler that throws something other than std::exception is answered with 500", "[http]")
+{
+    const HandlerServer server([](HttpExchange &) -> asio::awaitable<void> {
+        throw 1; // NOLINT(hicpp-exception-baseclass)
+        co_return;
+    });
+    const Received received = exchange(server, {"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"});
+    CHECK(firstLine(received.bytes) == "HTTP/1.1 500 Internal Server Error");
+}
