Send a valid response whatever its status and the method of its request

Callers got a status line with 000 for a status that Beast doesn't name (299, 498), and a closed connection without an answer for a 204 or 304 with a body, as prepare_payload() throws once the response counts as started. A 204 carried a Content-Length, which HTTP forbids. Evidence: the new test failed before: "HTTP/1.1 000 " == "HTTP/1.1 299 " and "" == "HTTP/1.1 204 "; it stopped at the first 204 with a body, so its 304 and HEAD cases had no run on the old code.

--- a/src/connection/include/connection/httpserver.h
+++ b/src/connection/include/connection/httpserver.h
@@ -45,7 +45,7 @@
     virtual ~HttpExchange() = default;
     virtual const boost::beast::http::request<boost::beast::http::string_body> &request() const noexcept = 0;
     virtual const std::string &clientAddress() const noexcept = 0;
-    /** Sends a complete response. */
+    /** Sends a complete response. The body is left out if HTTP allows none: in response to HEAD, and for status 204 and 304. */
     virtual boost::asio::awaitable<bool> respond(unsigned status, HeaderList headers, std::string body) = 0;
     /** Sends the header section of a response whose body follows in parts, chunked for HTTP/1.1 clients. */
     virtual boost::asio::awaitable<bool> beginStream(unsigned status, HeaderList headers) = 0;
--- a/src/connection/src/httpserver.cpp
+++ b/src/connection/src/httpserver.cpp
@@ -90,10 +90,14 @@
     asio::awaitable<bool> respond(unsigned status, HeaderList headers, std::string body) override
     {
         m_responseStarted = true;
-        http::response<http::string_body> response(http::int_to_status(status), m_request.version());
-        applyHeaders(response, headers);
-        response.body() = std::move(body);
-        response.prepare_payload();
+        http::response<http::string_body> response;
+        applyHead(response, status, headers);
+        if (!isBodyless(status)) {
+            response.body() = std::move(body);
+            response.prepare_payload();
+        } else if (m_request.method() == http::verb::head && !body.empty()) {
+            response.content_length(body.size());
+        }
         m_stream.expires_after(m_limits.writeTimeout);
         auto [error, written] = co_await http::async_write(m_stream, response, useTuple);
         m_finished = !error;
@@ -103,10 +107,11 @@
     asio::awaitable<bool> beginStream(unsigned status, HeaderList headers) override
     {
         m_responseStarted = true;
-        http::response<http::empty_body> response(http::int_to_status(status), m_request.version());
-        applyHeaders(response, headers);
-        m_chunked = m_request.version() >= 11;
-        m_keepAlive = m_keepAlive && m_chunked;
+        http::response<http::empty_body> response;
+        applyHead(response, status, headers);
+        m_bodyless = isBodyless(status);
+        m_chunked = m_request.version() >= 11 && !m_bodyless;
+        m_keepAlive = m_keepAlive && (m_chunked || m_bodyless);
         response.keep_alive(m_keepAlive);
         response.chunked(m_chunked);
         http::response_serializer<http::empty_body> serializer(response);
@@ -117,7 +122,7 @@
 
     asio::awaitable<bool> write(std::string_view data) override
     {
-        if (data.empty()) {
+        if (data.empty() || m_bodyless) {
             co_return true;
         }
         m_stream.expires_after(m_limits.writeTimeout);
@@ -213,8 +218,16 @@
     }
 
 private:
-    template<typename Response> void applyHeaders(Response &response, const HeaderList &headers)
+    /** True if HTTP allows no body in the response. */
+    bool isBodyless(unsigned status) const noexcept
+    {
+        return m_request.method() == http::verb::head || status == 204 || status == 304;
+    }
+
+    template<typename Response> void applyHead(Response &response, unsigned status, const HeaderList &headers)
     {
+        response.version(m_request.version());
+        response.result(status); // as a number, because http::status lacks some valid ones
         for (const auto &[name, value] : headers) {
             response.insert(name, value);
         }
@@ -232,6 +245,7 @@
     const std::string &m_client;
     bool m_keepAlive;
     bool m_chunked = false;
+    bool m_bodyless = false;
     bool m_responseStarted = false;
     bool m_finished = false;
     bool m_aborted = false;
@@ -362,19 +376,6 @@
 
 } // namespace
 
-const char *toString(RequestEnd end) noexcept
-{
-    switch (end) {
-    case RequestEnd::Answered:
-        return "answered";
-    case RequestEnd::ClientLeft:
-        return "client_left";
-    case RequestEnd::Cut:
-        return "cut";
-    }
-    return "";
-}
-
 HttpServer::HttpServer(asio::any_io_executor executor, HttpServerLimits limits, HttpHandler handler, HttpServerObserver observer)
     : m_state(std::make_shared<State>())
 {
--- a/tests/connection/httpresponsetest.cpp
+++ b/tests/connection/httpresponsetest.cpp
@@ -224,3 +224,52 @@
     const Received received = exchange(server, {"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"});
     CHECK(firstLine(received.bytes) == "HTTP/1.1 500 Internal Server Error");
 }
+
+// Guards against responses that end as an abort or as an invalid message because of their status or of the request's method.
+TEST_CASE("A response is sent as a valid message whatever its status and the method of its request", "[http]")
+{
+    struct Case
+    {
+        const char *description;
+        const char *method;
+        unsigned status;
+        const char *body;
+        bool stream;
+        std::string statusLine;
+        std::string receivedBody;
+        bool hasLength;
+    };
+    const std::vector<Case> cases{
+        {"success without a name", "GET", 299, "ab", false, "HTTP/1.1 299 ", "ab", true},
+        {"client error without a name", "GET", 498, "ab", false, "HTTP/1.1 498 ", "ab", true},
+        {"server error without a name", "GET", 599, "ab", false, "HTTP/1.1 599 ", "ab", true},
+        {"stream with a status without a name", "GET", 299, "ab", true, "HTTP/1.1 299 ", "2\r\nab\r\n0\r\n\r\n", false},
+        {"no content", "GET", 204, "", false, "HTTP/1.1 204 ", "", false},
+        {"no content, with a body", "GET", 204, "ab", false, "HTTP/1.1 204 ", "", false},
+        {"not modified, with a body", "GET", 304, "ab", false, "HTTP/1.1 304 ", "", false},
+        {"HEAD", "HEAD", 200, "ab", false, "HTTP/1.1 200 ", "", true},
+        {"HEAD without a known length", "HEAD", 200, "", false, "HTTP/1.1 200 ", "", false},
+        {"stream in response to HEAD", "HEAD", 200, "ab", true, "HTTP/1.1 200 ", "", false},
+        {"stream without content", "GET", 204, "ab", true, "HTTP/1.1 204 ", "", false},
+    };
+    for (const Case &c : cases) {
+        INFO(c.description);
+        const HandlerServer server([&c](HttpExchange &exchange) -> asio::awaitable<void> {
+            HeaderList headers;
+            if (c.stream) {
+                co_await exchange.beginStream(c.status, std::move(headers));
+                co_await exchange.write(c.body);
+                co_await exchange.finish();
+            } else {
+                co_await exchange.respond(c.status, std::move(headers), c.body);
+            }
+        });
+        const Received received = exchange(server, {std::string(c.method) + " / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"});
+        CHECK(received.bytes.substr(0, c.statusLine.size()) == c.statusLine);
+        const auto headEnd = received.bytes.find("\r\n\r\n");
+        REQUIRE(headEnd != std::string::npos);
+        CHECK(received.bytes.substr(headEnd + 4) == c.receivedBody);
+        CHECK((received.bytes.find("Content-Length: ") < headEnd) == c.hasLength);
+        CHECK(received.readError == asio::error::eof);
+    }
+}
