--- a/src/connection/include/connection/httpserver.h
+++ b/src/connection/include/connection/httpserver.h
@@ -45,7 +45,7 @@
     virtual ~HttpExchange() = default;
     virtual const boost::beast::http::request<boost::beast::http::string_body> &request() const noexcept = 0;
     virtual const std::string &clientAddress() const noexcept = 0;
-    /** Sends a complete response. */
+    /** Sends a complete response. The body is left out if HTTP allows none: in response to HEAD, and for status 204 and 304. */
     virtual boost::asio::awaitable<bool> respond(unsigned status, HeaderList headers, std::string body) = 0;
     /** Sends the header section of a response whose body follows in parts, chunked for HTTP/1.1 clients. */
     virtual boost::asio::awaitable<bool> beginStream(unsigned status, HeaderList headers) = 0;
@@ -61,7 +61,7 @@
     virtual bool isDisconnected() const noexcept = 0;
     /** Like isDisconnected(), but also checks the socket, because a busy process may not have handled its close event yet. */
     virtual bool checkDisconnected() = 0;
-    /** Calls back once, on the connection's strand, when the client disconnects while the handler runs; at once if it already has. */
+    /** Calls back once, on the connection's strand, when the client disconnects while the handler runs; at once if it already has. Replaces an earlier callback. */
     virtual void onDisconnect(std::function<void()> callback) = 0;
     /** Time at which the header section of the request was complete. */
     virtual TimePoint received() const noexcept = 0;
