Keep the process until requests that are still being received have been answered

Callers saw: a request whose head or body was on its way when the listener closed got neither an answer nor a refusal.

Cause: drain() ended the process as soon as no handler ran. A handler runs only once the whole request has been read, and stopAccepting() posts its work, so the check could also pass before the listener was closed.

Evidence: the new test sends the head 3 s after SIGTERM and the rest of the body 1.8 s later. Before: CHECK( response.starts_with("HTTP/1.1 200") ) false, the response was empty. It passes now.

Why it works: the server counts its open connections, and its listener as one. While draining each of them ends by itself: idle ones are closed, the others carry "Connection: close". The process ends when none is left or, as before, shortly before the kill.

--- a/src/connection/include/connection/httpserver.h
+++ b/src/connection/include/connection/httpserver.h
@@ -110,6 +110,8 @@
     void closeAfterResponses() noexcept;
     /** Stops accepting connections and closes idle ones; exchanges in progress continue. */
     void stopAccepting();
+    /** True when stopAccepting() has taken effect and all connections have been closed, also those that were receiving a request. */
+    bool hasEnded() const noexcept;
     /** Number of exchanges in progress. */
     std::size_t activeExchanges() const noexcept;
 
--- a/src/connection/src/httpserver.cpp
+++ b/src/connection/src/httpserver.cpp
@@ -55,6 +55,7 @@
     std::atomic<bool> closing{false};
     std::atomic<bool> stopped{false};
     std::atomic<std::size_t> active{0};
+    std::atomic<std::size_t> open{0}; //!< connections, and the listener while it accepts
     std::mutex idleLock;
     std::map<std::uint64_t, std::weak_ptr<Stream>> idle; //!< connections waiting for a request, by connection number
     std::uint64_t nextConnection = 0;
@@ -434,9 +435,16 @@
         const auto remote = socket.remote_endpoint(ignored);
         auto stream = std::make_shared<Stream>(std::move(socket));
         const auto strand = stream->get_executor();
-        asio::co_spawn(strand, serveConnection(state, std::move(stream), remote.address().to_string()), asio::detached);
+        ++state->open;
+        asio::co_spawn(strand, serveConnection(state, std::move(stream), remote.address().to_string()), [state](const std::exception_ptr &) {
+            --state->open;
+        });
     };
-    asio::co_spawn(m_state->acceptor->get_executor(), acceptConnections(m_state->acceptor, m_state->executor, onAccepted), asio::detached);
+    ++m_state->open;
+    asio::co_spawn(
+        m_state->acceptor->get_executor(), acceptConnections(m_state->acceptor, m_state->executor, onAccepted), [state = m_state](const std::exception_ptr &) {
+            --state->open;
+        });
     return true;
 }
 
@@ -470,6 +478,11 @@
     }
 }
 
+bool HttpServer::hasEnded() const noexcept
+{
+    return m_state->open == 0;
+}
+
 std::size_t HttpServer::activeExchanges() const noexcept
 {
     return m_state->active;
--- a/src/serving/src/directentry.cpp
+++ b/src/serving/src/directentry.cpp
@@ -224,7 +224,7 @@
                    asio::detached);
 }
 
-/** Leaves the load balancer's rotation, serves remaining requests, and stops when none is left or shortly before the kill. */
+/** Leaves the load balancer's rotation, serves remaining requests, and stops when all connections are closed or shortly before the kill. */
 asio::awaitable<void> drain(DirectEntry &entry)
 {
     const TimePoint began = Clock::now();
@@ -237,7 +237,7 @@
         co_await pauseFor(drainPollInterval);
     }
     entry.callers.stopAccepting();
-    while (entry.callers.activeExchanges() > 0 && Clock::now() < shutdownDeadline) {
+    while (!entry.callers.hasEnded() && Clock::now() < shutdownDeadline) {
         co_await pauseFor(drainPollInterval);
     }
     entry.watchContext.stopped = true;
