Ignore SIGHUP until its handler is installed

Operators saw: a SIGHUP that came during the start ended the process.

Cause: the default action of SIGHUP applied until runDirectEntry() had installed its signal set, that is while the settings were read.

Evidence: the new test sends SIGHUP while the process reads its settings from a FIFO. Before: CHECK( process.running() ) false. It passes now.

Why it works: main() ignores SIGHUP first of all. The settings are read after that, so a change that the signal announces is not missed. A signal that comes before main() runs still has the default action.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -7,6 +7,7 @@
 
 #include <popt.h>
 
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <memory>
@@ -82,6 +83,7 @@
 
 int main(int argc, char **argv)
 {
+    std::signal(SIGHUP, SIG_IGN); // its default action ends the process; in effect until handlers are installed
     Options options;
     const poptOption table[] = {{"settings", 's', POPT_ARG_STRING, &options.settings, 0, "run with the settings in FILE", "FILE"},
                                 {"check-settings", 'c', POPT_ARG_STRING, &options.checkSettings, 0, "check FILE and exit: 0 good, 1 with an error", "FILE"},
--- a/tests/proofs/drainproof.cpp
+++ b/tests/proofs/drainproof.cpp
@@ -8,8 +8,12 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <sys/stat.h>
+
 #include <csignal>
+#include <fstream>
 #include <string>
+#include <vector>
 
 using namespace snipehill;
 using namespace snipehill::support;
@@ -19,6 +23,7 @@
 
 namespace asio = boost::asio;
 
+const std::string daemonProgram = std::string(SNIPEHILL_BIN_DIR) + "/src/snipehilld";
 constexpr milliseconds exitTimeout{12000};
 
 void makeReady(DirectCluster &host, const std::string &configuration)
@@ -53,3 +58,19 @@
     CHECK(response.starts_with("HTTP/1.1 200"));
     CHECK(host.entries[0].waitForExit(exitTimeout) == 0);
 }
+
+// Guards against a SIGHUP that ends a process which hasn't installed its signal handlers yet.
+TEST_CASE("SIGHUP during the start does not end the process", "[direct][drain]")
+{
+    const TemporaryFolder folder;
+    const std::string settings = folder.file("settings");
+    REQUIRE(::mkfifo(settings.c_str(), 0600) == 0);
+    ::setenv("SNIPEHILL_SETTINGS", settings.c_str(), 1);
+    ChildProcess process(daemonProgram, std::vector<std::string>{"--platform-entry"}, folder.file("out"));
+    std::ofstream writer(settings); // opens once the process reads its settings
+    process.signal(SIGHUP);
+    sleepFor(milliseconds(100));
+    CHECK(process.running());
+    writer.close();
+    CHECK(process.waitForExit(exitTimeout) == 1); // the settings are empty
+}
