Count the failures of one pause of a target as one

Callers saw: after one pause of a sound target, their requests kept away from it for up to 8 s, and the other targets were overloaded meanwhile.

Cause: each request that failed at a target doubled its backoff. A pause fails all requests on the target in the same second, so four of them raised the backoff from 1 s to the maximum of 8 s.

Change: a failure while the target is already suspect changes nothing; the next one after the backoff doubles it.

Evidence, before the change: targetregistrytest.cpp:127: FAILED: CHECK( choose(registry, start + milliseconds(1100)) == "t1" ) with expansion: "t2" == "t1", with message: 2 failures, one each 0 ms (and for 16, and for 40 at 20 ms intervals)

The existing test "A failed target is avoided for longer with each consecutive failure, until it answers" recorded its second failure at the same instant as the first, which is the fault itself. It now records it after the first backoff, and checks a third backoff besides.

Refusals of prompts and failed KV cache transfers are left as they are: there an engine itself states that it takes nothing, each further arrival counts against the retry budget, and the longest backoff is 2 s.

--- a/src/process/include/process/targetregistry.h
+++ b/src/process/include/process/targetregistry.h
@@ -134,7 +134,7 @@
     void recordKvTransfer(const TargetRef &prefillEngine, bool fetched, TimePoint now);
     /** The target sent a complete response, so it is no longer suspect. */
     void recordResponse(const TargetRef &target, const std::optional<ReportedLoad> &load, TimePoint now);
-    /** A request to the target or the connection to it failed; the target is suspect for a time. */
+    /** A request to the target or the connection to it failed; the target is suspect for a time. No-op if it is suspect already. */
     void recordFailure(const TargetRef &target, TimePoint now);
     /** Another target responded at the address, or the target accepts no more work: it gets none until its registration record shows a restart. */
     void markReplaced(const TargetRef &target);
--- a/src/process/src/targetregistry.cpp
+++ b/src/process/src/targetregistry.cpp
@@ -346,6 +346,10 @@
 void TargetRegistry::recordFailure(const TargetRef &ref, TimePoint now)
 {
     withTarget(ref, [&](Target &target) {
+        // All requests at the target fail together when it pauses, which is one failure of the target.
+        if (now < target.suspectUntil) {
+            return;
+        }
         target.suspectUntil = now + backoffTime(m_settings.suspectBackoff, target.failuresInRow++, m_settings.maxSuspectBackoff);
     });
 }
--- a/tests/process/targetregistrytest.cpp
+++ b/tests/process/targetregistrytest.cpp
@@ -97,10 +97,38 @@
     registry.recordFailure(t1, start);
     CHECK(choose(registry, start + milliseconds(900)) == "t2");
     CHECK(choose(registry, start + milliseconds(1100)) == "t1");
-    registry.recordFailure(t1, start);
-    CHECK(choose(registry, start + milliseconds(1900)) == "t2");
-    registry.recordResponse(t1, std::nullopt, start + milliseconds(1950));
-    CHECK(choose(registry, start + milliseconds(1960)) == "t1");
+    registry.recordFailure(t1, start + milliseconds(1100));
+    CHECK(choose(registry, start + milliseconds(3000)) == "t2");
+    CHECK(choose(registry, start + milliseconds(3200)) == "t1");
+    registry.recordFailure(t1, start + milliseconds(3200));
+    CHECK(choose(registry, start + milliseconds(7100)) == "t2");
+    registry.recordResponse(t1, std::nullopt, start + milliseconds(7150));
+    CHECK(choose(registry, start + milliseconds(7160)) == "t1");
+}
+
+// Guards against a backoff that grows with the number of requests on a target instead of the number of its failures.
+TEST_CASE("Many requests that fail in one pause of a target cause one backoff", "[targets]")
+{
+    struct Case
+    {
+        int failures;
+        milliseconds apart;
+    };
+    for (const Case &c : {Case{1, milliseconds(0)}, Case{2, milliseconds(0)}, Case{16, milliseconds(0)}, Case{40, milliseconds(20)}}) {
+        INFO(c.failures << " failures, one each " << c.apart.count() << " ms");
+        TargetRegistry registry(settings());
+        registry.apply(service("t1"));
+        registry.apply(service("t2", "fd-b"));
+        const TargetRef t1{.group = "g", .id = "t1"};
+        for (int i = 0; i < c.failures; ++i) {
+            registry.recordFailure(t1, start + i * c.apart);
+        }
+        CHECK(choose(registry, start + milliseconds(900)) == "t2");
+        CHECK(choose(registry, start + milliseconds(1100)) == "t1");
+        registry.recordFailure(t1, start + milliseconds(1200));
+        CHECK(choose(registry, start + milliseconds(3100)) == "t2");
+        CHECK(choose(registry, start + milliseconds(3300)) == "t1");
+    }
 }
 
 TEST_CASE("Load of other entries counts until their updates expire", "[targets]")
