Blame a target only for a broken connection or a long silence

Callers saw: sound targets avoided by later requests, and less capacity left for them, after a deadline of one caller had passed.

Cause: whatever ended an exchange was recorded as a failure of its target: the caller's deadline on a stream that had sent an event just before, a connect that had 0.5 ms left, and another attempt that was aborted because the first target had been heard again.

Change: an exchange keeps the time at which its target was last heard and how its connection ended. A time limit of ours counts as a failure of the target only after 1 s of silence, or after the whole connect timeout; an abort of ours never does. The log has "exchange ended by this entry" in that case, with the silence, and the metric of attempts has "abandoned".

Evidence, before the change, five of the eight rows of the new test: silenttargettest.cpp:168: FAILED: CHECK( (log.find("target gave no answer") != std::string::npos) == c.blamed ) with expansion: true == false, with message: stream that sends events The rows in which the target is to blame (silent for long, connection broken off) passed before and pass now.

--- a/src/connection/include/connection/httpclient.h
+++ b/src/connection/include/connection/httpclient.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -45,6 +46,14 @@
  */
 boost::asio::awaitable<std::optional<HttpResponse>> httpCall(HttpCall call, Reason &reason);
 
+/** How a connection ended; Success while no operation on it has failed. */
+enum class ConnectionResult {
+    Success,
+    TimedOut, //!< at the time limit of an operation
+    Aborted, //!< by abort()
+    Broken, //!< the peer could not be reached, closed or reset the connection, or sent malformed data
+};
+
 /**
  * A persistent client connection that carries one request at a time.
  *
@@ -75,14 +84,19 @@
     /** Resets the connection; pending operations fail. */
     void abort();
     const Endpoint &peer() const noexcept;
+    ConnectionResult result() const noexcept;
 
 private:
+    /** Records the failure of an operation and returns its reason. */
+    Reason fail(std::string_view what, const boost::system::error_code &error);
+
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
     std::unique_ptr<Parser> m_parser;
     Endpoint m_peer;
     bool m_exchangeComplete = true; //!< no exchange is in progress and none has failed
+    ConnectionResult m_result = ConnectionResult::Success;
 };
 
 } // namespace snipehill
--- a/src/connection/src/httpclient.cpp
+++ b/src/connection/src/httpclient.cpp
@@ -103,7 +103,7 @@
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(m_peer.address), m_peer.port);
     auto [error] = co_await m_stream.async_connect(endpoint, useTuple);
     if (error) {
-        reason = failure(Step::RunOnTarget, m_peer, "connect", error);
+        reason = fail("connect", error);
         m_exchangeComplete = false;
         co_return false;
     }
@@ -126,7 +126,7 @@
     m_stream.expires_after(timeout);
     auto [error, written] = co_await http::async_write(m_stream, request, useTuple);
     if (error) {
-        reason = failure(Step::RunOnTarget, m_peer, "send", error);
+        reason = fail("send", error);
         co_return false;
     }
     co_return true;
@@ -139,7 +139,7 @@
     m_stream.expires_after(timeout);
     auto [error, read] = co_await http::async_read_header(m_stream, m_buffer, *m_parser, useTuple);
     if (error) {
-        reason = failure(Step::RunOnTarget, m_peer, "receive head", error);
+        reason = fail("receive head", error);
         co_return false;
     }
     m_exchangeComplete = m_parser->is_done();
@@ -155,7 +155,7 @@
         m_stream.expires_after(timeout);
         auto [error, read] = co_await http::async_read_some(m_stream, m_buffer, *m_parser, useTuple);
         if (error && error != http::error::need_buffer) {
-            reason = failure(Step::RunOnTarget, m_peer, "receive body", error);
+            reason = fail("receive body", error);
             co_return std::nullopt;
         }
         const std::size_t size = chunk.size() - m_parser->get().body().size;
@@ -188,9 +188,20 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+Reason HttpConnection::fail(std::string_view what, const boost::system::error_code &error)
+{
+    if (m_result == ConnectionResult::Success) {
+        m_result = error == boost::beast::error::timeout ? ConnectionResult::TimedOut : ConnectionResult::Broken;
+    }
+    return failure(Step::RunOnTarget, m_peer, what, error);
+}
+
 void HttpConnection::abort()
 {
     m_exchangeComplete = false;
+    if (m_result == ConnectionResult::Success) {
+        m_result = ConnectionResult::Aborted;
+    }
     closeWithReset(m_stream);
 }
 
@@ -199,4 +210,9 @@
     return m_peer;
 }
 
+ConnectionResult HttpConnection::result() const noexcept
+{
+    return m_result;
+}
+
 } // namespace snipehill
--- a/src/serving/src/directcall.cpp
+++ b/src/serving/src/directcall.cpp
@@ -74,7 +74,7 @@
             progress.reason = {Step::RunOnTarget, exchange.target.id, "the answer is not the target's own"};
         }
         abortExchange(request, exchange);
-        recordTargetFailure(request, exchange.target, SendResult::OutcomeUnknown, progress.reason);
+        recordFailedExchange(request, exchange, SendResult::OutcomeUnknown, progress.reason);
         co_return false;
     }
     request.context.usage.count(request.workspace);
@@ -239,7 +239,7 @@
             request.context.crashes.recordLoss(request.fingerprint, Clock::now());
         }
     }
-    recordTargetFailure(request, run.work.target, result, progress.reason);
+    recordFailedExchange(request, run.exchange, result, progress.reason);
     co_return false;
 }
 
--- a/src/serving/src/directexchange.cpp
+++ b/src/serving/src/directexchange.cpp
@@ -16,6 +16,7 @@
 constexpr int maxForeignResponses = 3; // responses to earlier requests that are skipped on one connection
 constexpr milliseconds defaultIdleTimeout{4000}; // if the target sends no keep-alive time; shorter than usual idle limits
 constexpr milliseconds idleMargin{1000}; // avoids sending a request while the target closes the connection
+constexpr milliseconds minFailureSilence{1000}; // sound targets are rarely silent for longer
 constexpr std::size_t maxBufferedBodyBytes = 32U << 20U;
 
 void removeActive(DirectRequest &request, const DirectExchange &exchange)
@@ -31,6 +32,7 @@
         if (!co_await exchange.connection->readHead(left, reason)) {
             co_return false;
         }
+        exchange.lastHeard = Clock::now();
         exchange.response = platform::parseTargetResponse(exchange.connection->head(), request.caller);
         if (exchange.response.matchesRequest) {
             co_return true;
@@ -49,7 +51,7 @@
 asio::awaitable<SendResult>
 sendToTarget(DirectRequest &request, TargetRef target, HttpRequest message, ExchangeLimits limits, DirectExchange &exchange, Reason &reason)
 {
-    exchange = DirectExchange{.target = target};
+    exchange = DirectExchange{.target = target, .lastHeard = Clock::now()};
     exchange.connection = request.context.connections.take(target.endpoint, limits.maxIdle);
     const bool reused = exchange.connection != nullptr;
     if (!reused) {
@@ -69,7 +71,8 @@
         co_return SendResult::NotSent;
     }
     logRequest(request, LogLevel::Info, "sent", {{"target", target.id}, {"address", toString(target.endpoint)}, {"kept", reused ? 1 : 0}});
-    const TimePoint until = Clock::now() + limits.headTimeout;
+    exchange.lastHeard = Clock::now();
+    const TimePoint until = exchange.lastHeard + limits.headTimeout;
     const bool answered = co_await exchange.connection->send(message, limits.headTimeout, reason)
         && co_await readMatchingHead(request, exchange, until, reason);
     if (!answered) {
@@ -79,11 +82,20 @@
     co_return SendResult::ResponseReceived;
 }
 
+asio::awaitable<std::optional<std::string>> readPiece(DirectRequest &request, DirectExchange &exchange, Reason &reason)
+{
+    auto piece = co_await exchange.connection->readSome(remainingTime(request), reason);
+    if (piece) {
+        exchange.lastHeard = Clock::now();
+    }
+    co_return piece;
+}
+
 asio::awaitable<std::optional<std::string>> readBody(DirectRequest &request, DirectExchange &exchange, Reason &reason)
 {
     std::string body;
     while (true) {
-        const auto piece = co_await exchange.connection->readSome(remainingTime(request), reason);
+        const auto piece = co_await readPiece(request, exchange, reason);
         if (!piece) {
             co_return std::nullopt;
         }
@@ -114,6 +126,7 @@
 {
     removeActive(request, exchange);
     if (exchange.connection) {
+        exchange.result = exchange.connection->result();
         exchange.connection->abort();
         exchange.connection.reset();
     }
@@ -128,17 +141,36 @@
     request.context.targets.recordResponse(exchange.target, load, Clock::now());
 }
 
-void recordTargetFailure(DirectRequest &request, const TargetRef &target, SendResult result, const Reason &reason)
+bool isTargetFailure(SendResult result, ConnectionResult connection, Duration silence) noexcept
+{
+    if (connection == ConnectionResult::TimedOut) {
+        return silence >= (result == SendResult::NotSent ? targetConnectTimeout : minFailureSilence);
+    }
+    return connection != ConnectionResult::Aborted;
+}
+
+void recordFailedExchange(DirectRequest &request, const DirectExchange &exchange, SendResult result, const Reason &reason)
 {
     if (request.exchange.isDisconnected()) {
         return;
     }
-    request.context.targets.recordFailure(target, Clock::now());
-    processMetrics().count(Counter::Attempts, {result == SendResult::NotSent ? "not_sent" : "no_answer"});
+    const TimePoint now = Clock::now();
+    const Duration silence = now - exchange.lastHeard;
+    const bool failed = isTargetFailure(result, exchange.result, silence);
+    const bool sent = result != SendResult::NotSent;
+    if (failed) {
+        request.context.targets.recordFailure(exchange.target, now);
+    }
+    processMetrics().count(Counter::Attempts, {!failed ? "abandoned" : sent ? "no_answer" : "not_sent"});
     logRequest(request,
                LogLevel::Warning,
-               result == SendResult::NotSent ? "cannot reach target" : "target gave no answer",
-               {{"target", target.id}, {"peer", reason.peer}, {"detail", reason.detail}});
+               !failed    ? "exchange ended by this entry"
+                   : sent ? "target gave no answer"
+                          : "cannot reach target",
+               {{"target", exchange.target.id},
+                {"peer", reason.peer},
+                {"detail", reason.detail},
+                {"silentMs", std::chrono::duration_cast<milliseconds>(silence).count()}});
 }
 
 } // namespace snipehill
--- a/src/serving/src/directexchange.h
+++ b/src/serving/src/directexchange.h
@@ -18,12 +18,16 @@
     TargetRef target;
     HttpConnectionPointer connection;
     TargetResponse response;
+    TimePoint lastHeard{}; //!< latest time at which the target sent something; the time of the connect or send before that
+    ConnectionResult result = ConnectionResult::Success; //!< of a connection that was closed
 };
 
+constexpr milliseconds targetConnectTimeout{400}; // below the one-second TCP SYN retransmission: trying another target is faster
+
 /** Timeouts of one exchange. */
 struct ExchangeLimits
 {
-    milliseconds connectTimeout{400}; //!< below the one-second TCP SYN retransmission: trying another target is faster
+    milliseconds connectTimeout = targetConnectTimeout;
     milliseconds headTimeout{0}; //!< until the response head has been read
     milliseconds maxIdle{3000}; //!< longest idle time of a pooled connection to be reused
 };
@@ -32,6 +36,9 @@
 boost::asio::awaitable<SendResult>
 sendToTarget(DirectRequest &request, TargetRef target, HttpRequest message, ExchangeLimits limits, DirectExchange &exchange, Reason &reason);
 
+/** Reads the next part of the body, like HttpConnection::readSome(), until the deadline of the request. */
+boost::asio::awaitable<std::optional<std::string>> readPiece(DirectRequest &request, DirectExchange &exchange, Reason &reason);
+
 /** Reads the rest of a response body into memory; empty with a reason if it is incomplete or too long. */
 boost::asio::awaitable<std::optional<std::string>> readBody(DirectRequest &request, DirectExchange &exchange, Reason &reason);
 
@@ -44,7 +51,15 @@
 /** Records that the target is alive, and the load it reported. */
 void recordTargetResponse(DirectRequest &request, const DirectExchange &exchange);
 
-/** Records, counts and logs that a target failed a request. No-op if the caller has disconnected. */
-void recordTargetFailure(DirectRequest &request, const TargetRef &target, SendResult result, const Reason &reason);
+/**
+ * Whether a failed exchange counts as a failure of its target. A time limit does only after a long silence: a sound target may
+ * be silent for a moment, and the time that the caller gave may end while the target is serving.
+ *
+ * @param silence time since the target was last heard
+ */
+bool isTargetFailure(SendResult result, ConnectionResult connection, Duration silence) noexcept;
+
+/** Counts and logs a failed exchange, and records a failure of its target if it is one. No-op if the caller has disconnected. */
+void recordFailedExchange(DirectRequest &request, const DirectExchange &exchange, SendResult result, const Reason &reason);
 
 } // namespace snipehill
--- a/src/serving/src/directstream.cpp
+++ b/src/serving/src/directstream.cpp
@@ -48,7 +48,7 @@
         = co_await sendToTarget(request, prefillEngine, platform::buildTargetRequest(request.caller, headers), limits, exchange, progress.reason);
     request.context.targets.finishPrefill(*placed.prefill, Clock::now());
     if (result != SendResult::ResponseReceived) {
-        recordTargetFailure(request, prefillEngine, result, progress.reason);
+        recordFailedExchange(request, exchange, result, progress.reason);
         co_return std::nullopt;
     }
     recordTargetResponse(request, exchange);
--- a/src/serving/src/streamrun.cpp
+++ b/src/serving/src/streamrun.cpp
@@ -120,7 +120,7 @@
     limits.headTimeout = remainingTime(request);
     const SendResult result = co_await sendToTarget(request, engine, platform::buildTargetRequest(request.caller, headers), limits, exchange, reason);
     if (result == SendResult::NotSent) {
-        recordTargetFailure(request, engine, result, reason);
+        recordFailedExchange(request, exchange, result, reason);
         co_return EngineReaction::NotRun;
     }
     ++request.sendCount;
@@ -272,7 +272,7 @@
         co_return std::nullopt;
     }
     abortExchange(request, run.exchange);
-    recordTargetFailure(request, run.exchange.target, SendResult::OutcomeUnknown, run.progress.reason);
+    recordFailedExchange(request, run.exchange, SendResult::OutcomeUnknown, run.progress.reason);
     if (!request.exchange.isDisconnected()) {
         co_return PlacementOutcome::Interrupted;
     }
@@ -300,7 +300,7 @@
     }
     bool first = true;
     while (!request.exchange.isDisconnected()) {
-        const auto piece = co_await run.exchange.connection->readSome(remainingTime(request), progress.reason);
+        const auto piece = co_await readPiece(request, run.exchange, progress.reason);
         // The other engine repeats what the current one sends after the other was asked.
         const bool unfinished = piece && piece->empty() && progress.events.hasPartial();
         if (unfinished) {
@@ -346,7 +346,7 @@
             if (!hasTimedOut(request)) {
                 request.context.crashes.recordLoss(request.fingerprint, Clock::now());
             }
-            recordTargetFailure(request, run.placed.run.target, SendResult::OutcomeUnknown, run.progress.reason);
+            recordFailedExchange(request, run.exchange, SendResult::OutcomeUnknown, run.progress.reason);
             co_return PlacementOutcome::Interrupted;
         }
     }
--- a/tests/proofs/silenttargettest.cpp
+++ b/tests/proofs/silenttargettest.cpp
@@ -32,6 +32,20 @@
     return path == "/post/x" ? directCall("POST", path, id, "fee") : promptCall(path, id, 100);
 }
 
+Call callWithDeadline(const std::string &path, const std::string &id, int deadlineMs)
+{
+    Call call = callFor(path, id);
+    call.headers["Deadline-Ms"] = std::to_string(deadlineMs);
+    return call;
+}
+
+void setFaultsOfAll(DirectCluster &host, const std::vector<const char *> &targets, const std::string &faults)
+{
+    for (const char *target : targets) {
+        host.setFaults(target, faults);
+    }
+}
+
 } // namespace
 
 // Guards against answers that are given up because their target is silent for a while, with nowhere else to go.
@@ -116,3 +130,40 @@
     CHECK(response.ended - response.sent < callerPatience);
     CHECK(host.events("e2", "run").size() == 1);
 }
+
+// Guards against marking a sound target as failed because the caller's deadline ended its work.
+TEST_CASE("A deadline of the caller is a failure of the target only if the target was silent for long", "[direct][silence]")
+{
+    struct Case
+    {
+        const char *what;
+        const char *path;
+        const char *faults;
+        int deadlineMs;
+        bool blamed;
+    };
+    const std::vector<Case> cases{
+        {"stream that sends events", "/review/x", R"({"eventMs": 150})", 400, false},
+        {"resumable stream that sends events", "/ask/x", R"({"eventMs": 150})", 400, false},
+        {"stream, silent for a moment before its head", "/review/x", R"({"silences": 1, "silentMs": 2000})", 300, false},
+        {"posting, silent for a moment", "/post/x", R"({"silences": 1, "silentMs": 2000})", 300, false},
+        {"lookup, silent for a moment", "/read/x", R"({"silences": 1, "silentMs": 2000})", 300, false},
+        {"stream, silent for long", "/review/x", R"({"silences": 1, "silentAfter": 1, "silentMs": 3000})", 1600, true},
+        {"posting, silent for long", "/post/x", R"({"silences": 1, "silentMs": 3000})", 1600, true},
+        {"stream that is broken off", "/review/x", R"({"cutAfter": 2})", 3000, true},
+    };
+    for (const Case &c : cases) {
+        INFO(c.what);
+        DirectCluster host({{"p1", "plain", ""}, {"e1", "engines", "decode"}}, 1);
+        makeReady(host);
+        setFaultsOfAll(host, {"p1", "e1"}, c.faults);
+        const Response response = host.call(0, callWithDeadline(c.path, "r1", c.deadlineMs));
+        CHECK(!(response.complete && response.status == 200));
+        CHECK(waitUntil([&host] {
+            return host.logOf(0).find("request ended") != std::string::npos;
+        }));
+        const std::string log = host.logOf(0);
+        CHECK((log.find("target gave no answer") != std::string::npos) == c.blamed);
+        CHECK(log.find("cannot reach target") == std::string::npos);
+    }
+}
