Wait until the deadline and grant no retry in its last milliseconds

Callers saw: 502 or 503 where their time was up (504), and retries refused to others because the retry budget had been used for retries that could reach no target.

Cause: the time left was truncated to milliseconds, so a wait ended up to 1 ms before the deadline, the request did not count as timed out and a retry was granted, which ended 0.5 ms later in "connect: closed due to a timeout".

Change: the time left is rounded up, and a retry needs at least 20 ms before the deadline, in which a connect and a response fit.

--- a/src/serving/src/directcall.cpp
+++ b/src/serving/src/directcall.cpp
@@ -97,7 +97,7 @@
  */
 RetryDenial decideRetry(DirectRequest &request, const CallProgress &progress, std::uint32_t sendsBefore, std::uint32_t pendingSends)
 {
-    if (hasTimedOut(request)) {
+    if (!hasTimeForRetry(request)) {
         return RetryDenial::DeadlinePassed;
     }
     if (request.exchange.isDisconnected()) {
--- a/src/serving/src/directexchange.cpp
+++ b/src/serving/src/directexchange.cpp
@@ -28,8 +28,7 @@
 asio::awaitable<bool> readMatchingHead(DirectRequest &request, DirectExchange &exchange, TimePoint until, Reason &reason)
 {
     for (int skipped = 0; skipped <= maxForeignResponses; ++skipped) {
-        const auto left = std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(until - Clock::now()));
-        if (!co_await exchange.connection->readHead(left, reason)) {
+        if (!co_await exchange.connection->readHead(timeUntil(until, Clock::now()), reason)) {
             co_return false;
         }
         exchange.lastHeard = Clock::now();
--- a/src/serving/src/directrequest.cpp
+++ b/src/serving/src/directrequest.cpp
@@ -16,6 +16,7 @@
 {
 
 constexpr milliseconds noConfigurationRetry{500}; // about the time an entry needs to load its configuration at startup
+constexpr milliseconds minRetryTime{20}; // a connect and a response of another target take about as long
 constexpr unsigned badRequest = 400;
 constexpr unsigned unauthorized = 401;
 constexpr unsigned notFound = 404;
@@ -43,9 +44,14 @@
     return status == 503 || status == 429 || status == 408 || status == 421;
 }
 
+milliseconds timeUntil(TimePoint end, TimePoint now) noexcept
+{
+    return std::max(milliseconds(1), std::chrono::ceil<milliseconds>(end - now));
+}
+
 milliseconds remainingTime(const DirectRequest &request) noexcept
 {
-    return std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(request.deadline - Clock::now()));
+    return timeUntil(request.deadline, Clock::now());
 }
 
 bool hasTimedOut(const DirectRequest &request) noexcept
@@ -53,6 +59,11 @@
     return Clock::now() >= request.deadline;
 }
 
+bool hasTimeForRetry(const DirectRequest &request) noexcept
+{
+    return Clock::now() + minRetryTime <= request.deadline;
+}
+
 void logRequest(const DirectRequest &request, LogLevel level, std::string_view message, LogFields fields)
 {
     logRequestEvent(LogComponent::Entry, level, message, request.caller.id, std::move(fields));
--- a/src/serving/src/directrequest.h
+++ b/src/serving/src/directrequest.h
@@ -45,7 +45,7 @@
 /** Why a request got no further attempt. */
 enum class RetryDenial {
     None, //!< it was granted
-    DeadlinePassed,
+    DeadlinePassed, //!< or too little time is left for another response
     CallerLeft,
     PlacementsUsed, //!< the limit of placements or of unreachable targets is reached
     AttemptsUsed, //!< the limit of the route is reached
@@ -72,12 +72,18 @@
 /** True for statuses that guarantee to callers that the request has not run and will not run. */
 bool promisesNotRun(unsigned status) noexcept;
 
-/** Time until the deadline; at least one millisecond, so that timeouts derived from it are valid. */
+/** Time from now to the end, rounded up so that a wait of this length does not end early; at least one millisecond. */
+milliseconds timeUntil(TimePoint end, TimePoint now) noexcept;
+
+/** timeUntil() the deadline of the request. */
 milliseconds remainingTime(const DirectRequest &request) noexcept;
 
 /** True when the deadline of the request has passed. */
 bool hasTimedOut(const DirectRequest &request) noexcept;
 
+/** Whether another target could still respond before the deadline. */
+bool hasTimeForRetry(const DirectRequest &request) noexcept;
+
 /** Refusal for a request past its deadline: 504 if a target may have run it, else 503. */
 DirectRefusal timeoutRefusal(const DirectRequest &request);
 
--- a/src/serving/src/streamrun.cpp
+++ b/src/serving/src/streamrun.cpp
@@ -379,7 +379,7 @@
 RetryDenial decidePlacement(DirectRequest &request, const StreamProgress &progress, std::uint32_t pendingSends)
 {
     const bool mayHaveRun = request.mayHaveRun || pendingSends > 0;
-    if (hasTimedOut(request)) {
+    if (!hasTimeForRetry(request)) {
         return RetryDenial::DeadlinePassed;
     }
     if (request.exchange.isDisconnected()) {
--- a/tests/proofs/silenttargettest.cpp
+++ b/tests/proofs/silenttargettest.cpp
@@ -167,3 +167,21 @@
         CHECK(log.find("cannot reach target") == std::string::npos);
     }
 }
+
+// Guards against retries that end with the deadline: they take from the retry budget and reach no target in time.
+TEST_CASE("No retry is granted at the deadline of a request", "[direct][silence]")
+{
+    DirectCluster host({{"p1", "plain", ""}, {"p2", "plain", ""}, {"e1", "engines", "decode"}, {"e2", "engines", "decode"}}, 1);
+    makeReady(host);
+    setFaultsOfAll(host, {"p1", "p2", "e1", "e2"}, R"({"silences": 100, "silentMs": 1500})");
+    int number = 0;
+    for (const char *path : {"/read/x", "/ask/x"}) {
+        for (int i = 0; i < 5; ++i) {
+            INFO(path);
+            CHECK(host.call(0, callWithDeadline(path, "d" + std::to_string(++number), 200 + i)).status == 504);
+        }
+    }
+    const std::string log = host.logOf(0);
+    CHECK(log.find("repeated at another target") == std::string::npos);
+    CHECK(log.find("retried on another placement") == std::string::npos);
+}
--- a/tests/serving/directexchangetest.cpp
+++ b/tests/serving/directexchangetest.cpp
@@ -33,3 +33,27 @@
         CHECK(isTargetFailure(c.result, c.connection, c.silence) == c.failure);
     }
 }
+
+// Guards against waits that end just before the deadline, when a retry still seems possible.
+TEST_CASE("A wait until the deadline does not end before it", "[directexchange]")
+{
+    const TimePoint now(seconds(1000));
+    struct Case
+    {
+        Duration left;
+        milliseconds wait;
+    };
+    using std::chrono::microseconds;
+    const std::vector<Case> cases{
+        {milliseconds(250), milliseconds(250)},
+        {microseconds(249001), milliseconds(250)},
+        {microseconds(249999), milliseconds(250)},
+        {microseconds(1), milliseconds(1)},
+        {Duration::zero(), milliseconds(1)},
+        {-seconds(3), milliseconds(1)},
+    };
+    for (const Case &c : cases) {
+        INFO(std::chrono::duration_cast<microseconds>(c.left).count() << " us left");
+        CHECK(timeUntil(now + c.left, now) == c.wait);
+    }
+}
