Do not let the first request of a connection limit the later ones

Callers saw: requests that failed on a pooled connection to a sound target, because the target paused while it received them.

Cause: the time after which the kernel breaks a connection with unacknowledged data was set to the connect timeout of its first request: 400 ms, or what that request had left of its deadline, for the whole life of the connection. It also ends connections whose peer has no room for more data.

Change: a constant of 1.5 s for persistent connections, longer than a pause of a second and enough for three retransmissions (at 0.2, 0.6 and 1.4 s).

Evidence, before the change: httpclienttest.cpp:86: FAILED: CHECK( sent.get() ) with expansion: false, with message: connect timeout 50 ms, pause 1000 ms and the same for: connect timeout 400 ms, pause 1000 ms

--- a/src/connection/src/httpclient.cpp
+++ b/src/connection/src/httpclient.cpp
@@ -24,6 +24,7 @@
 
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t readChunkBytes = 16384;
+constexpr milliseconds maxUnacknowledgedTime{1500}; // of a persistent connection; longer than the pauses of sound peers
 constexpr std::uint64_t streamBodyLimitBytes = 1ULL << 32U;
 
 Reason failure(Step step, const Endpoint &peer, std::string_view what, const boost::system::error_code &error)
@@ -31,7 +32,8 @@
     return {step, toString(peer), std::string(what) + ": " + error.message()};
 }
 
-// The kernel drops unacknowledged data after the timeout, so a request can't reach the peer after its call has timed out.
+// The kernel breaks the connection if the peer acknowledges no data, or has no room for it, for this time. The data of a call with its own connection
+// can't reach the peer after the call has timed out.
 void limitRetransmission(asio::ip::tcp::socket &socket, milliseconds timeout)
 {
     const auto timeoutMs = static_cast<unsigned>(timeout.count());
@@ -107,7 +109,7 @@
         m_exchangeComplete = false;
         co_return false;
     }
-    limitRetransmission(m_stream.socket(), timeout);
+    limitRetransmission(m_stream.socket(), maxUnacknowledgedTime);
     co_return true;
 }
 
