Count only broken connections as crashes of a target

Callers saw: 503 "requests like this took targets down" for sound requests, for two minutes, after three requests like them had met their deadline at a silent target, or their callers had left before the response.

Cause: any end of an exchange before the head of its response counted as a loss of the target if the deadline had not passed. That includes the abort of the connection when the caller leaves, and waits that ended just before the deadline.

Change: only a connection that the target broke counts.

Evidence, before the change, six of the seven rows of the new test: silenttargettest.cpp:222: FAILED: CHECK( host.call(0, callFor(c.path, "last")).status == 200 ) with expansion: 503 (0x1f7) == 200 with message: lookup whose caller leaves The row that passed before: "stream that runs once, at its deadline".

--- a/src/serving/src/directcall.cpp
+++ b/src/serving/src/directcall.cpp
@@ -235,7 +235,7 @@
     } else {
         ++request.sendCount;
         request.mayHaveRun = true;
-        if (!hasTimedOut(request)) {
+        if (run.exchange.result == ConnectionResult::Broken) {
             request.context.crashes.recordLoss(request.fingerprint, Clock::now());
         }
     }
--- a/src/serving/src/streamrun.cpp
+++ b/src/serving/src/streamrun.cpp
@@ -343,7 +343,7 @@
         } else if (reaction == EngineReaction::NotRun) {
             co_return PlacementOutcome::NotRun;
         } else if (reaction == EngineReaction::Unknown) {
-            if (!hasTimedOut(request)) {
+            if (run.exchange.result == ConnectionResult::Broken) {
                 request.context.crashes.recordLoss(request.fingerprint, Clock::now());
             }
             recordFailedExchange(request, run.exchange, SendResult::OutcomeUnknown, run.progress.reason);
--- a/tests/proofs/silenttargettest.cpp
+++ b/tests/proofs/silenttargettest.cpp
@@ -46,6 +46,8 @@
     }
 }
 
+const char *const noFaults = R"({"silences": null, "silentAfter": null, "eventMs": null, "cutAfter": null})";
+
 } // namespace
 
 // Guards against answers that are given up because their target is silent for a while, with nowhere else to go.
@@ -185,3 +187,39 @@
     CHECK(log.find("repeated at another target") == std::string::npos);
     CHECK(log.find("retried on another placement") == std::string::npos);
 }
+
+// Guards against refusing sound requests as if they took targets down, after time limits or callers have ended some like them.
+TEST_CASE("Requests that end before their target responds do not count as crashes of the target", "[direct][silence]")
+{
+    constexpr int maxLosses = 3; // of CrashCounterSettings
+    struct Case
+    {
+        const char *what;
+        const char *path;
+        int deadlineMs;
+        milliseconds callerTimeout;
+    };
+    const std::vector<Case> cases{
+        {"lookup at its deadline", "/read/x", 200, seconds(10)},
+        {"posting at its deadline", "/post/x", 200, seconds(10)},
+        {"resumable stream at its deadline", "/ask/x", 200, seconds(10)},
+        {"stream that runs once, at its deadline", "/review/x", 200, seconds(10)},
+        {"lookup whose caller leaves", "/read/x", 5000, milliseconds(200)},
+        {"posting whose caller leaves", "/post/x", 5000, milliseconds(200)},
+        {"stream whose caller leaves", "/review/x", 5000, milliseconds(200)},
+    };
+    for (const Case &c : cases) {
+        INFO(c.what);
+        DirectCluster host({{"p1", "plain", ""}, {"e1", "engines", "decode"}}, 1);
+        makeReady(host);
+        setFaultsOfAll(host, {"p1", "e1"}, R"({"silences": 100, "silentMs": 1500})");
+        for (int i = 0; i < maxLosses; ++i) {
+            Call call = callWithDeadline(c.path, "r" + std::to_string(i), c.deadlineMs);
+            call.timeout = c.callerTimeout;
+            CHECK(host.call(0, call).status != 200);
+        }
+        setFaultsOfAll(host, {"p1", "e1"}, noFaults);
+        CHECK(host.call(0, callFor(c.path, "last")).status == 200);
+        CHECK(host.logOf(0).find("took targets down") == std::string::npos);
+    }
+}
