--- a/src/connection/src/httpclient.cpp
+++ b/src/connection/src/httpclient.cpp
@@ -24,6 +24,7 @@
 
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t readChunkBytes = 16384;
+constexpr milliseconds maxUnacknowledgedTime{1500}; // of a persistent connection; longer than the pauses of sound peers
 constexpr std::uint64_t streamBodyLimitBytes = 1ULL << 32U;
 
 Reason failure(Step step, const Endpoint &peer, std::string_view what, const boost::system::error_code &error)
@@ -31,7 +32,8 @@
     return {step, toString(peer), std::string(what) + ": " + error.message()};
 }
 
-// The kernel drops unacknowledged data after the timeout, so a request can't reach the peer after its call has timed out.
+// The kernel breaks the connection if the peer acknowledges no data, or has no room for it, for this time. The data of a call with its own connection
+// can't reach the peer after the call has timed out.
 void limitRetransmission(asio::ip::tcp::socket &socket, milliseconds timeout)
 {
     const auto timeoutMs = static_cast<unsigned>(timeout.count());
@@ -103,11 +105,11 @@
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(m_peer.address), m_peer.port);
     auto [error] = co_await m_stream.async_connect(endpoint, useTuple);
     if (error) {
-        reason = failure(Step::RunOnTarget, m_peer, "connect", error);
+        reason = fail("connect", error);
         m_exchangeComplete = false;
         co_return false;
     }
-    limitRetransmission(m_stream.socket(), timeout);
+    limitRetransmission(m_stream.socket(), maxUnacknowledgedTime);
     co_return true;
 }
 
@@ -127,7 +129,7 @@
     m_stream.expires_after(timeout);
     auto [error, written] = co_await http::async_write(m_stream, request, useTuple);
     if (error) {
-        reason = failure(Step::RunOnTarget, m_peer, "send", error);
+        reason = fail("send", error);
         co_return false;
     }
     co_return true;
@@ -142,7 +144,7 @@
         m_parser->skip(m_headRequested);
         auto [error, read] = co_await http::async_read_header(m_stream, m_buffer, *m_parser, useTuple);
         if (error) {
-            reason = failure(Step::RunOnTarget, m_peer, "receive head", error);
+            reason = fail("receive head", error);
             co_return false;
         }
     } while (http::to_status_class(m_parser->get().result_int()) == http::status_class::informational);
@@ -159,7 +161,7 @@
         m_stream.expires_after(timeout);
         auto [error, read] = co_await http::async_read_some(m_stream, m_buffer, *m_parser, useTuple);
         if (error && error != http::error::need_buffer) {
-            reason = failure(Step::RunOnTarget, m_peer, "receive body", error);
+            reason = fail("receive body", error);
             co_return std::nullopt;
         }
         const std::size_t size = chunk.size() - m_parser->get().body().size;
@@ -192,9 +194,20 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+Reason HttpConnection::fail(std::string_view what, const boost::system::error_code &error)
+{
+    if (m_result == ConnectionResult::Success) {
+        m_result = error == boost::beast::error::timeout ? ConnectionResult::TimedOut : ConnectionResult::Broken;
+    }
+    return failure(Step::RunOnTarget, m_peer, what, error);
+}
+
 void HttpConnection::abort()
 {
     m_exchangeComplete = false;
+    if (m_result == ConnectionResult::Success) {
+        m_result = ConnectionResult::Aborted;
+    }
     closeWithReset(m_stream);
 }
 
@@ -203,4 +216,9 @@
     return m_peer;
 }
 
+ConnectionResult HttpConnection::result() const noexcept
+{
+    return m_result;
+}
+
 } // namespace snipehill
--- a/src/serving/src/directcall.cpp
+++ b/src/serving/src/directcall.cpp
@@ -74,7 +74,7 @@
             progress.reason = {Step::RunOnTarget, exchange.target.id, "the answer is not the target's own"};
         }
         abortExchange(request, exchange);
-        recordTargetFailure(request, exchange.target, SendResult::OutcomeUnknown, progress.reason);
+        recordFailedExchange(request, exchange, SendResult::OutcomeUnknown, progress.reason);
         co_return false;
     }
     request.context.usage.count(request.workspace);
@@ -97,7 +97,7 @@
  */
 RetryDenial decideRetry(DirectRequest &request, const CallProgress &progress, std::uint32_t sendsBefore, std::uint32_t pendingSends)
 {
-    if (hasTimedOut(request)) {
+    if (!hasTimeForRetry(request)) {
         return RetryDenial::DeadlinePassed;
     }
     if (request.exchange.isDisconnected()) {
@@ -235,11 +235,11 @@
     } else {
         ++request.sendCount;
         request.mayHaveRun = true;
-        if (!hasTimedOut(request)) {
+        if (run.exchange.result == ConnectionResult::Broken) {
             request.context.crashes.recordLoss(request.fingerprint, Clock::now());
         }
     }
-    recordTargetFailure(request, run.work.target, result, progress.reason);
+    recordFailedExchange(request, run.exchange, result, progress.reason);
     co_return false;
 }
 
--- a/tests/proofs/silenttargettest.cpp
+++ b/tests/proofs/silenttargettest.cpp
@@ -33,6 +33,22 @@
     return path == "/post/x" ? directCall("POST", path, id, "fee") : promptCall(path, id, 100);
 }
 
+Call callWithDeadline(const std::string &path, const std::string &id, int deadlineMs)
+{
+    Call call = callFor(path, id);
+    call.headers["Deadline-Ms"] = std::to_string(deadlineMs);
+    return call;
+}
+
+void setFaultsOfAll(DirectCluster &host, const std::vector<const char *> &targets, const std::string &faults)
+{
+    for (const char *target : targets) {
+        host.setFaults(target, faults);
+    }
+}
+
+const char *const noFaults = R"({"silences": null, "silentAfter": null, "eventMs": null, "cutAfter": null})";
+
 } // namespace
 
 // Guards against answers that are given up because their target is silent for a while, with nowhere else to go.
@@ -137,3 +153,94 @@
     CHECK(response.complete);
     CHECK(host.events("e1", "run").size() + host.events("e2", "run").size() == 1);
 }
+
+// Guards against marking a sound target as failed because the caller's deadline ended its work.
+TEST_CASE("A deadline of the caller is a failure of the target only if the target was silent for long", "[direct][silence]")
+{
+    struct Case
+    {
+        const char *what;
+        const char *path;
+        const char *faults;
+        int deadlineMs;
+        bool blamed;
+    };
+    const std::vector<Case> cases{
+        {"stream that sends events", "/review/x", R"({"eventMs": 150})", 400, false},
+        {"resumable stream that sends events", "/ask/x", R"({"eventMs": 150})", 400, false},
+        {"stream, silent for a moment before its head", "/review/x", R"({"silences": 1, "silentMs": 2000})", 300, false},
+        {"posting, silent for a moment", "/post/x", R"({"silences": 1, "silentMs": 2000})", 300, false},
+        {"lookup, silent for a moment", "/read/x", R"({"silences": 1, "silentMs": 2000})", 300, false},
+        {"stream, silent for long", "/review/x", R"({"silences": 1, "silentAfter": 1, "silentMs": 3000})", 1600, true},
+        {"posting, silent for long", "/post/x", R"({"silences": 1, "silentMs": 3000})", 1600, true},
+        {"stream that is broken off", "/review/x", R"({"cutAfter": 2})", 3000, true},
+    };
+    for (const Case &c : cases) {
+        INFO(c.what);
+        DirectCluster host({{"p1", "plain", ""}, {"e1", "engines", "decode"}}, 1);
+        makeReady(host);
+        setFaultsOfAll(host, {"p1", "e1"}, c.faults);
+        const Response response = host.call(0, callWithDeadline(c.path, "r1", c.deadlineMs));
+        CHECK(!(response.complete && response.status == 200));
+        CHECK(waitUntil([&host] {
+            return host.logOf(0).find("request ended") != std::string::npos;
+        }));
+        const std::string log = host.logOf(0);
+        CHECK((log.find("target gave no answer") != std::string::npos) == c.blamed);
+        CHECK(log.find("cannot reach target") == std::string::npos);
+    }
+}
+
+// Guards against retries that end with the deadline: they take from the retry budget and reach no target in time.
+TEST_CASE("No retry is granted at the deadline of a request", "[direct][silence]")
+{
+    DirectCluster host({{"p1", "plain", ""}, {"p2", "plain", ""}, {"e1", "engines", "decode"}, {"e2", "engines", "decode"}}, 1);
+    makeReady(host);
+    setFaultsOfAll(host, {"p1", "p2", "e1", "e2"}, R"({"silences": 100, "silentMs": 1500})");
+    int number = 0;
+    for (const char *path : {"/read/x", "/ask/x"}) {
+        for (int i = 0; i < 5; ++i) {
+            INFO(path);
+            CHECK(host.call(0, callWithDeadline(path, "d" + std::to_string(++number), 200 + i)).status == 504);
+        }
+    }
+    const std::string log = host.logOf(0);
+    CHECK(log.find("repeated at another target") == std::string::npos);
+    CHECK(log.find("retried on another placement") == std::string::npos);
+}
+
+// Guards against refusing sound requests as if they took targets down, after time limits or callers have ended some like them.
+TEST_CASE("Requests that end before their target responds do not count as crashes of the target", "[direct][silence]")
+{
+    constexpr int maxLosses = 3; // of CrashCounterSettings
+    struct Case
+    {
+        const char *what;
+        const char *path;
+        int deadlineMs;
+        milliseconds callerTimeout;
+    };
+    const std::vector<Case> cases{
+        {"lookup at its deadline", "/read/x", 200, seconds(10)},
+        {"posting at its deadline", "/post/x", 200, seconds(10)},
+        {"resumable stream at its deadline", "/ask/x", 200, seconds(10)},
+        {"stream that runs once, at its deadline", "/review/x", 200, seconds(10)},
+        {"lookup whose caller leaves", "/read/x", 5000, milliseconds(200)},
+        {"posting whose caller leaves", "/post/x", 5000, milliseconds(200)},
+        {"stream whose caller leaves", "/review/x", 5000, milliseconds(200)},
+    };
+    for (const Case &c : cases) {
+        INFO(c.what);
+        DirectCluster host({{"p1", "plain", ""}, {"e1", "engines", "decode"}}, 1);
+        makeReady(host);
+        setFaultsOfAll(host, {"p1", "e1"}, R"({"silences": 100, "silentMs": 1500})");
+        for (int i = 0; i < maxLosses; ++i) {
+            Call call = callWithDeadline(c.path, "r" + std::to_string(i), c.deadlineMs);
+            call.timeout = c.callerTimeout;
+            CHECK(host.call(0, call).status != 200);
+        }
+        setFaultsOfAll(host, {"p1", "e1"}, noFaults);
+        CHECK(host.call(0, callFor(c.path, "last")).status == 200);
+        CHECK(host.logOf(0).find("took targets down") == std::string::npos);
+    }
+}
