Give up a silent prefill only if the prompt may be placed again

Callers saw: 503 for prompts whose separate prefill engine was silent for longer than three times the predicted time, although it would have gone on.

Cause: the prefill was ended by our own timeout first, and only then was another placement asked for. With no retry left, the prompt was refused.

Change: after the same silence a further placement is taken from the retry budget, and the prefill is ended only if it is granted. A refusal at that point would be truthful, but the answer is of more use to the caller.

The test deployment gets an option for the slack of the retry budget; its default is the former value.

Not changed: a granted placement that then finds no engine is refused as before.

--- a/src/serving/src/directstream.cpp
+++ b/src/serving/src/directstream.cpp
@@ -1,3 +1,4 @@
+#include "handover.h"
 #include "streamrun.h"
 
 #include <platform/messages.h>
@@ -8,6 +9,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 
+#include <utility>
+
 namespace snipehill
 {
 
@@ -17,8 +20,8 @@
 {
 
 constexpr milliseconds defaultRetryAfter{150}; // after engines failed or refused; a retry reaches other engines
-constexpr milliseconds prefillSlack{400}; // added to the timeout of a separate prefill
-constexpr int prefillTimeFactor = 3; // timeout of a separate prefill, as a multiple of the predicted time
+constexpr int prefillTimeFactor = 3; // silence of a separate prefill after which it is given up, as a multiple of the predicted time
+constexpr milliseconds prefillSlack{400}; // in addition
 constexpr milliseconds releaseTimeout{1000}; // of the call that frees a KV cache
 constexpr unsigned badGateway = 502;
 constexpr unsigned unavailable = 503;
@@ -34,6 +37,27 @@
     co_await httpCall(std::move(call), ignored);
 }
 
+/** Gives up a silent prefill if the request may be placed once more; otherwise the prefill goes on. */
+bool giveUpSilentPrefill(DirectRequest &request, const DirectExchange &exchange, StreamProgress &progress)
+{
+    progress.denial = decidePlacement(request, progress, 0);
+    progress.retryGranted = progress.denial == RetryDenial::None;
+    if (!progress.retryGranted) {
+        return false;
+    }
+    progress.reason = {Step::RunOnTarget, exchange.target.id, "the prefill is silent"};
+    const TimePoint now = Clock::now();
+    const Duration silence = now - exchange.lastHeard;
+    if (isTargetFailure(SendResult::OutcomeUnknown, ConnectionResult::TimedOut, silence)) {
+        request.context.targets.recordFailure(exchange.target, now);
+    }
+    logRequest(request,
+               LogLevel::Warning,
+               "prefill is silent",
+               {{"target", exchange.target.id}, {"silentMs", std::chrono::duration_cast<milliseconds>(silence).count()}});
+    return true;
+}
+
 /** Runs the prefill on a separate engine and returns the handle of its KV cache; empty on failure: the request has not run. */
 asio::awaitable<std::optional<std::string>> prefillPrompt(DirectRequest &request, const PlacedPrompt &placed, StreamProgress &progress)
 {
@@ -42,11 +66,22 @@
     headers.prefillOnly = true;
     headers.fetchFrom = placed.fetchFrom ? toString(placed.fetchFrom->endpoint) : std::string();
     ExchangeLimits limits;
-    limits.headTimeout = std::min(remainingTime(request), std::chrono::duration_cast<milliseconds>(prefillTimeFactor * placed.firstToken) + prefillSlack);
+    limits.headTimeout = remainingTime(request);
     DirectExchange exchange;
+    const milliseconds patience = std::chrono::duration_cast<milliseconds>(prefillTimeFactor * placed.firstToken) + prefillSlack;
+    Handover handover(co_await asio::this_coro::executor, request, exchange, patience, [&](DirectExchange &) -> asio::awaitable<bool> {
+        co_return giveUpSilentPrefill(request, exchange, progress);
+    });
     const SendResult result
         = co_await sendToTarget(request, prefillEngine, platform::buildTargetRequest(request.caller, headers), limits, exchange, progress.reason);
     request.context.targets.finishPrefill(*placed.prefill, Clock::now());
+    if (co_await handover.settle()) {
+        co_return std::nullopt;
+    }
+    co_await handover.stop();
+    if (std::exchange(progress.retryGranted, false)) {
+        request.context.budgets.giveBack(request.group->name); // the prefill ended by itself in the meantime
+    }
     if (result != SendResult::ResponseReceived) {
         recordFailedExchange(request, exchange, result, progress.reason);
         co_return std::nullopt;
@@ -106,7 +141,7 @@
 /** Decides whether the request may be placed again after a placement that did not complete it. */
 bool mayRetryPlacement(DirectRequest &request, StreamProgress &progress)
 {
-    progress.denial = decidePlacement(request, progress, 0);
+    progress.denial = std::exchange(progress.retryGranted, false) ? RetryDenial::None : decidePlacement(request, progress, 0);
     processMetrics().count(Counter::Retries, {toString(progress.denial)});
     logRequest(request,
                LogLevel::Info,
--- a/src/serving/src/streamrun.h
+++ b/src/serving/src/streamrun.h
@@ -27,6 +27,7 @@
     TimePoint lastEvent{};
     Duration longestGap{}; //!< between two forwarded events
     RetryDenial denial = RetryDenial::None; //!< of the latest retry
+    bool retryGranted = false; //!< the next placement is already taken from the budget
     Reason reason;
 };
 
--- a/tests/proofs/silenttargettest.cpp
+++ b/tests/proofs/silenttargettest.cpp
@@ -223,3 +223,20 @@
         CHECK(host.logOf(0).find("took targets down") == std::string::npos);
     }
 }
+
+// Guards against refusing a prompt because its separate prefill is silent while no other placement is granted.
+TEST_CASE("A separate prefill that is silent for long is waited for if the prompt cannot be placed elsewhere", "[direct][silence]")
+{
+    constexpr int noRetries = 1; // the share of one entry is below one retry
+    DirectCluster host({{"e1", "engines", "prefill"}, {"e2", "engines", "decode"}}, DirectClusterOptions{.entries = 1, .retrySlack = noRetries});
+    makeReady(host);
+    host.setFaults("e1", R"({"readMs": 4000})");
+    std::size_t prefills = 0;
+    for (const char *path : {"/ask/x", "/review/x"}) {
+        INFO(path);
+        const Response response = host.call(0, promptCall(path, "r" + std::to_string(++prefills), 6000));
+        CHECK(host.events("e1", "read").size() == prefills);
+        CHECK(response.status == 200);
+        CHECK(response.body == completeStream);
+    }
+}
--- a/tests/support/directcluster.cpp
+++ b/tests/support/directcluster.cpp
@@ -41,7 +41,8 @@
 {
 }
 
-DirectCluster::DirectCluster(std::vector<DirectTarget> targets, const DirectClusterOptions &layout) : m_targets(std::move(targets)), m_store(loopback())
+DirectCluster::DirectCluster(std::vector<DirectTarget> targets, const DirectClusterOptions &layout)
+    : m_targets(std::move(targets)), m_retrySlack(layout.retrySlack), m_store(loopback())
 {
     m_controls["store"] = loopback();
     for (const DirectTarget &target : m_targets) {
@@ -123,7 +124,8 @@
     std::string file = m_folder.file(name + ".toml");
     std::ofstream(file) << "node_name = \"" << name << "\"\nzone = \"fd-a\"\nregion = \"r1\"\nport_range = [" << m_peerPorts[entry] << "," << m_peerPorts[entry]
                         << "]\n[listen]\nfront = " << quoted(m_callers[entry]) << "\nready = " << quoted(m_readiness[entry])
-                        << "\n[bounds]\ngrace_s = 8\nbudget_ratio = 0.2\nbudget_slack = 50\nlease_ms = 1000\nreport_window_s = 2\nusage_late_s = 6\n"
+                        << "\n[bounds]\ngrace_s = 8\nbudget_ratio = 0.2\nbudget_slack = " << m_retrySlack
+                        << "\nlease_ms = 1000\nreport_window_s = 2\nusage_late_s = 6\n"
                         << "[platform]\naddress = " << quoted(store) << "\n[cloud]\naddress = " << quoted(m_store) << "\nduties = [\"usage_report\"]\n";
     return file;
 }
--- a/tests/support/directcluster.h
+++ b/tests/support/directcluster.h
@@ -28,6 +28,7 @@
 struct DirectClusterOptions
 {
     std::size_t entries = 1;
+    int retrySlack = 50; //!< retries of all entries within the budget window beyond their share of the requests
     bool useRelays = false; //!< one process per stand-in, and relays from the entries to the store and the targets
 };
 
@@ -85,6 +86,7 @@
 
     TemporaryFolder m_folder;
     std::vector<DirectTarget> m_targets;
+    int m_retrySlack;
     Endpoint m_store;
     std::map<std::string, Endpoint> m_addresses; //!< of targets
     std::map<std::string, Endpoint> m_controls; //!< of stand-ins
