Answer requests that would outlast the process before it ends

Callers saw: requests in progress during a drain were cut without an answer when the process ended, also those sent later than 3 s after SIGTERM.

Cause: a request kept its full deadline while draining, although the process ends 0.4 s before the grace period does.

Evidence: the new test sends a lookup, a posting and a stream before SIGTERM and a posting and a stream 3.4 s after it, all to targets that answer after 15 s.

Why it works: while draining, the deadline of new requests is at most 0.4 s before the end of the process, and targets get that as their time. At that time requests that came earlier and have no response yet are ended the same way. A stream that has begun by then is still cut by the end of the process.

--- a/src/serving/src/directcontext.h
+++ b/src/serving/src/directcontext.h
@@ -111,15 +111,17 @@
     std::map<std::uint64_t, std::uint32_t> m_unsentLosses;
 };
 
-/** Requests that this entry is serving, so that those cut by the end of the process can be named. Thread-safe. */
+struct DirectRequest;
+
+/** Requests that this entry is serving, so that they can be ended before the process, and named if they are cut by its end. Thread-safe. */
 class ActiveRequests
 {
 public:
     /** Returns a number for remove(). */
-    std::uint64_t add(std::string requestId, TimePoint received)
+    std::uint64_t add(DirectRequest &request, std::string requestId, TimePoint received)
     {
         const std::lock_guard lock(m_lock);
-        m_requests.emplace(m_next, std::pair(std::move(requestId), received));
+        m_requests.emplace(m_next, Entry{&request, std::move(requestId), received});
         return m_next++;
     }
     void remove(std::uint64_t number)
@@ -133,15 +135,42 @@
         const std::lock_guard lock(m_lock);
         std::vector<std::pair<std::string, TimePoint>> requests;
         for (const auto &[number, request] : m_requests) {
-            requests.push_back(request);
+            requests.emplace_back(request.id, request.received);
+        }
+        return requests;
+    }
+    /** The requests themselves, which only the serving thread may use, and only until it handles its next event. */
+    std::vector<DirectRequest *> pointers() const
+    {
+        const std::lock_guard lock(m_lock);
+        std::vector<DirectRequest *> requests;
+        for (const auto &[number, request] : m_requests) {
+            requests.push_back(request.request);
         }
         return requests;
     }
+    /** Latest deadline of requests that arrive from now on. */
+    void setLatestDeadline(TimePoint deadline) noexcept
+    {
+        m_latestDeadline = deadline;
+    }
+    TimePoint latestDeadline() const noexcept
+    {
+        return m_latestDeadline;
+    }
 
 private:
+    struct Entry
+    {
+        DirectRequest *request;
+        std::string id;
+        TimePoint received;
+    };
+
     mutable std::mutex m_lock;
-    std::map<std::uint64_t, std::pair<std::string, TimePoint>> m_requests;
+    std::map<std::uint64_t, Entry> m_requests;
     std::uint64_t m_next = 0;
+    std::atomic<TimePoint> m_latestDeadline{TimePoint::max()};
 };
 
 /** State shared by all requests of a direct entry. Owned by the entry, outlives its requests. */
--- a/src/serving/src/directentry.cpp
+++ b/src/serving/src/directentry.cpp
@@ -15,6 +15,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -35,6 +36,7 @@
 constexpr milliseconds restartPause{200}; // before a failed control task is restarted
 constexpr milliseconds drainPollInterval{50};
 constexpr milliseconds shutdownMargin{400}; // time reserved before the platform kills the process
+constexpr milliseconds refusalMargin{400}; // before the end of the process, for refusing the requests that can't end in time
 constexpr milliseconds rotationDelay{
     4000}; // the load balancer stops sending connections after two readiness probes, one second apart; the rest covers connections in flight
 constexpr unsigned statusOk = 200;
@@ -232,12 +234,21 @@
     entry.callers.closeAfterResponses();
     logEvent(LogComponent::Process, LogLevel::Info, "draining", {{"active", entry.callers.activeExchanges()}});
     const TimePoint shutdownDeadline = began + entry.settings.grace - shutdownMargin;
+    const TimePoint latestDeadline = shutdownDeadline - refusalMargin;
+    entry.activeRequests.setLatestDeadline(latestDeadline);
     const TimePoint stopAcceptingAt = std::min(began + rotationDelay, shutdownDeadline);
     while (Clock::now() < stopAcceptingAt) {
         co_await pauseFor(drainPollInterval);
     }
     entry.callers.stopAccepting();
+    bool endedUnanswered = false;
     while (!entry.callers.hasEnded() && Clock::now() < shutdownDeadline) {
+        if (!endedUnanswered && Clock::now() >= latestDeadline) {
+            endedUnanswered = true;
+            asio::post(entry.serving, [&entry] {
+                endUnanswered(entry.activeRequests);
+            });
+        }
         co_await pauseFor(drainPollInterval);
     }
     entry.watchContext.stopped = true;
--- a/src/serving/src/directrequest.cpp
+++ b/src/serving/src/directrequest.cpp
@@ -143,8 +143,8 @@
 class ActiveRegistration
 {
 public:
-    ActiveRegistration(ActiveRequests &requests, const DirectRequest &request)
-        : m_requests(requests), m_number(requests.add(request.caller.id, request.received))
+    ActiveRegistration(ActiveRequests &requests, DirectRequest &request)
+        : m_requests(requests), m_number(requests.add(request, request.caller.id, request.received))
     {
     }
     ~ActiveRegistration()
@@ -167,6 +167,7 @@
     static const GroupRule noGroup;
     request.group = known == request.routing->groups.end() ? &noGroup : &known->second;
     request.deadline = request.received + std::min(request.caller.deadline.value_or(request.route->timeout), request.route->timeout);
+    request.deadline = std::min(request.deadline, request.context.activeRequests.latestDeadline());
     request.fingerprint = fingerprintOf(request.caller.body, fingerprintOf(request.workspace, fingerprintOf(request.caller.target)));
     request.context.budgets.recordRequest(request.group->name);
 }
@@ -196,6 +197,19 @@
     return "";
 }
 
+void endUnanswered(const ActiveRequests &requests)
+{
+    for (DirectRequest *request : requests.pointers()) {
+        if (request->exchange.hasResponseStarted()) {
+            continue;
+        }
+        request->deadline = std::min(request->deadline, Clock::now());
+        for (HttpConnection *connection : request->activeConnections) {
+            connection->abort();
+        }
+    }
+}
+
 asio::awaitable<void> serveDirect(DirectContext &context, HttpExchange &exchange)
 {
     DirectRequest request{.context = context, .exchange = exchange, .routing = context.routing.current(), .received = exchange.received()};
--- a/src/serving/src/directrequest.h
+++ b/src/serving/src/directrequest.h
@@ -60,6 +60,9 @@
 /** Serves one caller request; always responds unless the caller has disconnected. */
 boost::asio::awaitable<void> serveDirect(DirectContext &context, HttpExchange &exchange);
 
+/** Makes the deadline of all requests pass whose response has not begun, so that they are refused. Called on the serving thread. */
+void endUnanswered(const ActiveRequests &requests);
+
 /** Serves a request to a plain service: one complete response, retried at other targets where allowed. */
 boost::asio::awaitable<void> serveCall(DirectRequest &request);
 
--- a/tests/proofs/drainproof.cpp
+++ b/tests/proofs/drainproof.cpp
@@ -12,6 +12,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <future>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,17 @@
 const std::string daemonProgram = std::string(SNIPEHILL_BIN_DIR) + "/src/snipehilld";
 constexpr milliseconds exitTimeout{12000};
 
+/** Configuration whose routes allow a request to last longer than the process after SIGTERM. */
+std::string patientConfiguration()
+{
+    std::string text = defaultConfiguration(1);
+    const std::string timeout = R"("timeout_ms":5000)";
+    for (auto at = text.find(timeout); at != std::string::npos; at = text.find(timeout, at + timeout.size())) {
+        text.replace(at, timeout.size(), R"("timeout_ms":20000)");
+    }
+    return text;
+}
+
 void makeReady(DirectCluster &host, const std::string &configuration)
 {
     host.publish(configuration);
@@ -59,6 +71,55 @@
     CHECK(host.entries[0].waitForExit(exitTimeout) == 0);
 }
 
+// Guards against requests that outlast the process and are cut by its end without an answer.
+TEST_CASE("A request that can't end before the process is answered before that", "[direct][drain]")
+{
+    struct Case
+    {
+        const char *what;
+        Call call;
+        milliseconds sent; //!< after SIGTERM; negative: before it
+    };
+    const std::vector<Case> cases{
+        {"lookup before the signal", directCall("GET", "/read/x", "r1"), milliseconds(-1)},
+        {"posting before the signal", directCall("POST", "/post/x", "r2", "fee"), milliseconds(-1)},
+        {"stream before the signal", promptCall("/review/x", "r3", 100), milliseconds(-1)},
+        {"late posting", directCall("POST", "/post/x", "r4", "fee"), milliseconds(3400)},
+        {"late stream", promptCall("/review/x", "r5", 100), milliseconds(3400)},
+    };
+    DirectCluster host({{"p1", "plain", ""}, {"p2", "plain", ""}, {"e1", "engines", "decode"}}, 1);
+    makeReady(host, patientConfiguration());
+    for (const char *target : {"p1", "p2", "e1"}) {
+        host.setFaults(target, R"({"beforeMs": 15000})");
+    }
+    std::vector<std::future<Response>> responses;
+    const auto send = [&](bool late) {
+        for (const Case &c : cases) {
+            if ((c.sent > milliseconds(0)) == late) {
+                Call call = c.call;
+                call.headers["Deadline-Ms"] = "15000";
+                responses.push_back(std::async(std::launch::async, [server = host.callers(0), call] {
+                    return callOnce(server, call);
+                }));
+            }
+        }
+    };
+    send(false);
+    REQUIRE(waitUntil([&] {
+        return host.events("e1", "run").size() == 1;
+    }));
+    host.entries[0].signal(SIGTERM);
+    sleepFor(milliseconds(3400));
+    send(true);
+    for (std::size_t i = 0; i < cases.size(); ++i) {
+        const Response response = responses[i].get();
+        INFO(cases[i].what << ": " << response.error);
+        CHECK(response.complete);
+        CHECK((response.status == 502 || response.status == 504)); // it may have run
+    }
+    CHECK(host.entries[0].waitForExit(exitTimeout) == 0);
+}
+
 // Guards against a SIGHUP that ends a process which hasn't installed its signal handlers yet.
 TEST_CASE("SIGHUP during the start does not end the process", "[direct][drain]")
 {
