Let the soak find requests that end without an answer beside silent targets

It had no sound target that falls silent midway in its answers, and no check that a request that was received is answered.

Change: a fault kind "silent target" (0.8 s to 1.8 s in each run that starts then, at one target or all of its group) and ten more faults a seed, drawn from SIGTERM, SIGHUP, versions, a withdrawn key and silent targets. FAULTS=0 plays them alone. The check: each received request gets a complete response, unless its entry was killed, its target broke off a stream that had begun, or the timeout of its route had passed. Received is what an entry's log names, a target ran, or got a status line. Each entry has a loopback address of its own, so its metrics are read: received and ended requests must be equal. No request may have two final lines in the log. Overlapping withdrawals of the key: it is published again at the end of the last one, not of the first.

Changes to existing tests: the plan test expects faults + plannedWork faults and that the earlier plan is part of the new one. Regression seeds 1 and 7 are kept with their causes and the plans and sizes they had (plannedWork = 0); seed 1003 is new.

--- a/Makefile
+++ b/Makefile
@@ -21,10 +21,12 @@
 	$(BUILD)/tests/proof_tests
 
 # Injects random faults into a deployment of real processes: make soak SEED=100 SEEDS=50
+# FAULTS=0 leaves planned work and silent targets only.
 SEED ?= 1
 SEEDS ?= 10
+FAULTS ?= 12
 soak: build
-	$(BUILD)/tests/snipehill_soak --seed $(SEED) --seeds $(SEEDS)
+	$(BUILD)/tests/snipehill_soak --seed $(SEED) --seeds $(SEEDS) --faults $(FAULTS)
 
 demo: install build
 	sh examples/demo.sh $(BUILD)
--- a/tests/proofs/soaktest.cpp
+++ b/tests/proofs/soaktest.cpp
@@ -17,7 +17,7 @@
         INFO("seed " << seed);
         const auto faults = planFaults(seed, size);
         const auto again = planFaults(seed, size);
-        REQUIRE(faults.size() == size.faults);
+        REQUIRE(faults.size() == size.faults + size.plannedWork);
         bool overlap = false;
         for (std::size_t i = 0; i < faults.size(); ++i) {
             CHECK(faults[i].start <= faults[i].end);
@@ -28,6 +28,13 @@
             kinds.insert(faults[i].kind);
         }
         CHECK(overlap);
+        // Planned work is added without a change to the plans of regression seeds.
+        const auto unplanned = planFaults(seed, {.plannedWork = 0});
+        CHECK(std::all_of(unplanned.begin(), unplanned.end(), [&faults](const Fault &fault) {
+            return std::any_of(faults.begin(), faults.end(), [&fault](const Fault &other) {
+                return other.kind == fault.kind && other.start == fault.start && other.end == fault.end && other.index == fault.index;
+            });
+        }));
     }
     CHECK(kinds.size() == static_cast<std::size_t>(faultKindCount));
 }
@@ -37,13 +44,16 @@
     struct Case
     {
         std::uint64_t seed;
+        SoakSize size;
         const char *why;
     };
-    // Regression seeds: each seed that ever failed stays, with its cause.
-    const std::vector<Case> cases{{1, "the stand-in counted orders to engines as requests"}, {7, "short run for every build"}};
+    // Regression seeds: each seed that ever failed stays, with its cause and the size it failed at.
+    const std::vector<Case> cases{{1, {.plannedWork = 0}, "the stand-in counted orders to engines as requests"},
+                                  {7, {.plannedWork = 0}, "short run for every build"},
+                                  {1003, {}, "streams were cut because all engines of their group were silent for a while"}};
     for (const Case &c : cases) {
         INFO("seed " << c.seed << ": " << c.why);
-        const SoakOutcome outcome = runSoak(c.seed, {});
+        const SoakOutcome outcome = runSoak(c.seed, c.size);
         for (const std::string &fault : outcome.faults) {
             UNSCOPED_INFO(fault);
         }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -19,6 +19,7 @@
     int callers = 12;
     int seconds = 10;
     int faults = 12;
+    int plannedWork = 10;
 };
 
 bool parseOptions(int argc, const char **argv, SoakOptions &options)
@@ -30,13 +31,15 @@
         {"callers", 'c', POPT_ARG_INT, &options.callers, 0, "callers, each with a persistent connection", "COUNT"},
         {"seconds", 't', POPT_ARG_INT, &options.seconds, 0, "period in which faults are injected", "SECONDS"},
         {"faults", 'f', POPT_ARG_INT, &options.faults, 0, "faults per run", "COUNT"},
+        {"planned-work", 'p', POPT_ARG_INT, &options.plannedWork, 0, "planned work and silent targets per run", "COUNT"},
         POPT_AUTOHELP POPT_TABLEEND,
     };
     poptContext context = poptGetContext(nullptr, argc, argv, table, 0);
     const int end = poptGetNextOpt(context);
     const bool rest = poptPeekArg(context) != nullptr;
     poptFreeContext(context);
-    return end == -1 && !rest && options.seeds > 0 && options.entries > 0 && options.callers > 0 && options.seconds > 2 && options.faults >= 0;
+    return end == -1 && !rest && options.seeds > 0 && options.entries > 0 && options.callers > 0 && options.seconds > 2 && options.faults >= 0
+        && options.plannedWork >= 0;
 }
 
 } // namespace
@@ -53,6 +56,7 @@
     size.callers = static_cast<std::size_t>(options.callers);
     size.duration = std::chrono::seconds(options.seconds);
     size.faults = static_cast<std::size_t>(options.faults);
+    size.plannedWork = static_cast<std::size_t>(options.plannedWork);
     int failed = 0;
     for (int i = 0; i < options.seeds; ++i) {
         const auto seed = static_cast<std::uint64_t>(options.firstSeed + i);
--- a/tests/soak/soakcheck.h
+++ b/tests/soak/soakcheck.h
@@ -56,4 +56,34 @@
 /** Finds requests sent with a withdrawn key within its interval that ran. */
 Violations withdrawnKeysRunNothing(const std::vector<CheckInterval> &intervals, const std::vector<CallerRecord> &records, const Journal &journal);
 
+/** Intervals in which an injected fault may end requests, on the journal's clock. */
+struct EndingFaults
+{
+    std::vector<CheckInterval> kills; //!< by address of the entry: it was killed
+    std::vector<CheckInterval> absences; //!< by address of the entry: from its SIGTERM or kill until its next start
+    std::vector<CheckInterval> brokenTargets; //!< by id of the target: it was killed or its connections were broken
+};
+
+/** Ids of the requests that the logs of entries name. */
+std::set<std::string> requestsInLog(const std::string &entryLog);
+
+/**
+ * Finds requests that an entry received completely and that ended without a complete response, although their entry was not
+ * killed, the target did not break off their stream and the timeout of their route had not passed; also connections that
+ * were closed with a request on them by an entry that was not stopping.
+ *
+ * @param requestsInLogs requests known to have been received
+ */
+Violations receivedRequestsAreAnswered(const std::vector<CallerRecord> &records,
+                                       const Journal &journal,
+                                       const std::set<std::string> &requestsInLogs,
+                                       const EndingFaults &faults,
+                                       milliseconds routeTimeout);
+
+/** Finds requests with other than one final line in the log of an entry, unless their process was killed or dropped lines. */
+Violations requestsEndOnceInLog(const std::string &entryLog);
+
+/** Finds a difference between the requests that an idle entry received and those that ended, in its metrics. */
+Violations requestsAddUpInMetrics(const std::string &metrics);
+
 } // namespace snipehill::soak
--- a/tests/soak/soakplan.h
+++ b/tests/soak/soakplan.h
@@ -35,9 +35,10 @@
     LoseStoreResponses, //!< the store appends records but sends no response
     PublishVersion,
     WithdrawKey, //!< withdraws the second API key; published again at the end
+    SilentTarget, //!< each run that starts at the target, or at any of its group, sends nothing for a while and then goes on
 };
 
-constexpr int faultKindCount = static_cast<int>(FaultKind::WithdrawKey) + 1;
+constexpr int faultKindCount = static_cast<int>(FaultKind::SilentTarget) + 1;
 
 const char *toString(FaultKind kind) noexcept;
 
@@ -56,10 +57,17 @@
     std::size_t entries = 3;
     std::size_t callers = 12;
     milliseconds duration{10000}; //!< period within which faults start and end
-    std::size_t faults = 12;
+    std::size_t faults = 12; //!< of any kind but SilentTarget
+    std::size_t plannedWork = 10; //!< in addition: planned work and silent targets, after which every request must be answered
 };
 
-/** Returns the faults for a seed, sorted by start. Some are repeated: the same kind occurs again shortly after. */
+/**
+ * Returns the faults for a seed, sorted by start. Some are repeated: the same kind occurs again shortly after. The faults
+ * of planned work do not change the others of the same seed.
+ */
 std::vector<Fault> planFaults(std::uint64_t seed, const SoakSize &size);
 
+/** True if no fault that may delay a time-limited guarantee is active from shortly before the interval until its end. */
+bool isUndisturbed(const std::vector<Fault> &faults, milliseconds from, milliseconds to);
+
 } // namespace snipehill::soak
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -1,6 +1,7 @@
 #include "soakrun.h"
 
-#include "standinfaults.h"
+#include "soaktraffic.h"
+#include "targetfaults.h"
 
 #include "support/callers.h"
 #include "support/directcluster.h"
@@ -9,7 +10,6 @@
 #include <algorithm>
 #include <csignal>
 #include <map>
-#include <random>
 
 namespace snipehill::soak
 {
@@ -21,26 +21,22 @@
 
 constexpr milliseconds drainTimeout{2000}; // the entries' default, for draining targets and for new configuration versions
 constexpr milliseconds shutdownTimeout{8000}; // longest shutdown allowed by the settings of the entries
-constexpr milliseconds responseTimeout{5500}; // timeout of the routes plus 500 ms
+constexpr milliseconds routeTimeout{5000}; // of all routes in the configuration
+constexpr milliseconds responseTimeout = routeTimeout + milliseconds(500);
 constexpr milliseconds recoveryTimeout{12000};
 constexpr milliseconds pollInterval{5};
-constexpr milliseconds thinkTime{20}; // pause of a caller between two requests, so that entries are busy but not overloaded
 constexpr milliseconds journalTolerance{50}; // between the times of a target's journal and the clock of this process, on the same machine
-
-const std::vector<DirectTarget> targets{{"p1", "plain", ""},
-                                        {"p2", "plain", ""},
-                                        {"p3", "plain", ""},
-                                        {"e1", "engines", "prefill"},
-                                        {"e2", "engines", "decode"},
-                                        {"e3", "engines", "decode"},
-                                        {"e4", "engines", "decode"}};
+constexpr milliseconds logDelay{5000}; // longest time from a response until its lines are in the log of a busy entry
 
 /** One soak run: the deployment, its traffic and the injected faults. Used by the main thread. */
 class SoakRun
 {
 public:
     SoakRun(std::uint64_t seed, const SoakSize &size)
-        : m_seed(seed), m_size(size), m_host(targets, DirectClusterOptions{.entries = size.entries, .useRelays = true})
+        : m_seed(seed)
+        , m_size(size)
+        , m_faults(planFaults(seed, size))
+        , m_host(soakTargets(), DirectClusterOptions{.entries = size.entries, .ownAddresses = true, .useRelays = true})
     {
     }
 
@@ -54,9 +50,9 @@
         }
         m_startTime = Clock::now();
         ClosedLoopCallers callers(static_cast<int>(m_size.callers), [this](int caller, int round) {
-            return planCall(caller, round);
+            return planCall(m_seed, m_host.callers(static_cast<std::size_t>(caller) % m_size.entries), caller, round);
         });
-        for (const Fault &fault : planFaults(m_seed, m_size)) {
+        for (const Fault &fault : m_faults) {
             schedule(fault);
         }
         runFaultSchedule();
@@ -74,25 +70,9 @@
         bool disturbed = false; //!< paused during the shutdown, so the shutdown is not checked
     };
 
-    // Called on the callers' threads; the result depends only on the arguments and the seed.
-    ClosedLoopCallers::PlannedCall planCall(int caller, int round) const
-    {
-        sleepFor(thinkTime);
-        static const std::vector<std::string> paths{"/read/x", "/post/x", "/ask/x", "/review/x"};
-        std::mt19937_64 random(m_seed * 1000003 + static_cast<std::uint64_t>(caller) * 10007 + static_cast<std::uint64_t>(round));
-        const std::string id = "c" + std::to_string(caller) + "r" + std::to_string(round);
-        const std::string &path = paths[random() % paths.size()];
-        const bool stream = path[1] == 'a' || path == "/review/x";
-        const std::uint64_t tokens = random() % 2 == 0 ? 200 : 9000;
-        ClosedLoopCallers::PlannedCall planned{m_host.callers(static_cast<std::size_t>(caller) % m_size.entries), "", {}};
-        planned.call = stream ? promptCall(path, id, tokens) : directCall(path == "/post/x" ? "POST" : "GET", path, id, path == "/post/x" ? "fee" : "");
-        planned.call.headers["X-Api-Key"] = random() % 4 == 0 ? "key-2" : "key-1";
-        return planned;
-    }
-
     void publishConfiguration()
     {
-        m_host.publish(defaultConfiguration(++m_version, m_secondKeyActive ? R"(key-1","key-2)" : "key-1"));
+        m_host.publish(defaultConfiguration(++m_version, m_withdrawals == 0 ? R"(key-1","key-2)" : "key-1"));
     }
 
     void recordViolation(std::string violation)
@@ -139,37 +119,39 @@
         return fault.index % m_size.entries;
     }
 
-    static const DirectTarget &targetOf(const Fault &fault)
-    {
-        return targets[fault.index % targets.size()];
-    }
-
     Relay &storeRelayOf(const Fault &fault)
     {
         return m_host.storeRelay(entryIndexOf(fault));
     }
 
-    void applyStandInFault(const Fault &fault, const char *StandInFault::*state)
-    {
-        if (const StandInFault *found = standInFaultFor(fault.kind)) {
-            m_host.setFaults(found->onStore ? "store" : targetOf(fault).id, found->*state);
-        }
-    }
-
     void startFault(const Fault &fault);
     void endFault(const Fault &fault);
 
     void killEntry(std::size_t entry)
     {
         m_stopping.erase(entry);
+        m_absentSince.try_emplace(entry, journalNow());
+        m_endingFaults.kills.push_back(noticedFrom(entryName(entry), journalNow()));
         m_host.entries[entry].kill();
     }
 
+    std::string entryName(std::size_t entry) const
+    {
+        return toString(m_host.callers(entry));
+    }
+
+    void startAgain(std::size_t entry)
+    {
+        m_host.restartEntry(entry);
+        m_endingFaults.absences.push_back(noticedFrom(entryName(entry), m_absentSince[entry]));
+        m_absentSince.erase(entry);
+    }
+
     void restartEntry(std::size_t entry)
     {
         if (!m_host.entries[entry].running()) {
             m_stopping.erase(entry);
-            m_host.restartEntry(entry);
+            startAgain(entry);
         }
     }
 
@@ -196,8 +178,11 @@
                 recordViolation("entry " + std::to_string(entry + 1) + " did not exit cleanly after SIGTERM" + (code ? ", code " + std::to_string(*code) : ""));
             }
             stopping = m_stopping.erase(stopping);
+            if (!code) {
+                m_endingFaults.kills.push_back(noticedFrom(entryName(entry), journalNow()));
+            }
             m_host.entries[entry].kill();
-            m_host.restartEntry(entry);
+            startAgain(entry);
         }
     }
 
@@ -206,28 +191,9 @@
         return journalTime(Clock::now());
     }
 
-    /** True if no fault that may delay a time-limited guarantee is active from contactTime before the interval until its end. */
-    bool isUndisturbed(milliseconds from, milliseconds to) const
-    {
-        const std::set<FaultKind> harmless{FaultKind::ReloadEntry,
-                                           FaultKind::FailWork,
-                                           FaultKind::BreakStream,
-                                           FaultKind::DuplicateResponses,
-                                           FaultKind::RefuseWork,
-                                           FaultKind::SlowTarget,
-                                           FaultKind::PublishVersion,
-                                           FaultKind::WithdrawKey,
-                                           FaultKind::DrainTarget};
-        constexpr milliseconds contactTime{3000};
-        const auto faults = planFaults(m_seed, m_size);
-        return std::none_of(faults.begin(), faults.end(), [&](const Fault &fault) {
-            return !harmless.contains(fault.kind) && fault.start < to && fault.end + contactTime > from;
-        });
-    }
-
     void checkRecovery()
     {
-        for (const DirectTarget &target : targets) {
+        for (const DirectTarget &target : soakTargets()) {
             m_host.registerTarget(target, "ready");
         }
         const TimePoint until = Clock::now() + recoveryTimeout;
@@ -248,9 +214,13 @@
     void check(const std::vector<CallerRecord> &records)
     {
         const Journal journal = m_host.journal();
+        std::set<std::string> received;
         for (std::size_t entry = 0; entry < m_size.entries; ++entry) {
             addViolations(versionsIncrease(m_host.logOf(entry)));
+            checkEnds(entry);
+            received.merge(requestsInLog(m_host.logOf(entry)));
         }
+        addViolations(receivedRequestsAreAnswered(records, journal, received, m_endingFaults, routeTimeout));
         addViolations(ranAtMostOnce(journal));
         addViolations(refusalsDidNotRun(records, journal));
         addViolations(responsesMatchRequests(records, journal));
@@ -266,6 +236,23 @@
         addViolations(withdrawnKeysRunNothing(m_withdrawnKeyIntervals, records, journal));
     }
 
+    /** Checks that all requests of an idle entry have ended, by its log and its metrics, which may lag behind the responses. */
+    void checkEnds(std::size_t entry)
+    {
+        Violations found;
+        waitUntil(
+            [&] {
+                found = requestsEndOnceInLog(m_host.logOf(entry));
+                const Violations uneven = requestsAddUpInMetrics(m_host.metricsOf(entry));
+                found.insert(found.end(), uneven.begin(), uneven.end());
+                return found.empty();
+            },
+            logDelay);
+        for (const std::string &violation : found) {
+            recordViolation("entry " + std::to_string(entry + 1) + ": " + violation);
+        }
+    }
+
     void addViolations(Violations found)
     {
         m_outcome.violations.insert(m_outcome.violations.end(), found.begin(), found.end());
@@ -285,14 +272,17 @@
 
     const std::uint64_t m_seed;
     const SoakSize m_size;
+    const std::vector<Fault> m_faults;
     DirectCluster m_host;
     SoakOutcome m_outcome;
     TimePoint m_startTime{};
     int m_version = 0;
-    bool m_secondKeyActive = true;
+    int m_withdrawals = 0; //!< of the second key, in force
     milliseconds m_totalPause{0};
     std::multimap<milliseconds, std::function<void()>> m_actions; //!< by time since the start of the run
     std::map<std::size_t, StoppingEntry> m_stopping; //!< by index of the entry
+    std::map<std::size_t, double> m_absentSince; //!< time of the SIGTERM or kill, by index of the entry
+    EndingFaults m_endingFaults;
     std::vector<CheckInterval> m_drainIntervals;
     std::vector<CheckInterval> m_withdrawnKeyIntervals;
 };
@@ -302,6 +292,7 @@
     const std::size_t entry = entryIndexOf(fault);
     const DirectTarget &target = targetOf(fault);
     const milliseconds duration = fault.end - fault.start;
+    const double now = journalNow();
     const auto checkInterval = [&](const std::string &subject) {
         return CheckInterval{
             subject, journalNow() + static_cast<double>((drainTimeout + journalTolerance).count()), journalNow() + static_cast<double>(duration.count())};
@@ -312,6 +303,7 @@
         break;
     case FaultKind::StopEntry:
         if (m_host.entries[entry].running() && m_stopping.try_emplace(entry, StoppingEntry{Clock::now()}).second) {
+            m_absentSince.try_emplace(entry, now);
             m_host.entries[entry].signal(SIGTERM);
         }
         break;
@@ -327,30 +319,12 @@
             killEntry(i);
         }
         break;
-    case FaultKind::KillTarget:
-        m_host.targetProcesses.at(target.id).kill();
-        break;
-    case FaultKind::PauseTarget:
-        m_host.targetProcesses.at(target.id).pause();
-        break;
     case FaultKind::DrainTarget:
         m_host.registerTarget(target, "draining");
-        if (isUndisturbed(fault.start, fault.end)) {
+        if (isUndisturbed(m_faults, fault.start, fault.end)) {
             m_drainIntervals.push_back(checkInterval(target.id));
         }
         break;
-    case FaultKind::DropTargetConnections:
-        m_host.targetRelay(target.id).dropConnections();
-        break;
-    case FaultKind::SilenceTargetConnections:
-        m_host.targetRelay(target.id).blackholeConnections();
-        break;
-    case FaultKind::CutTarget:
-        m_host.targetRelay(target.id).blackhole(true);
-        break;
-    case FaultKind::DelayTarget:
-        m_host.targetRelay(target.id).setDelay(duration / 10);
-        break;
     case FaultKind::DropStoreConnections:
         storeRelayOf(fault).dropConnections();
         break;
@@ -367,14 +341,14 @@
         publishConfiguration();
         break;
     case FaultKind::WithdrawKey:
-        m_secondKeyActive = false;
+        ++m_withdrawals;
         publishConfiguration();
-        if (isUndisturbed(fault.start, fault.end)) {
+        if (isUndisturbed(m_faults, fault.start, fault.end)) {
             m_withdrawnKeyIntervals.push_back(checkInterval("key-2"));
         }
         break;
     default:
-        applyStandInFault(fault, &StandInFault::startSettings);
+        startTargetFault(m_host, fault, m_endingFaults.brokenTargets);
         break;
     }
 }
@@ -395,23 +369,9 @@
     case FaultKind::PauseEntry:
         m_host.entries[entry].resume();
         break;
-    case FaultKind::KillTarget:
-        if (!m_host.targetProcesses.at(target.id).running()) {
-            m_host.restartTarget(target.id);
-        }
-        break;
-    case FaultKind::PauseTarget:
-        m_host.targetProcesses.at(target.id).resume();
-        break;
     case FaultKind::DrainTarget:
         m_host.registerTarget(target, "ready");
         break;
-    case FaultKind::CutTarget:
-        m_host.targetRelay(target.id).blackhole(false);
-        break;
-    case FaultKind::DelayTarget:
-        m_host.targetRelay(target.id).setDelay(milliseconds(0));
-        break;
     case FaultKind::CutStore:
         storeRelayOf(fault).blackhole(false);
         break;
@@ -419,11 +379,11 @@
         storeRelayOf(fault).setDelay(milliseconds(0));
         break;
     case FaultKind::WithdrawKey:
-        m_secondKeyActive = true;
+        --m_withdrawals;
         publishConfiguration();
         break;
     default:
-        applyStandInFault(fault, &StandInFault::endSettings);
+        endTargetFault(m_host, fault);
         break;
     }
 }
--- a/tests/soak/standinfaults.cpp
+++ b/tests/soak/standinfaults.cpp
@@ -1,6 +1,7 @@
 #include "standinfaults.h"
 
 #include <map>
+#include <string>
 
 namespace snipehill::soak
 {
@@ -20,4 +21,16 @@
     return found == faults.end() ? nullptr : &found->second;
 }
 
+const char *const endOfSilence = R"({"silences": null, "silentAfter": null, "silentMs": null})";
+
+std::string silenceSettings(std::size_t index, bool stream)
+{
+    constexpr std::size_t minSilence = 800; // ms, as the two below
+    constexpr std::size_t silenceStep = 100;
+    constexpr std::size_t silenceSteps = 11;
+    constexpr std::size_t eventChoices = 4; // events before the silence
+    return R"({"silences": 1000000, "silentAfter": )" + std::to_string(stream ? index % eventChoices : 0) + R"(, "silentMs": )"
+        + std::to_string(minSilence + index % silenceSteps * silenceStep) + "}";
+}
+
 } // namespace snipehill::soak
--- a/tests/soak/standinfaults.h
+++ b/tests/soak/standinfaults.h
@@ -2,6 +2,8 @@
 
 #include "soakplan.h"
 
+#include <string>
+
 namespace snipehill::soak
 {
 
@@ -16,4 +18,8 @@
 /** Returns the settings for a fault, or null if the fault is injected from outside the stand-ins. */
 const StandInFault *standInFaultFor(FaultKind kind);
 
+/** Settings that make all runs of a target silent once, for 0.8 s to 1.8 s; streams midway or before their first event. */
+std::string silenceSettings(std::size_t index, bool stream);
+extern const char *const endOfSilence; //!< settings that end it for new runs
+
 } // namespace snipehill::soak
--- a/tests/standins/platformserver.cpp
+++ b/tests/standins/platformserver.cpp
@@ -83,14 +83,14 @@
             co_await exchange.respond(status, std::move(headers), "ran " + entry["id"].asString() + " at " + name);
         } else {
             headers.emplace_back("Content-Type", "text/event-stream");
-            co_await sendEvents(exchange, std::move(headers), silentAfter, silence);
+            co_await sendEvents(exchange, std::move(headers), entry, silentAfter, silence);
         }
         if (faults.consume("", "extraAnswer")) {
             co_await exchange.write("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nServer-Seal: x\r\nContent-Length: 5\r\n\r\nother");
         }
     }
 
-    asio::awaitable<void> sendEvents(HttpExchange &exchange, HeaderList headers, std::int64_t silentAfter, milliseconds silence)
+    asio::awaitable<void> sendEvents(HttpExchange &exchange, HeaderList headers, Json::Value entry, std::int64_t silentAfter, milliseconds silence)
     {
         const std::string last = header(exchange, "Last-Event-Id");
         const int first = last.empty() ? 1 : std::stoi(last) + 1;
@@ -99,6 +99,7 @@
         co_await exchange.beginStream(200, std::move(headers));
         for (int event = first; event <= defaultEventCount; ++event) {
             if (cutAfter > 0 && event - first == cutAfter) {
+                journal.add("broken", entry);
                 co_await exchange.write("id: " + std::to_string(event) + "\nda");
                 co_await pause(milliseconds(20));
                 exchange.abort();
--- a/tests/support/callers.cpp
+++ b/tests/support/callers.cpp
@@ -101,6 +101,7 @@
                 PlannedCall planned = next(caller, round);
                 Client &client = clients.try_emplace(toString(planned.entry), planned.entry).first->second;
                 CallerRecord record = send(client, planned.workspace, std::move(planned.call));
+                record.entry = toString(planned.entry);
                 if (record.response.status != 200) {
                     sleepFor(milliseconds(20));
                 }
--- a/tests/support/checkers.h
+++ b/tests/support/checkers.h
@@ -23,6 +23,7 @@
 struct CallerRecord
 {
     std::string workspace; //!< of the API key sent; empty on routes without authentication
+    std::string entry; //!< address that the request was sent to; set by ClosedLoopCallers only
     Call call;
     Response response;
     bool mayBeLost = false; //!< the entry was killed or the caller disconnected, so that the response may be incomplete
--- a/tests/support/client.cpp
+++ b/tests/support/client.cpp
@@ -136,6 +136,7 @@
     if (!m_state->connected) {
         error = m_state->connect(end);
     }
+    response.connected = !error;
     Parser parser;
     parser.body_limit(bodyLimit);
     if (!error) {
--- a/tests/support/client.h
+++ b/tests/support/client.h
@@ -31,6 +31,7 @@
 /** Response as received by the caller. */
 struct Response
 {
+    bool connected = false; //!< the connection was open, at least for the client, when the request was sent
     bool complete = false; //!< headers and the complete body arrived
     unsigned status = 0; //!< 0: no headers arrived
     std::map<std::string, std::string> headers; //!< by lower-case name
--- a/tests/support/directcluster.cpp
+++ b/tests/support/directcluster.cpp
@@ -2,6 +2,8 @@
 
 #include "support/wait.h"
 
+#include <unistd.h>
+
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
@@ -20,6 +22,13 @@
     return {"127.0.0.1", freePort()};
 }
 
+/** Address of an entry; concurrent test programs use different ones. */
+std::string entryAddress(std::size_t entry)
+{
+    const int id = getpid();
+    return "127." + std::to_string(1 + id / 250 % 250) + "." + std::to_string(1 + id % 250) + "." + std::to_string(1 + entry);
+}
+
 std::string quoted(const Endpoint &endpoint)
 {
     return "\"" + toString(endpoint) + "\"";
@@ -59,7 +68,7 @@
         registerTarget(target, "ready");
     }
     for (std::size_t entry = 0; entry < layout.entries; ++entry) {
-        m_callers.push_back(loopback());
+        m_callers.push_back({layout.ownAddresses ? entryAddress(entry) : "127.0.0.1", freePort()});
         m_readiness.push_back(loopback());
         m_peerPorts.push_back(freePort());
         if (layout.useRelays) {
@@ -231,6 +240,12 @@
     return found;
 }
 
+std::string DirectCluster::metricsOf(std::size_t entry) const
+{
+    constexpr std::uint16_t metricsPort = 9464;
+    return callOnce({m_callers.at(entry).address, metricsPort}, {.target = "/metrics", .timeout = milliseconds(2000)}).body;
+}
+
 Response DirectCluster::call(std::size_t entry, const Call &request)
 {
     return callOnce(m_callers[entry], request);
--- a/tests/support/directcluster.h
+++ b/tests/support/directcluster.h
@@ -28,6 +28,7 @@
 struct DirectClusterOptions
 {
     std::size_t entries = 1;
+    bool ownAddresses = false; //!< each entry listens on a loopback address of its own, so that its metrics can be read
     bool useRelays = false; //!< one process per stand-in, and relays from the entries to the store and the targets
 };
 
@@ -51,6 +52,8 @@
     void setFaults(const std::string &name, const std::string &json);
     /** Journal events of one kind from a target's stand-in. */
     std::vector<Json::Value> events(const std::string &target, const std::string &event);
+    /** Text of an entry's metrics; empty if they cannot be read. */
+    std::string metricsOf(std::size_t entry) const;
     /** Sends a caller's request to an entry. */
     Response call(std::size_t entry, const Call &request);
     /** Log output of an entry, over all its restarts. */
