Admit only requests that a draining process can finish

Callers saw: a stream that an entry took in the fourth second after its SIGTERM was cut 3.6 s to 4.4 s later by the end of the process, without an answer or a refusal.

Cause: nothing compared what a request needs with the time that the process has left.

Change: a draining process admits a request if its deadline passes before the end, or if the latency goal and 10 ms for each output token that it asks for fit into what is left; else it is refused at once as not run, and its caller comes back to another entry.

--- a/src/serving/src/directrequest.cpp
+++ b/src/serving/src/directrequest.cpp
@@ -17,6 +17,8 @@
 
 constexpr milliseconds noConfigurationRetry{500}; // about the time an entry needs to load its configuration at startup
 constexpr milliseconds minRetryTime{20}; // a connect and a response of another target take about as long
+constexpr milliseconds drainRetryAfter{100}; // another entry serves the request at once
+constexpr milliseconds tokenTime{10}; // per output token on a loaded engine, whose steps take 6 ms and more
 constexpr unsigned badRequest = 400;
 constexpr unsigned unauthorized = 401;
 constexpr unsigned notFound = 404;
@@ -170,6 +172,22 @@
     std::uint64_t m_number;
 };
 
+/** Refusal of a request that this process, which is about to end, could not serve to its end; empty if it can. */
+std::optional<DirectRefusal> refusalWhileDraining(const DirectRequest &request)
+{
+    const TimePoint latest = request.context.activeRequests.latestDeadline();
+    if (latest == TimePoint::max() || request.deadline <= latest) {
+        return std::nullopt;
+    }
+    const bool stream = request.route->kind == RequestKind::Streaming;
+    const Duration needed = request.route->latencyGoal + tokenTime * request.caller.outputTokens;
+    const bool lengthKnown = !stream || request.caller.outputTokens > 0;
+    if (lengthKnown && Clock::now() + needed <= latest) {
+        return std::nullopt;
+    }
+    return DirectRefusal{unavailable, {Step::Admit, "", "the process ends before the request would"}, drainRetryAfter};
+}
+
 void prepare(DirectRequest &request)
 {
     thread_local std::minstd_rand generator(std::random_device{}());
@@ -178,7 +196,6 @@
     static const GroupRule noGroup;
     request.group = known == request.routing->groups.end() ? &noGroup : &known->second;
     request.deadline = request.received + std::min(request.caller.deadline.value_or(request.route->timeout), request.route->timeout);
-    request.deadline = std::min(request.deadline, request.context.activeRequests.latestDeadline());
     request.fingerprint = fingerprintOf(request.caller.body, fingerprintOf(request.workspace, fingerprintOf(request.caller.target)));
     request.context.budgets.recordRequest(request.group->name);
 }
@@ -248,6 +265,11 @@
         co_await refuse(request, refusal);
         co_return;
     }
+    if (const auto refusal = refusalWhileDraining(request)) {
+        co_await refuse(request, *refusal);
+        co_return;
+    }
+    request.deadline = std::min(request.deadline, context.activeRequests.latestDeadline());
     exchange.onDisconnect([&request] {
         for (HttpConnection *connection : request.activeConnections) {
             connection->abort();
--- a/tests/proofs/drainproof.cpp
+++ b/tests/proofs/drainproof.cpp
@@ -120,6 +120,37 @@
     CHECK(host.entries[0].waitForExit(exitTimeout) == 0);
 }
 
+// Guards against long streams that are admitted shortly before the end of the process and cut by it.
+TEST_CASE("A draining process refuses the streams that it can't finish and serves the others", "[direct][drain]")
+{
+    struct Case
+    {
+        const char *what;
+        const char *tokenCounts;
+        unsigned status;
+        std::size_t runs;
+    };
+    const std::vector<Case> cases{{"long stream", "100,474", 503, 0}, {"short stream", "100,20", 200, 1}};
+    DirectCluster host({{"e1", "engines", "decode"}}, 1);
+    makeReady(host, patientConfiguration());
+    host.entries[0].signal(SIGTERM);
+    sleepFor(milliseconds(3300));
+    std::size_t runs = 0;
+    for (const Case &c : cases) {
+        INFO(c.what);
+        Call call = promptCall("/review/x", c.what, 100);
+        call.headers["Token-Counts"] = c.tokenCounts;
+        call.headers["Deadline-Ms"] = "8000";
+        const Response response = host.call(0, call);
+        CHECK(response.complete);
+        CHECK(response.status == c.status);
+        CHECK(response.headers.contains("retry-after") == (c.status == 503));
+        runs += c.runs;
+        CHECK(host.events("e1", "run").size() == runs);
+    }
+    CHECK(host.entries[0].waitForExit(exitTimeout) == 0);
+}
+
 // Guards against a SIGHUP that ends a process which hasn't installed its signal handlers yet.
 TEST_CASE("SIGHUP during the start does not end the process", "[direct][drain]")
 {
