--- a/tests/proofs/soaktest.cpp
+++ b/tests/proofs/soaktest.cpp
@@ -50,7 +50,10 @@
     // Regression seeds: each seed that ever failed stays, with its cause and the size it failed at.
     const std::vector<Case> cases{{1, {.plannedWork = 0}, "the stand-in counted orders to engines as requests"},
                                   {7, {.plannedWork = 0}, "short run for every build"},
-                                  {1003, {}, "streams were cut because all engines of their group were silent for a while"}};
+                                  {1003, {}, "streams were cut because all engines of their group were silent for a while"},
+                                  {1019, {}, "the end of a draining process cut a request that it had taken too late to finish"},
+                                  {1023, {}, "as seed 1019"},
+                                  {1043, {}, "as seed 1019"}};
     for (const Case &c : cases) {
         INFO("seed " << c.seed << ": " << c.why);
         const SoakOutcome outcome = runSoak(c.seed, c.size);
