--- /dev/null
+++ b/tests/proofs/promptcrashtest.cpp
@@ -0,0 +1,118 @@
+#include "support/directcluster.h"
+#include "support/wait.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace snipehill;
+using namespace snipehill::support;
+
+namespace
+{
+
+constexpr int crashesAllowed = 5; // by the platform; later requests with the part may reach targets ...
+constexpr std::size_t laterSendsAllowed = 3; // ... so many times ...
+constexpr milliseconds contactTime{3000}; // ... from this time after the last of these crashes on
+constexpr int maxRounds = 12;
+constexpr int laterRequests = 10;
+constexpr int engines = 6;
+
+DirectClusterOptions separateProcesses(std::size_t entries)
+{
+    return {.entries = entries, .ownProcesses = true};
+}
+
+std::vector<DirectTarget> decodeEngines()
+{
+    std::vector<DirectTarget> targets;
+    for (int i = 1; i <= engines; ++i) {
+        targets.push_back({"e" + std::to_string(i), "engines", "decode"});
+    }
+    return targets;
+}
+
+/** A prompt of a first part, a second part and a part of its own. */
+Call partsCall(const std::string &first, const std::string &second, const std::string &id)
+{
+    Call call = promptCall("/ask/x", id, 300);
+    call.headers["Prompt-Prefix"] = first + ":100," + second + ":100," + id + ":100";
+    call.body = "question " + id;
+    return call;
+}
+
+/** Starts engines that have ended again, as new runs. Returns their number. */
+int restartEnded(DirectCluster &cluster)
+{
+    int ended = 0;
+    for (auto &[id, process] : cluster.targetProcesses) {
+        if (!process.running()) {
+            ++ended;
+            cluster.restartTarget(id);
+            cluster.setFaults(id, R"({"crashPart": "bad", "crashMs": 30})");
+        }
+    }
+    return ended;
+}
+
+std::size_t sendsWith(const DirectCluster &cluster, const std::string &part)
+{
+    std::size_t sends = 0;
+    for (const Json::Value &event : cluster.journal()) {
+        const bool received = event["event"] == "run" || event["event"] == "read";
+        sends += received && event["headers"]["prompt-prefix"].asString().find(part + ":") != std::string::npos ? 1 : 0;
+    }
+    return sends;
+}
+
+} // namespace
+
+// Guards against a part of prompts that crashes one engine after the other because no two requests with it are alike.
+TEST_CASE("Requests with a prompt part that crashes engines are stopped, sound ones with the same key and first part are served", "[prompt-crash]")
+{
+    struct Case
+    {
+        const char *what;
+        std::size_t entries;
+        std::string first;
+        std::string second;
+    };
+    const std::vector<Case> cases{{"one entry", 1, "rules", "bad"}, {"three entries", 3, "rules", "bad"}, {"the first part", 2, "bad", "subject"}};
+    for (const Case &c : cases) {
+        DYNAMIC_SECTION(c.what)
+        {
+            DirectCluster cluster(decodeEngines(), separateProcesses(c.entries));
+            cluster.publish(defaultConfiguration(1));
+            for (const DirectTarget &engine : decodeEngines()) {
+                cluster.setFaults(engine.id, R"({"crashPart": "bad", "crashMs": 30})");
+            }
+            for (std::size_t entry = 0; entry < c.entries; ++entry) {
+                REQUIRE(cluster.waitUntilReady(entry));
+            }
+            int crashes = 0;
+            for (int round = 0; round < maxRounds && crashes < crashesAllowed; ++round) {
+                const std::string id = std::to_string(round);
+                cluster.call(static_cast<std::size_t>(round) % c.entries, partsCall(c.first, c.second, "b" + id));
+                crashes += restartEnded(cluster);
+                sleepFor(milliseconds(1000)); // longer than two polls of the entries
+                const Response sound = cluster.call(static_cast<std::size_t>(round + 1) % c.entries, partsCall("rules", "other", "s" + id));
+                CHECK(sound.status == 200);
+                CHECK(sound.complete);
+            }
+            sleepFor(contactTime);
+            const std::size_t sendsBefore = sendsWith(cluster, "bad");
+            for (int i = 0; i < laterRequests; ++i) {
+                const std::string id = std::to_string(i);
+                const Response refused = cluster.call(static_cast<std::size_t>(i) % c.entries, partsCall(c.first, c.second, "l" + id));
+                CHECK(refused.status == 503);
+                CHECK(refused.headers.contains("retry-after"));
+                restartEnded(cluster);
+                const Response sound = cluster.call(static_cast<std::size_t>(i) % c.entries, partsCall("rules", "other", "t" + id));
+                CHECK(sound.status == 200);
+                CHECK(sound.complete);
+            }
+            CHECK(sendsWith(cluster, "bad") - sendsBefore <= laterSendsAllowed);
+        }
+    }
+}
--- a/tests/standins/platformserver.cpp
+++ b/tests/standins/platformserver.cpp
@@ -1,5 +1,7 @@
 #include "standin.h"
 
+#include <unistd.h>
+
 #include <map>
 #include <set>
 
@@ -12,13 +14,21 @@
 {
 
 constexpr int defaultEventCount = 5;
+constexpr int crashStatus = 70;
+
+/** Whether a prompt has the part at another place than the last. */
+bool hasPart(const std::string &parts, const std::string &part)
+{
+    const std::size_t found = part.empty() ? std::string::npos : ("," + parts).find("," + part + ":");
+    return found != std::string::npos && parts.find(',', found) != std::string::npos;
+}
 
 /**
  * Target on the users' platform: plain responses, event streams and separate prefill. The fault "id" sets its instance id.
  * Further faults: refuse (503 with Not-Executed), status (of plain responses), orderStatus (of the response to an order),
  * cutAfter (aborts the next stream after N events), extraAnswer (the next N responses are followed by an unsolicited one),
  * eventMs (pause between events), beforeMs (delay before the response), readMs (prefill time of a prompt),
- * eventBytes (padding of each event), silences (the next N runs are silent for silentMs after silentAfter events, or before the response for 0, and then go on).
+ * crashPart (ends the process crashMs after the head of a response to a prompt with this part, unless it is the last one), eventBytes (padding of each event), silences (the next N runs are silent for silentMs after silentAfter events, or before the response for 0, and then go on).
  */
 class PlatformServer : public StandIn
 {
@@ -97,6 +107,11 @@
         const std::int64_t cutAfter = faults.number("", "cutAfter", 0);
         faults.merge(parseJson(R"({"cutAfter": null})").value());
         co_await exchange.beginStream(200, std::move(headers));
+        if (hasPart(header(exchange, "Prompt-Prefix"), faults.text("crashPart", ""))) {
+            journal.add("crash", entry);
+            co_await pause(faults.delay("", "crashMs"));
+            _exit(crashStatus);
+        }
         for (int event = first; event <= defaultEventCount; ++event) {
             if (cutAfter > 0 && event - first == cutAfter) {
                 journal.add("broken", entry);
--- a/tests/support/directcluster.cpp
+++ b/tests/support/directcluster.cpp
@@ -4,6 +4,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
@@ -58,8 +59,8 @@
         m_addresses[target.id] = loopback();
         m_controls[target.id] = loopback();
     }
-    if (layout.useRelays) {
-        startAsProcesses();
+    if (layout.useRelays || layout.ownProcesses) {
+        startAsProcesses(layout.useRelays);
     } else {
         startInOneProcess();
     }
@@ -91,11 +92,13 @@
     m_standIns.emplace_back(standInProgram, arguments, m_folder.file("standins.out"));
 }
 
-void DirectCluster::startAsProcesses()
+void DirectCluster::startAsProcesses(bool useRelays)
 {
     m_standIns.push_back(startStandIn("store", "platform-store", m_store));
     for (const DirectTarget &target : m_targets) {
-        m_targetRelays[target.id] = std::make_unique<Relay>(m_addresses[target.id]);
+        if (useRelays) {
+            m_targetRelays[target.id] = std::make_unique<Relay>(m_addresses[target.id]);
+        }
         targetProcesses.emplace(target.id, startStandIn(target.id, "platform-server", m_addresses[target.id]));
     }
 }
@@ -159,6 +162,15 @@
 {
     targetProcesses.at(id) = startStandIn(id, "platform-server", m_addresses.at(id));
     waitForStandIn(id);
+    if (m_targetRelays.empty()) {
+        ++m_runs[id];
+        registerTarget(*std::find_if(m_targets.begin(),
+                                     m_targets.end(),
+                                     [&id](const DirectTarget &target) {
+                                         return target.id == id;
+                                     }),
+                       "ready");
+    }
     setFaults(id, R"({"id": ")" + id + "\"}");
 }
 
@@ -211,8 +223,8 @@
 {
     const std::string role = target.role.empty() ? "" : R"(,"stage":")" + target.role + "\"";
     const std::string entry = R"({"service":")" + target.group + R"(","address":")"
-        + toString(m_targetRelays.empty() ? m_addresses[target.id] : targetRelay(target.id).endpoint()) + R"(","zone":"fd-a","slots":8,"born":1,"state":")"
-        + state + "\"" + role + "}";
+        + toString(m_targetRelays.empty() ? m_addresses[target.id] : targetRelay(target.id).endpoint()) + R"(","zone":"fd-a","slots":8,"born":)"
+        + std::to_string(1 + m_runs[target.id]) + R"(,"state":")" + state + "\"" + role + "}";
     append("keyed.servers", target.id, state.empty() ? "" : entry);
 }
 
--- a/tests/support/directcluster.h
+++ b/tests/support/directcluster.h
@@ -31,6 +31,7 @@
     int retrySlack = 50; //!< retries of all entries within the budget window beyond their share of the requests
     bool ownAddresses = false; //!< each entry listens on a loopback address of its own, so that its metrics can be read
     bool useRelays = false; //!< one process per stand-in, and relays from the entries to the store and the targets
+    bool ownProcesses = false; //!< one process per stand-in, reached without relays, so that a target that ended refuses connections
 };
 
 /**
@@ -61,24 +62,24 @@
     std::string logOf(std::size_t entry) const;
     /** Starts an entry again after its process has exited. */
     void restartEntry(std::size_t entry);
-    /** Starts the stand-in of a target again after its process has exited; with relays only. */
+    /** Starts the stand-in of a target again after its process has exited, as a new run; with a process per stand-in only. */
     void restartTarget(const std::string &id);
     /** Relay between the entries and a target; with relays only. */
     Relay &targetRelay(const std::string &id);
     /** Relay between one entry and the store; with relays only. */
     Relay &storeRelay(std::size_t entry);
-    /** Merged journals of the stand-ins, over all their restarts; with relays only. */
+    /** Merged journals of the stand-ins, over all their restarts; with a process per stand-in only. */
     Journal journal() const;
     const Endpoint &callers(std::size_t entry) const;
     /** Keeps logs and journals after destruction and returns their folder. */
     std::string keepFiles();
 
     std::vector<ChildProcess> entries;
-    std::map<std::string, ChildProcess> targetProcesses; //!< with relays only
+    std::map<std::string, ChildProcess> targetProcesses; //!< with a process per stand-in only
 
 private:
     void startInOneProcess();
-    void startAsProcesses();
+    void startAsProcesses(bool useRelays);
     ChildProcess startStandIn(const std::string &name, const std::string &kind, const Endpoint &listen);
     void waitForStandIn(const std::string &name);
     void waitForStandIns();
@@ -92,6 +93,7 @@
     int m_retrySlack;
     Endpoint m_store;
     std::map<std::string, Endpoint> m_addresses; //!< of targets
+    std::map<std::string, int> m_runs; //!< restarts of targets
     std::map<std::string, Endpoint> m_controls; //!< of stand-ins
     std::vector<Endpoint> m_callers;
     std::vector<Endpoint> m_readiness;
