Attribute crashes of targets to what the requests on them share

Cause: a crash was counted by a hash of the whole request, only if the connection broke before the head, by each entry for itself, and forgotten with the first bytes of any response with that hash. Change: a crash is one run of a target that refuses connections after one broke. Its suspects are the requests on it that had not been flowing for a second, by their whole content and by each shared part of their prompt. Complete responses clear what their requests hold of earlier crashes; of the rest, the cause with most independent crashes explains them, the next one is sought among those left. Three of them block requests that have all that these have in common; five lost runs block for as long as such requests come. Entries merge evidence by union and repeat it. The block is checked at admission, after a separate prefill and before each further send; a suspect gets no second engine. Why it works: the common cause of different requests is counted, once a run, over all entries, and what sound requests share is cleared.

--- a/src/connection/include/connection/httpclient.h
+++ b/src/connection/include/connection/httpclient.h
@@ -85,6 +85,10 @@
     void abort();
     const Endpoint &peer() const noexcept;
     ConnectionResult result() const noexcept;
+    /** Whether connect() failed because nothing listens at the peer's address. */
+    bool wasRefused() const noexcept;
+    /** Whether the response in progress has neither a length nor chunks, so that a connection that breaks looks like its end. */
+    bool endsWithConnection() const;
 
 private:
     /** Records the failure of an operation and returns its reason. */
@@ -98,6 +102,7 @@
     bool m_headRequested = false; //!< the response to HEAD has no body, whatever its Content-Length
     bool m_exchangeComplete = true; //!< no exchange is in progress and none has failed
     ConnectionResult m_result = ConnectionResult::Success;
+    bool m_refused = false;
 };
 
 } // namespace snipehill
--- a/src/connection/src/httpclient.cpp
+++ b/src/connection/src/httpclient.cpp
@@ -106,6 +106,7 @@
     auto [error] = co_await m_stream.async_connect(endpoint, useTuple);
     if (error) {
         reason = fail("connect", error);
+        m_refused = error == asio::error::connection_refused;
         m_exchangeComplete = false;
         co_return false;
     }
@@ -221,4 +222,14 @@
     return m_result;
 }
 
+bool HttpConnection::wasRefused() const noexcept
+{
+    return m_refused;
+}
+
+bool HttpConnection::endsWithConnection() const
+{
+    return m_parser && m_parser->need_eof();
+}
+
 } // namespace snipehill
--- a/src/process/include/process/metrics.h
+++ b/src/process/include/process/metrics.h
@@ -33,6 +33,9 @@
     UsageReports, //!< result
     RequestsReceived,
     RequestsEnded, //!< end; the sum equals RequestsReceived less the requests in progress
+    TargetCrashes, //!< runs of targets that ended with requests of this entry on them
+    CrashVerdicts, //!< change
+    CrashRefusals, //!< workspace; requests that were not sent because requests like them crash targets
     Count,
 };
 
--- a/src/process/include/process/peerupdate.h
+++ b/src/process/include/process/peerupdate.h
@@ -5,6 +5,7 @@
 #include <core/reason.h>
 #include <core/time.h>
 #include <process/usage.h>
+#include <request/crashevidence.h>
 #include <request/prefixindex.h>
 
 #include <cstdint>
@@ -50,7 +51,7 @@
     Incarnation sender;
     std::map<TargetHash, EntryLoad> loads; //!< targets without load are left out
     std::vector<RoutedBlocks> routedBlocks; //!< since the previous update
-    std::map<std::uint64_t, std::uint32_t> losses; //!< targets crashed so far, by request fingerprint, if changed since the previous update
+    std::vector<CrashReport> crashes; //!< crashes of targets, see takeCrashReports()
     std::map<WindowNumber, UsageByWorkspace> usage; //!< request counts that the sender has not published to the store yet
     std::map<TargetHash, PendingRoleChange> roleChanges; //!< changes that the sender has ordered
     WindowNumber openWindow = 0; //!< all counts of earlier windows are published or in this update; 0: no statement
--- a/src/process/include/process/targetregistry.h
+++ b/src/process/include/process/targetregistry.h
@@ -28,6 +28,7 @@
     std::string id;
     Endpoint endpoint;
     std::string failureDomain;
+    std::uint64_t run = 0; //!< hash of the run of the target, which ends when the target restarts
 };
 
 /** Work that this entry has placed on a target and that counts towards its load until TargetRegistry::release(). */
--- a/src/process/src/peerupdate.cpp
+++ b/src/process/src/peerupdate.cpp
@@ -8,6 +8,44 @@
 namespace snipehill
 {
 
+namespace
+{
+
+std::uint32_t wholeMilliseconds(Duration time)
+{
+    return static_cast<std::uint32_t>(std::max<milliseconds::rep>(0, std::chrono::duration_cast<milliseconds>(time).count()));
+}
+
+void encodeCrash(const CrashReport &crash, wire::PeerCrash &message)
+{
+    message.set_run(crash.run);
+    message.set_age_ms(wholeMilliseconds(crash.age));
+    message.set_unneeded_ms(wholeMilliseconds(crash.unneeded));
+    for (const CrashSuspect &suspect : crash.suspects) {
+        wire::PeerCrashSuspect &entry = *message.add_suspects();
+        entry.mutable_causes()->Assign(suspect.causes.begin(), suspect.causes.end());
+        entry.set_sent_before_ms(wholeMilliseconds(suspect.sentBefore));
+    }
+    message.mutable_cleared()->Assign(crash.cleared.begin(), crash.cleared.end());
+}
+
+CrashReport decodeCrash(const wire::PeerCrash &message)
+{
+    CrashReport crash{.run = message.run(),
+                      .age = milliseconds(message.age_ms()),
+                      .unneeded = milliseconds(message.unneeded_ms()),
+                      .suspects = {},
+                      .cleared = {message.cleared().begin(), message.cleared().end()}};
+    for (const wire::PeerCrashSuspect &entry : message.suspects()) {
+        CrashSuspect suspect{{entry.causes().begin(), entry.causes().end()}, milliseconds(entry.sent_before_ms())};
+        std::sort(suspect.causes.begin(), suspect.causes.end()); // lookups rely on the order, whatever the sender did
+        crash.suspects.push_back(std::move(suspect));
+    }
+    return crash;
+}
+
+} // namespace
+
 TargetHash targetHash(std::string_view id) noexcept
 {
     const std::uint64_t hash = fingerprintOf(id);
@@ -33,10 +71,8 @@
             entry.add_tokens(static_cast<std::uint32_t>(block.tokens));
         }
     }
-    for (const auto &[fingerprint, losses] : update.losses) {
-        wire::PeerLoss &entry = *message.add_losses();
-        entry.set_fingerprint(fingerprint);
-        entry.set_losses(losses);
+    for (const CrashReport &crash : update.crashes) {
+        encodeCrash(crash, *message.add_crashes());
     }
     for (const auto &[window, totals] : update.usage) {
         wire::PeerUsage &entry = *message.add_usage();
@@ -76,8 +112,8 @@
         }
         update.routedBlocks.push_back(std::move(routed));
     }
-    for (const wire::PeerLoss &entry : message.losses()) {
-        update.losses[entry.fingerprint()] = entry.losses();
+    for (const wire::PeerCrash &entry : message.crashes()) {
+        update.crashes.push_back(decodeCrash(entry));
     }
     for (const wire::PeerUsage &entry : message.usage()) {
         UsageByWorkspace &totals = update.usage[entry.window()];
--- a/src/process/src/targetregistry.cpp
+++ b/src/process/src/targetregistry.cpp
@@ -1,5 +1,7 @@
 #include "targetregistryshard.h"
 
+#include <request/estimate.h>
+
 #include <algorithm>
 #include <mutex>
 #include <utility>
@@ -53,7 +55,7 @@
 
 template<typename Target> TargetRef makeTargetRef(const Target &target)
 {
-    return {target.entry.group, target.entry.id, target.endpoint, target.entry.failureDomain};
+    return {target.entry.group, target.entry.id, target.endpoint, target.entry.failureDomain, target.run};
 }
 
 /** Records blocks that a target will cache. Peer updates carry the blocks of long prompts, and for short ones only the number of tokens. */
@@ -149,6 +151,7 @@
     }
     target.entry = entry;
     target.hash = targetHash(entry.id);
+    target.run = fingerprintOf(std::to_string(entry.startTimeMs), fingerprintOf(entry.id));
     target.endpoint = *endpoint;
     return changed;
 }
--- a/src/process/src/targetregistryshard.h
+++ b/src/process/src/targetregistryshard.h
@@ -26,6 +26,7 @@
 {
     TargetEntry entry;
     TargetHash hash = 0;
+    std::uint64_t run = 0; //!< hash of id and start time
     Endpoint endpoint;
     bool replaced = false; //!< another run of a target holds the address, or the target takes no more work
     EngineRole orderedRole = EngineRole::Mixed; //!< of the last role change
--- a/src/request/include/request/directrequest.h
+++ b/src/request/include/request/directrequest.h
@@ -12,6 +12,13 @@
 namespace snipehill
 {
 
+/** A block of a prompt, identified without the blocks before it. */
+struct PromptPart
+{
+    std::string name; //!< as the caller sent it
+    std::uint64_t hash = 0; //!< of the model and the name
+};
+
 /** A caller's request, parsed by the platform adapter. Not modified while it is served. */
 struct IncomingRequest
 {
@@ -25,6 +32,7 @@
     std::uint64_t promptTokens = 0; //!< 0 if the request has no prompt
     std::uint64_t outputTokens = 0; //!< upper bound of the output
     std::vector<PrefixBlock> prefixBlocks; //!< blocks of the prompt, in order
+    std::vector<PromptPart> promptParts; //!< the same blocks; the last one belongs to this request or to its session
     std::string lastEventId; //!< the event stream resumes after this event; empty to start at the first event
     std::vector<std::pair<std::string, std::string>> headers; //!< forwarded unchanged
     std::string body;
--- /dev/null
+++ b/src/request/src/crashevidence.cpp
@@ -0,0 +1,363 @@
+#include <request/crashevidence.h>
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+#include <optional>
+#include <tuple>
+#include <utility>
+
+namespace snipehill
+{
+
+namespace
+{
+
+constexpr std::size_t runsPerVerdict = 8; // more than certainCrashes, so that an entry that learns only these is as certain
+constexpr seconds repeatTime{30}; // crashes without a verdict are repeated to other entries for this time; a verdict takes seconds
+constexpr seconds neededStep{1}; // smaller differences of lastNeeded may come from the transit of a report
+
+/** What the crashes that are not explained yet say about one cause. */
+struct Tally
+{
+    std::uint32_t independent = 0;
+    std::uint32_t runs = 0;
+    std::uint32_t requests = 0;
+    TimePoint lastCounted{};
+};
+
+using OpenCrash = std::pair<TargetRunHash, const CrashRecord *>;
+using Tallies = std::unordered_map<CrashCause, Tally>;
+
+CrashRecord &recordFor(CrashEvidence &evidence, TargetRunHash run, const CrashEvidenceSettings &settings, TimePoint time)
+{
+    const auto [found, added] = evidence.crashes.try_emplace(run);
+    CrashRecord &record = found->second;
+    if (added) {
+        record.time = time;
+        record.lastNeeded = time;
+    }
+    while (evidence.crashes.size() > settings.maxCrashes) {
+        auto oldest = evidence.crashes.end();
+        for (auto crash = evidence.crashes.begin(); crash != evidence.crashes.end(); ++crash) {
+            if (crash != found && (oldest == evidence.crashes.end() || crash->second.lastNeeded < oldest->second.lastNeeded)) {
+                oldest = crash;
+            }
+        }
+        evidence.crashes.erase(oldest);
+    }
+    return record;
+}
+
+std::optional<TimePoint> lastSound(const CrashEvidence &evidence, CrashCause cause)
+{
+    for (const auto *times : {&evidence.sound, &evidence.olderSound}) {
+        const auto found = times->find(cause);
+        if (found != times->end()) {
+            return found->second;
+        }
+    }
+    return std::nullopt;
+}
+
+/** Adds a suspect; returns whether the record changed. */
+bool addSuspect(CrashEvidence &evidence, CrashRecord &record, const CrashSuspect &suspect, const CrashEvidenceSettings &settings)
+{
+    const auto known = record.suspects.find(suspect.causes);
+    if (known != record.suspects.end()) {
+        const bool shorter = suspect.sentBefore < known->second;
+        known->second = std::min(known->second, suspect.sentBefore);
+        return shorter;
+    }
+    if (record.suspects.size() >= settings.maxSuspectsPerCrash || suspect.causes.empty()) {
+        return false;
+    }
+    record.suspects.emplace(suspect.causes, suspect.sentBefore);
+    for (const CrashCause cause : suspect.causes) {
+        const auto began = lastSound(evidence, cause);
+        if (began && *began > record.time) {
+            record.cleared.insert(cause);
+        }
+    }
+    return true;
+}
+
+bool hasCause(const CrashRecord &record, CrashCause cause)
+{
+    return std::any_of(record.suspects.begin(), record.suspects.end(), [cause](const auto &suspect) {
+        return std::binary_search(suspect.first.begin(), suspect.first.end(), cause);
+    });
+}
+
+/** Clears a cause of the crashes before a time; returns their number. */
+std::size_t clearBefore(CrashEvidence &evidence, CrashCause cause, TimePoint began, const CrashEvidenceSettings &settings)
+{
+    std::size_t cleared = 0;
+    for (auto &[run, record] : evidence.crashes) {
+        if (record.time < began && !record.cleared.contains(cause) && hasCause(record, cause)) {
+            record.cleared.insert(cause);
+            record.unsentUpdates = settings.sendsPerChange;
+            evidence.changed = true;
+            ++cleared;
+        }
+    }
+    return cleared;
+}
+
+/** Counts a crash for the causes of its suspects. */
+void countCrash(Tallies &tallies, const CrashRecord &record)
+{
+    std::map<CrashCause, Duration> latest; // shortest time from sending to the crash
+    for (const auto &[causes, sentBefore] : record.suspects) {
+        for (const CrashCause cause : causes) {
+            if (!record.cleared.contains(cause)) {
+                const auto found = latest.try_emplace(cause, sentBefore).first;
+                found->second = std::min(found->second, sentBefore);
+                ++tallies[cause].requests;
+            }
+        }
+    }
+    for (const auto &[cause, sentBefore] : latest) {
+        Tally &tally = tallies[cause];
+        if (tally.runs == 0 || record.time - sentBefore > tally.lastCounted) {
+            ++tally.independent;
+            tally.lastCounted = record.time;
+        }
+        ++tally.runs;
+    }
+}
+
+Tallies tally(const std::vector<OpenCrash> &crashes)
+{
+    Tallies tallies;
+    for (const auto &[run, record] : crashes) {
+        countCrash(tallies, *record);
+    }
+    return tallies;
+}
+
+/** The cause that explains most crashes; of several, the one with fewest requests, as its presence is the least likely by chance. */
+Tallies::const_iterator mostLikely(const Tallies &tallies)
+{
+    const auto rank = [](const Tallies::value_type &item) {
+        return std::make_tuple(item.second.independent, item.second.runs, std::numeric_limits<std::uint32_t>::max() - item.second.requests, item.first);
+    };
+    return std::max_element(tallies.begin(), tallies.end(), [&rank](const auto &left, const auto &right) {
+        return rank(left) < rank(right);
+    });
+}
+
+bool explains(const CrashRecord &record, CrashCause cause)
+{
+    return !record.cleared.contains(cause) && hasCause(record, cause);
+}
+
+/** Causes that stand beside the given one in some request in each of the crashes that it explains, itself included. */
+std::vector<CrashCause> companionsOf(CrashCause cause, const std::vector<OpenCrash> &crashes)
+{
+    std::optional<std::set<CrashCause>> common;
+    for (const auto &[run, record] : crashes) {
+        if (!explains(*record, cause)) {
+            continue;
+        }
+        std::set<CrashCause> beside;
+        for (const auto &[causes, sentBefore] : record->suspects) {
+            if (std::binary_search(causes.begin(), causes.end(), cause)) {
+                beside.insert(causes.begin(), causes.end());
+            }
+        }
+        std::erase_if(beside, [&](CrashCause other) {
+            return record->cleared.contains(other) || (common && !common->contains(other));
+        });
+        common = std::move(beside);
+    }
+    return common ? std::vector<CrashCause>(common->begin(), common->end()) : std::vector<CrashCause>();
+}
+
+/** Blocks a cause and removes the crashes that it explains from the open ones. */
+BlockedCauses blockCause(CrashCause cause, const Tally &counted, std::vector<OpenCrash> &crashes, const CrashEvidenceSettings &settings)
+{
+    BlockedCauses blocked{.causes = companionsOf(cause, crashes), .crashes = counted.independent, .lostRuns = counted.runs};
+    blocked.certain = counted.runs >= settings.certainCrashes;
+    std::vector<TargetRunHash> dependent;
+    Tallies tallies;
+    std::vector<OpenCrash> open;
+    for (const OpenCrash &crash : crashes) {
+        if (!explains(*crash.second, cause)) {
+            open.push_back(crash);
+            continue;
+        }
+        const std::uint32_t before = tallies[cause].independent;
+        countCrash(tallies, *crash.second);
+        (tallies[cause].independent > before ? blocked.runs : dependent).push_back(crash.first);
+        blocked.lastCrash = crash.second->time;
+    }
+    crashes = std::move(open);
+    std::move(dependent.begin(), dependent.end(), std::back_inserter(blocked.runs));
+    blocked.runs.resize(std::min(blocked.runs.size(), runsPerVerdict));
+    return blocked;
+}
+
+CrashReport reportOf(TargetRunHash run, const CrashRecord &record, TimePoint now)
+{
+    CrashReport report{.run = run,
+                       .age = std::chrono::duration_cast<milliseconds>(now - record.time),
+                       .unneeded = std::chrono::duration_cast<milliseconds>(now - record.lastNeeded)};
+    for (const auto &[causes, sentBefore] : record.suspects) {
+        report.suspects.push_back({causes, sentBefore});
+    }
+    report.cleared.assign(record.cleared.begin(), record.cleared.end());
+    return report;
+}
+
+/** Whether entries that missed the changes of a crash still need it. */
+bool isWorthRepeating(const CrashEvidence &evidence, TargetRunHash run, const CrashRecord &record, TimePoint now)
+{
+    return now - record.time < repeatTime || std::any_of(evidence.blocked.begin(), evidence.blocked.end(), [run](const BlockedCauses &blocked) {
+               return std::find(blocked.runs.begin(), blocked.runs.end(), run) != blocked.runs.end();
+           });
+}
+
+} // namespace
+
+void recordCrash(CrashEvidence &evidence, TargetRunHash run, const CrashSuspect &suspect, const CrashEvidenceSettings &settings, TimePoint now)
+{
+    CrashRecord &record = recordFor(evidence, run, settings, now);
+    if (addSuspect(evidence, record, suspect, settings)) {
+        record.unsentUpdates = settings.sendsPerChange;
+        evidence.changed = true;
+    }
+}
+
+void recordSound(CrashEvidence &evidence, std::span<const CrashCause> causes, TimePoint began, const CrashEvidenceSettings &settings)
+{
+    if (evidence.sound.size() >= settings.maxSoundCauses / 2) {
+        evidence.olderSound = std::exchange(evidence.sound, {});
+    }
+    for (const CrashCause cause : causes) {
+        TimePoint &latest = evidence.sound[cause];
+        latest = std::max(latest, began);
+        clearBefore(evidence, cause, began, settings);
+    }
+}
+
+bool releaseCause(CrashEvidence &evidence, CrashCause cause, const CrashEvidenceSettings &settings, TimePoint now)
+{
+    return clearBefore(evidence, cause, now, settings) > 0;
+}
+
+void mergeCrashReport(CrashEvidence &evidence, const CrashReport &report, const CrashEvidenceSettings &settings, TimePoint now)
+{
+    if (report.unneeded > settings.retention) {
+        return;
+    }
+    const TimePoint time = now - report.age;
+    CrashRecord &record = recordFor(evidence, report.run, settings, time);
+    bool changed = time + neededStep < record.time;
+    record.time = std::min(record.time, time);
+    if (now - report.unneeded > record.lastNeeded + neededStep) {
+        record.lastNeeded = now - report.unneeded;
+    }
+    for (const CrashSuspect &suspect : report.suspects) {
+        changed = addSuspect(evidence, record, suspect, settings) || changed;
+    }
+    for (const CrashCause cause : report.cleared) {
+        changed = record.cleared.insert(cause).second || changed;
+    }
+    evidence.changed = evidence.changed || changed;
+}
+
+std::vector<CrashReport> takeCrashReports(CrashEvidence &evidence, const CrashEvidenceSettings &settings, TimePoint now)
+{
+    std::vector<CrashReport> reports;
+    for (auto &[run, record] : evidence.crashes) {
+        if (record.unsentUpdates > 0) {
+            --record.unsentUpdates;
+            reports.push_back(reportOf(run, record, now));
+        }
+    }
+    auto crash = evidence.crashes.lower_bound(evidence.nextReport);
+    std::size_t repeated = 0;
+    for (std::size_t i = 0; i < evidence.crashes.size() && repeated < settings.crashesPerUpdate; ++i) {
+        if (crash == evidence.crashes.end()) {
+            crash = evidence.crashes.begin();
+        }
+        if (isWorthRepeating(evidence, crash->first, crash->second, now)) {
+            ++repeated;
+            reports.push_back(reportOf(crash->first, crash->second, now));
+        }
+        ++crash;
+    }
+    evidence.nextReport = crash == evidence.crashes.end() ? 0 : crash->first;
+    return reports;
+}
+
+void evaluateCrashes(CrashEvidence &evidence, const CrashEvidenceSettings &settings, TimePoint now)
+{
+    const std::size_t expired = std::erase_if(evidence.crashes, [&](const auto &crash) {
+        return now - crash.second.lastNeeded > settings.retention;
+    });
+    if (!std::exchange(evidence.changed, false) && expired == 0) {
+        return;
+    }
+    std::vector<OpenCrash> open;
+    for (const auto &[run, record] : evidence.crashes) {
+        open.emplace_back(run, &record);
+    }
+    std::sort(open.begin(), open.end(), [](const OpenCrash &left, const OpenCrash &right) {
+        return left.second->time < right.second->time;
+    });
+    evidence.blocked.clear();
+    evidence.unexplained.clear();
+    Tallies tallies = tally(open);
+    while (!tallies.empty()) {
+        const auto likely = mostLikely(tallies);
+        if (likely->second.independent < settings.minCrashes) {
+            break;
+        }
+        evidence.blocked.push_back(blockCause(likely->first, likely->second, open, settings));
+        tallies = tally(open);
+    }
+    for (const auto &[cause, counted] : tallies) {
+        evidence.unexplained[cause] = counted.independent;
+    }
+}
+
+const BlockedCauses *
+findBlocked(const CrashEvidence &evidence, std::span<const CrashCause> causes, const CrashEvidenceSettings &settings, TimePoint now) noexcept
+{
+    for (const BlockedCauses &blocked : evidence.blocked) {
+        const bool applies = blocked.certain || now - blocked.lastCrash < settings.probation;
+        if (applies && std::includes(causes.begin(), causes.end(), blocked.causes.begin(), blocked.causes.end())) {
+            return &blocked;
+        }
+    }
+    return nullptr;
+}
+
+void recordRefusal(CrashEvidence &evidence, const BlockedCauses &blocked, TimePoint now)
+{
+    for (const TargetRunHash run : blocked.runs) {
+        const auto crash = evidence.crashes.find(run);
+        if (crash != evidence.crashes.end()) {
+            crash->second.lastNeeded = std::max(crash->second.lastNeeded, now);
+        }
+    }
+}
+
+std::uint32_t suspicionOf(const CrashEvidence &evidence, std::span<const CrashCause> causes) noexcept
+{
+    std::uint32_t most = 0;
+    for (const CrashCause cause : causes) {
+        const auto found = evidence.unexplained.find(cause);
+        most = found == evidence.unexplained.end() ? most : std::max(most, found->second);
+    }
+    return most;
+}
+
+Duration blockedFor(const BlockedCauses &blocked, const CrashEvidenceSettings &settings, TimePoint now) noexcept
+{
+    return blocked.certain ? Duration(settings.retention) : std::max(Duration::zero(), blocked.lastCrash + settings.probation - now);
+}
+
+} // namespace snipehill
--- /dev/null
+++ b/src/serving/src/crashguard.cpp
@@ -0,0 +1,193 @@
+#include "crashguard.h"
+
+#include <process/log.h>
+#include <process/metrics.h>
+
+#include <json/writer.h>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace snipehill
+{
+
+namespace
+{
+
+std::string hexText(std::uint64_t value)
+{
+    std::array<char, 17> text{};
+    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(value));
+    return text.data();
+}
+
+bool containsCauses(const std::vector<BlockedCauses> &list, const BlockedCauses &blocked)
+{
+    return std::any_of(list.begin(), list.end(), [&blocked](const BlockedCauses &other) {
+        return other.causes == blocked.causes && other.certain == blocked.certain;
+    });
+}
+
+void logVerdict(const char *message, const BlockedCauses &blocked)
+{
+    logEvent(LogComponent::Entry,
+             LogLevel::Warning,
+             message,
+             {{"causes", toString(blocked.causes)}, {"crashes", blocked.crashes}, {"lostRuns", blocked.lostRuns}, {"certain", blocked.certain ? 1 : 0}});
+}
+
+} // namespace
+
+std::string toString(std::span<const CrashCause> causes)
+{
+    std::string text;
+    for (const CrashCause cause : causes) {
+        text += (text.empty() ? "" : ",") + hexText(cause);
+    }
+    return text;
+}
+
+void CrashGuard::evaluate(TimePoint now)
+{
+    if (!m_evidence.changed && m_evidence.crashes.empty()) {
+        return;
+    }
+    const std::vector<BlockedCauses> before = m_evidence.blocked;
+    evaluateCrashes(m_evidence, m_settings, now);
+    for (const BlockedCauses &blocked : m_evidence.blocked) {
+        if (!containsCauses(before, blocked)) {
+            processMetrics().count(Counter::CrashVerdicts, {"blocked"});
+            logVerdict("requests blocked", blocked);
+        }
+    }
+    for (const BlockedCauses &blocked : before) {
+        if (!containsCauses(m_evidence.blocked, blocked)) {
+            processMetrics().count(Counter::CrashVerdicts, {"released"});
+            logVerdict("block withdrawn", blocked);
+        }
+    }
+}
+
+bool CrashGuard::recordBroken(const TargetRef &target, const CrashSuspect &suspect, TimePoint now)
+{
+    const std::lock_guard lock(m_lock);
+    if (m_evidence.crashes.contains(target.run)) {
+        recordCrash(m_evidence, target.run, suspect, m_settings, now);
+        return false;
+    }
+    const auto [found, added] = m_unresolved.try_emplace(target.run, Unresolved{.noticed = now, .suspects = {}});
+    found->second.suspects.push_back(suspect);
+    return added;
+}
+
+void CrashGuard::resolve(const TargetRef &target, bool ended, TimePoint now)
+{
+    const std::lock_guard lock(m_lock);
+    const auto found = m_unresolved.find(target.run);
+    if (found == m_unresolved.end()) {
+        return;
+    }
+    const Unresolved unresolved = std::move(found->second);
+    m_unresolved.erase(found);
+    if (!ended) {
+        return;
+    }
+    for (const CrashSuspect &suspect : unresolved.suspects) {
+        recordCrash(m_evidence, target.run, suspect, m_settings, unresolved.noticed);
+    }
+    processMetrics().count(Counter::TargetCrashes);
+    evaluate(now);
+    std::uint32_t most = 0;
+    std::vector<CrashCause> mostSuspected;
+    for (const CrashSuspect &suspect : unresolved.suspects) {
+        for (const CrashCause cause : suspect.causes) {
+            const std::uint32_t crashes = suspicionOf(m_evidence, {&cause, 1});
+            if (crashes > most) {
+                most = crashes;
+                mostSuspected.clear();
+            }
+            if (crashes == most && crashes > 0 && std::find(mostSuspected.begin(), mostSuspected.end(), cause) == mostSuspected.end()) {
+                mostSuspected.push_back(cause);
+            }
+        }
+    }
+    constexpr std::size_t maxLoggedCauses = 8;
+    mostSuspected.resize(std::min(mostSuspected.size(), maxLoggedCauses));
+    logEvent(LogComponent::Entry,
+             LogLevel::Warning,
+             "target ended with requests on it",
+             {{"target", target.id},
+              {"run", hexText(target.run)},
+              {"requests", unresolved.suspects.size()},
+              {"unexplained", most},
+              {"mostSuspected", toString(mostSuspected)}});
+}
+
+void CrashGuard::recordSound(std::span<const CrashCause> causes, TimePoint began)
+{
+    const std::lock_guard lock(m_lock);
+    snipehill::recordSound(m_evidence, causes, began, m_settings);
+}
+
+std::optional<CrashBlock> CrashGuard::findBlock(std::span<const CrashCause> causes, TimePoint now)
+{
+    const std::lock_guard lock(m_lock);
+    evaluate(now);
+    const BlockedCauses *blocked = findBlocked(m_evidence, causes, m_settings, now);
+    if (!blocked) {
+        return std::nullopt;
+    }
+    recordRefusal(m_evidence, *blocked, now);
+    return CrashBlock{blocked->causes, blocked->lostRuns, blockedFor(*blocked, m_settings, now)};
+}
+
+bool CrashGuard::isSuspect(std::span<const CrashCause> causes, TimePoint now)
+{
+    const std::lock_guard lock(m_lock);
+    evaluate(now);
+    return suspicionOf(m_evidence, causes) + 1 >= m_settings.minCrashes;
+}
+
+bool CrashGuard::release(CrashCause cause, TimePoint now)
+{
+    const std::lock_guard lock(m_lock);
+    const bool released = releaseCause(m_evidence, cause, m_settings, now);
+    evaluate(now);
+    return released;
+}
+
+std::string CrashGuard::blockedAsJson(TimePoint now)
+{
+    const std::lock_guard lock(m_lock);
+    evaluate(now);
+    Json::Value list(Json::arrayValue);
+    for (const BlockedCauses &blocked : m_evidence.blocked) {
+        Json::Value item;
+        for (const CrashCause cause : blocked.causes) {
+            item["causes"].append(hexText(cause));
+        }
+        item["crashes"] = blocked.crashes;
+        item["lostRuns"] = blocked.lostRuns;
+        item["certain"] = blocked.certain;
+        item["secondsSinceCrash"] = Json::Int64(std::chrono::duration_cast<seconds>(now - blocked.lastCrash).count());
+        list.append(std::move(item));
+    }
+    return Json::writeString(Json::StreamWriterBuilder(), list) + "\n";
+}
+
+std::vector<CrashReport> CrashGuard::takeReports(TimePoint now)
+{
+    const std::lock_guard lock(m_lock);
+    evaluate(now);
+    return takeCrashReports(m_evidence, m_settings, now);
+}
+
+void CrashGuard::mergeReports(std::span<const CrashReport> reports, TimePoint now)
+{
+    const std::lock_guard lock(m_lock);
+    for (const CrashReport &report : reports) {
+        mergeCrashReport(m_evidence, report, m_settings, now);
+    }
+}
+
+} // namespace snipehill
--- a/src/serving/src/directcall.cpp
+++ b/src/serving/src/directcall.cpp
@@ -78,7 +78,9 @@
         co_return false;
     }
     request.context.usage.count(request.workspace);
-    request.context.crashes.clearLosses(request.fingerprint);
+    if (!exchange.connection->endsWithConnection()) {
+        request.context.crashes.recordSound(request.causes, exchange.sent);
+    }
     const TargetResponse head = exchange.response;
     finishExchange(request, exchange);
     if (promisesNotRun(head.status)) {
@@ -106,6 +108,9 @@
     if (progress.unreachableTargets > maxUnreachableTargets) {
         return RetryDenial::PlacementsUsed;
     }
+    if (mayCrashTargets(request)) {
+        return RetryDenial::CrashSuspect;
+    }
     if (request.sendCount + pendingSends == sendsBefore) {
         return RetryDenial::None; // no target received the request, so this is not a retry
     }
@@ -149,7 +154,9 @@
     if (!mayRepeat(*request.route)) {
         limits.maxIdle = nonRepeatableMaxIdle;
     }
-    co_return co_await sendToTarget(request, target, platform::buildTargetRequest(request.caller, headers), limits, exchange, reason);
+    const SendResult result = co_await sendToTarget(request, target, platform::buildTargetRequest(request.caller, headers), limits, exchange, reason);
+    exchange.mayRun = true;
+    co_return result;
 }
 
 /** Chooses another target for the call of a silent one and takes the retry from the budget; false if that is not possible now. */
@@ -179,15 +186,6 @@
     return run.next.has_value();
 }
 
-/** Records that a call got no response: the loss of the target if its connection broke, else what the silence tells. */
-void recordBrokenCall(DirectRequest &request, const DirectExchange &exchange, SendResult result, const Reason &reason)
-{
-    if (result == SendResult::OutcomeUnknown && exchange.result == ConnectionResult::Broken) {
-        request.context.crashes.recordLoss(request.fingerprint, Clock::now());
-    }
-    recordFailedExchange(request, exchange, result, reason);
-}
-
 /** Asks another target to take over from a silent one; true if it responds without an error of its own. */
 asio::awaitable<bool> askOtherTarget(CallRun &run, DirectExchange &next)
 {
@@ -216,7 +214,7 @@
     if (result == SendResult::ResponseReceived) {
         recordTargetResponse(request, next);
     } else {
-        recordBrokenCall(request, next, result, reason);
+        recordFailedExchange(request, next, result, reason);
     }
     releaseNext(run);
     co_return false;
@@ -240,7 +238,7 @@
     const DirectExchange first = endedCopy(run.exchange);
     if ((result != SendResult::ResponseReceived || handover.isAccepted()) && co_await handover.settle()) {
         if (first.result == ConnectionResult::Broken) {
-            recordBrokenCall(request, first, result, progress.reason);
+            recordFailedExchange(request, first, result, progress.reason);
         }
         ++request.sendCount; // of the silent target
         request.mayHaveRun = true;
@@ -257,7 +255,7 @@
         ++request.sendCount;
         request.mayHaveRun = true;
     }
-    recordBrokenCall(request, run.exchange, result, progress.reason);
+    recordFailedExchange(request, run.exchange, result, progress.reason);
     co_return false;
 }
 
--- a/src/serving/src/directcontext.h
+++ b/src/serving/src/directcontext.h
@@ -1,14 +1,16 @@
 #pragma once
 
+#include "crashguard.h"
 #include "targetconnectionpool.h"
 
 #include <process/directsettings.h>
 #include <process/routingholder.h>
 #include <process/targetregistry.h>
 #include <process/usagecounter.h>
-#include <request/crashcounter.h>
 #include <request/retrybudget.h>
 
+#include <boost/asio/any_io_executor.hpp>
+
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -68,49 +70,6 @@
     std::size_t m_entryCount = 8; //!< used until peers are known; more than the usual initial size of a deployment
 };
 
-/** Counts target losses by request fingerprint and blocks requests that repeatedly crash targets. Thread-safe. */
-class CrashGuard
-{
-public:
-    /** Counts the loss of a target that was running a request with this fingerprint; returns the losses so far. */
-    std::uint32_t recordLoss(std::uint64_t fingerprint, TimePoint now)
-    {
-        const std::lock_guard lock(m_lock);
-        const std::uint32_t losses = snipehill::recordLoss(m_counter, fingerprint, m_settings, now);
-        m_unsentLosses[fingerprint] = losses;
-        return losses;
-    }
-    /** Merges the loss count reported by another entry. */
-    void mergePeerLosses(std::uint64_t fingerprint, std::uint32_t losses, TimePoint now)
-    {
-        const std::lock_guard lock(m_lock);
-        snipehill::mergePeerLosses(m_counter, fingerprint, losses, m_settings, now);
-    }
-    /** Returns the losses recorded since the last call, to be sent to the other entries. */
-    std::map<std::uint64_t, std::uint32_t> takeOwnLosses()
-    {
-        const std::lock_guard lock(m_lock);
-        return std::exchange(m_unsentLosses, {});
-    }
-    /** Resets the losses of this fingerprint, after a request with it ran without crashing its target. */
-    void clearLosses(std::uint64_t fingerprint)
-    {
-        const std::lock_guard lock(m_lock);
-        snipehill::clearLosses(m_counter, fingerprint);
-    }
-    bool isBlocked(std::uint64_t fingerprint, TimePoint now)
-    {
-        const std::lock_guard lock(m_lock);
-        return snipehill::isBlocked(m_counter, fingerprint, m_settings, now);
-    }
-
-private:
-    const CrashCounterSettings m_settings{};
-    std::mutex m_lock;
-    CrashCounter m_counter;
-    std::map<std::uint64_t, std::uint32_t> m_unsentLosses;
-};
-
 struct DirectRequest;
 
 /** Requests that this entry is serving, so that they can be ended before the process, and named if they are cut by its end. Thread-safe. */
@@ -184,6 +143,7 @@
     CrashGuard &crashes;
     UsageCounter &usage;
     ActiveRequests &activeRequests;
+    boost::asio::any_io_executor executor; //!< of the requests; for work that may outlive one
 };
 
 } // namespace snipehill
--- a/src/serving/src/directentry.cpp
+++ b/src/serving/src/directentry.cpp
@@ -93,7 +93,7 @@
         , targets(registrySettings(settings))
         , budgets(settings)
         , usage({settings.instance, randomId()}, settings.usageWindow)
-        , requestContext{settings, routing, targets, connections, budgets, crashes, usage, activeRequests}
+        , requestContext{settings, routing, targets, connections, budgets, crashes, usage, activeRequests, serving.get_executor()}
         , watchContext{settings,
                        store,
                        routing,
--- a/src/serving/src/directexchange.cpp
+++ b/src/serving/src/directexchange.cpp
@@ -3,6 +3,8 @@
 #include <platform/messages.h>
 #include <process/metrics.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 
 namespace snipehill
@@ -17,6 +19,8 @@
 constexpr milliseconds defaultIdleTimeout{4000}; // if the target sends no keep-alive time; shorter than usual idle limits
 constexpr milliseconds idleMargin{1000}; // avoids sending a request while the target closes the connection
 constexpr milliseconds minFailureSilence{1000}; // sound targets are rarely silent for longer
+constexpr int maxCrashProbes = 4; // connections that are reset after these are due to a limit of the target
+constexpr milliseconds crashProbeTime{30}; // an ending process closes its sockets within this time
 constexpr std::size_t maxBufferedBodyBytes = 32U << 20U;
 
 void removeActive(DirectRequest &request, const DirectExchange &exchange)
@@ -45,6 +49,23 @@
     co_return false;
 }
 
+/** Finds out whether a target with a broken connection has ended. */
+asio::awaitable<void> resolveCrash(CrashGuard &crashes, TargetRef target)
+{
+    bool ended = false;
+    bool alive = false;
+    for (int probe = 0; probe < maxCrashProbes && !ended && !alive; ++probe) {
+        HttpConnection connection(co_await asio::this_coro::executor);
+        Reason ignored; // a target that can't be reached for another reason is not known to have ended
+        const bool connected = co_await connection.connect(target.endpoint, targetConnectTimeout, ignored);
+        ended = !connected && connection.wasRefused();
+        // A process that is ending may still take connections for a moment and then reset them.
+        alive = connected && co_await connection.staysOpen(crashProbeTime);
+        connection.abort();
+    }
+    crashes.resolve(target, ended, Clock::now());
+}
+
 } // namespace
 
 asio::awaitable<SendResult>
@@ -71,6 +92,7 @@
     }
     logRequest(request, LogLevel::Info, "sent", {{"target", target.id}, {"address", toString(target.endpoint)}, {"kept", reused ? 1 : 0}});
     exchange.lastHeard = Clock::now();
+    exchange.sent = exchange.lastHeard;
     const milliseconds headTimeout = std::min(limits.headTimeout, remainingTime(request)); // connecting has taken part of it
     const TimePoint until = exchange.lastHeard + headTimeout;
     const bool answered = co_await exchange.connection->send(message, headTimeout, reason) && co_await readMatchingHead(request, exchange, until, reason);
@@ -86,6 +108,7 @@
     auto piece = co_await exchange.connection->readSome(remainingTime(request), reason);
     if (piece) {
         exchange.lastHeard = Clock::now();
+        exchange.firstEvent = exchange.firstEvent == TimePoint{} ? exchange.lastHeard : exchange.firstEvent;
     }
     co_return piece;
 }
@@ -123,7 +146,12 @@
 
 DirectExchange endedCopy(const DirectExchange &exchange)
 {
-    return {.target = exchange.target, .lastHeard = exchange.lastHeard, .result = exchange.result};
+    return {.target = exchange.target,
+            .sent = exchange.sent,
+            .firstEvent = exchange.firstEvent,
+            .mayRun = exchange.mayRun,
+            .lastHeard = exchange.lastHeard,
+            .result = exchange.result};
 }
 
 void abortExchange(DirectRequest &request, DirectExchange &exchange)
@@ -136,6 +164,19 @@
     }
 }
 
+void recordPossibleCrash(DirectRequest &request, const DirectExchange &exchange)
+{
+    const TimePoint now = Clock::now();
+    const bool pastStart = exchange.firstEvent != TimePoint{} && now - exchange.firstEvent > CrashEvidenceSettings().suspectTime;
+    // The end of a target that leaves as planned breaks its connections too.
+    if (!exchange.mayRun || pastStart || !request.context.targets.acceptsWork(exchange.target)) {
+        return;
+    }
+    if (request.context.crashes.recordBroken(exchange.target, {request.causes, now - exchange.sent}, now)) {
+        asio::co_spawn(request.context.executor, resolveCrash(request.context.crashes, exchange.target), asio::detached);
+    }
+}
+
 void recordTargetResponse(DirectRequest &request, const DirectExchange &exchange)
 {
     std::optional<ReportedLoad> load;
@@ -155,6 +196,9 @@
 
 void recordFailedExchange(DirectRequest &request, const DirectExchange &exchange, SendResult result, const Reason &reason)
 {
+    if (result == SendResult::OutcomeUnknown && exchange.result == ConnectionResult::Broken) {
+        recordPossibleCrash(request, exchange);
+    }
     if (request.exchange.isDisconnected()) {
         return;
     }
--- a/src/serving/src/directexchange.h
+++ b/src/serving/src/directexchange.h
@@ -18,6 +18,9 @@
     TargetRef target;
     HttpConnectionPointer connection;
     TargetResponse response;
+    TimePoint sent{}; //!< time of the send
+    TimePoint firstEvent{}; //!< time of the first part of the body; unset before
+    bool mayRun = false; //!< the target runs the request, it does not only prefill the prompt
     TimePoint lastHeard{}; //!< latest time at which the target sent something; the time of the connect or send before that
     ConnectionResult result = ConnectionResult::Success; //!< of a connection that was closed
 };
@@ -51,6 +54,9 @@
 /** Target and result of an exchange that was aborted, without its connection. */
 DirectExchange endedCopy(const DirectExchange &exchange);
 
+/** Makes the request a suspect if its target turns out to have ended. No-op if the response had been flowing for a while. */
+void recordPossibleCrash(DirectRequest &request, const DirectExchange &exchange);
+
 /** Records that the target is alive, and the load it reported. */
 void recordTargetResponse(DirectRequest &request, const DirectExchange &exchange);
 
--- a/src/serving/src/directpeers.cpp
+++ b/src/serving/src/directpeers.cpp
@@ -180,9 +180,7 @@
             logEvent(LogComponent::Roles, LogLevel::Info, "engine role change announced", {{"target", engine}, {"toldBy", update->sender.instance}});
         }
         applyPeerUsage(exchange->context.counts, *update, now);
-        for (const auto &[fingerprint, losses] : update->losses) {
-            exchange->context.crashes.mergePeerLosses(fingerprint, losses, now);
-        }
+        exchange->context.crashes.mergeReports(update->crashes, now);
     }
 }
 
@@ -192,7 +190,7 @@
     const TimePoint now = Clock::now();
     PeerUpdate update{.sender = exchange.context.usage.self()};
     exchange.context.targets.fillPeerUpdate(update, now);
-    update.losses = exchange.context.crashes.takeOwnLosses();
+    update.crashes = exchange.context.crashes.takeReports(now);
     if (now - exchange.lastUsageSent >= usageInterval) {
         exchange.lastUsageSent = now;
         addUnpublishedUsage(exchange.context.usage, update);
--- a/src/serving/src/directrequest.cpp
+++ b/src/serving/src/directrequest.cpp
@@ -4,6 +4,7 @@
 #include <process/metrics.h>
 #include <request/estimate.h>
 
+#include <algorithm>
 #include <cmath>
 #include <random>
 
@@ -111,7 +112,8 @@
                 {"detail", refusal.reason.detail},
                 {"retryAfterMs", refusal.retryAfter.count()},
                 {"configVersion", request.routing ? request.routing->version : 0}});
-    std::string body = std::string(R"({"outcome":")") + outcome + R"(","step":")" + toString(refusal.reason.step) + "\"}";
+    std::string body = std::string(R"({"outcome":")") + outcome + R"(","step":")" + toString(refusal.reason.step) + "\"";
+    body += refusal.explanation.empty() ? "}" : R"(,"detail":")" + refusal.explanation + "\"}";
     co_await request.exchange.respond(refusal.status, std::move(headers), std::move(body));
     recordOutcome(request, outcome, refusal.status);
 }
@@ -197,9 +199,27 @@
     request.group = known == request.routing->groups.end() ? &noGroup : &known->second;
     request.deadline = request.received + std::min(request.caller.deadline.value_or(request.route->timeout), request.route->timeout);
     request.fingerprint = fingerprintOf(request.caller.body, fingerprintOf(request.workspace, fingerprintOf(request.caller.target)));
+    request.causes.push_back(request.fingerprint);
+    for (std::size_t i = 0; i + 1 < request.caller.promptParts.size(); ++i) {
+        request.causes.push_back(request.caller.promptParts[i].hash);
+    }
+    std::sort(request.causes.begin(), request.causes.end());
+    request.causes.erase(std::unique(request.causes.begin(), request.causes.end()), request.causes.end());
     request.context.budgets.recordRequest(request.group->name);
 }
 
+/** Names of the prompt parts of a request that are among the causes, for logs. */
+std::string partNames(const DirectRequest &request, const std::vector<CrashCause> &causes)
+{
+    std::string names;
+    for (const PromptPart &part : request.caller.promptParts) {
+        if (std::find(causes.begin(), causes.end(), part.hash) != causes.end()) {
+            names += (names.empty() ? "" : ",") + part.name;
+        }
+    }
+    return names;
+}
+
 } // namespace
 
 const char *toString(RetryDenial denial) noexcept
@@ -215,6 +235,8 @@
         return "placements";
     case RetryDenial::AttemptsUsed:
         return "attempts";
+    case RetryDenial::CrashSuspect:
+        return "crash_suspect";
     case RetryDenial::MustNotRepeat:
         return "not_repeatable";
     case RetryDenial::NoBudget:
@@ -225,6 +247,29 @@
     return "";
 }
 
+std::optional<DirectRefusal> refusalForCrashes(DirectRequest &request)
+{
+    const auto block = request.context.crashes.findBlock(request.causes, Clock::now());
+    if (!block) {
+        return std::nullopt;
+    }
+    processMetrics().count(Counter::CrashRefusals, {request.workspace});
+    logRequest(request,
+               LogLevel::Warning,
+               "blocked",
+               {{"causes", toString(block->causes)}, {"parts", partNames(request, block->causes)}, {"lostRuns", block->lostRuns}});
+    return DirectRefusal{.status = unavailable,
+                         .reason = {Step::Admit, "", "requests like this crash targets"},
+                         .retryAfter = timeUntil(TimePoint() + block->wait, TimePoint()),
+                         .explanation = "requests with this content have crashed " + std::to_string(block->lostRuns) + " targets and are not sent to others"};
+}
+
+bool mayCrashTargets(const DirectRequest &request)
+{
+    const TimePoint now = Clock::now();
+    return request.context.crashes.isSuspect(request.causes, now) || request.context.crashes.findBlock(request.causes, now);
+}
+
 void endUnanswered(const ActiveRequests &requests)
 {
     for (DirectRequest *request : requests.pointers()) {
@@ -260,9 +305,8 @@
         co_return;
     }
     prepare(request);
-    if (context.crashes.isBlocked(request.fingerprint, Clock::now())) {
-        const DirectRefusal refusal{unavailable, {Step::Admit, "", "requests like this took targets down"}, milliseconds(0)};
-        co_await refuse(request, refusal);
+    if (const auto refusal = refusalForCrashes(request)) {
+        co_await refuse(request, *refusal);
         co_return;
     }
     if (const auto refusal = refusalWhileDraining(request)) {
--- a/src/serving/src/directrequest.h
+++ b/src/serving/src/directrequest.h
@@ -27,7 +27,8 @@
     std::uint32_t priority = 0;
     TimePoint received{};
     TimePoint deadline{}; //!< time after which a response is of no use to the caller
-    std::uint64_t fingerprint = 0;
+    std::uint64_t fingerprint = 0; //!< of path, workspace and body
+    std::vector<CrashCause> causes; //!< what may crash a target: the fingerprint and the shared parts of the prompt, ascending
     std::vector<std::string> triedTargets; //!< ids of targets to avoid on retries
     std::uint32_t sendCount = 0; //!< sends that reached a target or may have reached it
     bool mayHaveRun = false;
@@ -40,6 +41,7 @@
     unsigned status = 503;
     Reason reason;
     milliseconds retryAfter{0}; //!< 0: no Retry-After header
+    std::string explanation{}; //!< for the caller, in the body
 };
 
 /** Why a request got no further attempt. */
@@ -49,6 +51,7 @@
     CallerLeft,
     PlacementsUsed, //!< the limit of placements or of unreachable targets is reached
     AttemptsUsed, //!< the limit of the route is reached
+    CrashSuspect, //!< targets ended under requests like it
     MustNotRepeat, //!< it may have run, and its route allows one run
     NoBudget, //!< the retry budget of the group is used up
     NoTarget, //!< no other target can take it in time
@@ -87,6 +90,12 @@
 /** Whether another target could still respond before the deadline. */
 bool hasTimeForRetry(const DirectRequest &request) noexcept;
 
+/** Refusal of a request that must not be sent because requests like it crash targets; empty if it may be sent. */
+std::optional<DirectRefusal> refusalForCrashes(DirectRequest &request);
+
+/** Whether a request whose target failed must not be sent to another one because it may be what crashes targets. */
+bool mayCrashTargets(const DirectRequest &request);
+
 /** Refusal for a request past its deadline: 504 if a target may have run it, else 503. */
 DirectRefusal timeoutRefusal(const DirectRequest &request);
 
--- a/src/serving/src/directstream.cpp
+++ b/src/serving/src/directstream.cpp
@@ -128,6 +128,13 @@
             request.context.targets.release(placed.run, Clock::now());
             co_return PlacementOutcome::NotRun;
         }
+        // The block may have come while the prompt was read.
+        if (const auto refusal = refusalForCrashes(request)) {
+            progress.reason = refusal->reason;
+            asio::co_spawn(co_await asio::this_coro::executor, releaseKvCache(placed.prefill->target.endpoint, *handle), asio::detached);
+            request.context.targets.release(placed.run, Clock::now());
+            co_return PlacementOutcome::NotRun;
+        }
         kvCacheRef = platform::formatKvCacheRef(placed.prefill->target.endpoint, *handle);
     }
     const PlacementOutcome outcome = co_await runOnEngine(request, placed, std::move(kvCacheRef), progress);
--- a/src/serving/src/streamrun.cpp
+++ b/src/serving/src/streamrun.cpp
@@ -119,6 +119,7 @@
     ExchangeLimits limits;
     limits.headTimeout = remainingTime(request);
     const SendResult result = co_await sendToTarget(request, engine, platform::buildTargetRequest(request.caller, headers), limits, exchange, reason);
+    exchange.mayRun = true;
     if (result == SendResult::NotSent) {
         recordFailedExchange(request, exchange, result, reason);
         co_return EngineReaction::NotRun;
@@ -182,15 +183,6 @@
     return run.next.has_value();
 }
 
-/** Records that an exchange ended before its head: the loss of the target if its connection broke, else what the silence tells. */
-void recordBrokenRun(DirectRequest &request, const DirectExchange &exchange, const Reason &reason)
-{
-    if (exchange.result == ConnectionResult::Broken) {
-        request.context.crashes.recordLoss(request.fingerprint, Clock::now());
-    }
-    recordFailedExchange(request, exchange, SendResult::OutcomeUnknown, reason);
-}
-
 /** Asks another engine to take over from a silent one; true if it has accepted. */
 asio::awaitable<bool> askOtherEngine(StreamRun &run, DirectExchange &next)
 {
@@ -211,7 +203,7 @@
         co_return true;
     }
     if (reaction == EngineReaction::Unknown) {
-        recordBrokenRun(request, next, reason);
+        recordFailedExchange(request, next, SendResult::OutcomeUnknown, reason);
     }
     request.triedTargets.push_back(run.next->run.target.id);
     releaseNext(run);
@@ -266,6 +258,12 @@
 asio::awaitable<PlacementOutcome> finishStream(StreamRun &run)
 {
     DirectRequest &request = run.request;
+    // A response without length or chunks ends in the same way if its engine crashes.
+    if (run.exchange.connection->endsWithConnection()) {
+        recordPossibleCrash(request, run.exchange);
+    } else if (run.exchange.firstEvent != TimePoint{}) {
+        request.context.crashes.recordSound(request.causes, run.exchange.firstEvent);
+    }
     finishExchange(request, run.exchange);
     logRequest(request,
                LogLevel::Info,
@@ -304,7 +302,6 @@
     DirectRequest &request = run.request;
     recordStart(request, run.progress);
     request.context.targets.finishPrefill(run.placed.run, Clock::now());
-    request.context.crashes.clearLosses(request.fingerprint);
     const auto took = std::chrono::duration_cast<milliseconds>(Clock::now() - request.received);
     logRequest(request, LogLevel::Info, "first event", {{"target", run.exchange.target.id}, {"ms", took.count()}});
 }
@@ -361,13 +358,13 @@
         const DirectExchange first = endedCopy(run.exchange);
         if (co_await handover.settle()) {
             if (first.result == ConnectionResult::Broken) {
-                recordBrokenRun(request, first, run.progress.reason);
+                recordFailedExchange(request, first, SendResult::OutcomeUnknown, run.progress.reason);
             }
             switchEngine(run);
         } else if (reaction == EngineReaction::NotRun) {
             co_return PlacementOutcome::NotRun;
         } else if (reaction == EngineReaction::Unknown) {
-            recordBrokenRun(request, run.exchange, run.progress.reason);
+            recordFailedExchange(request, run.exchange, SendResult::OutcomeUnknown, run.progress.reason);
             co_return PlacementOutcome::Interrupted;
         }
     }
@@ -409,6 +406,9 @@
     if (progress.placements >= maxPlacements) {
         return RetryDenial::PlacementsUsed;
     }
+    if (mayCrashTargets(request)) {
+        return RetryDenial::CrashSuspect;
+    }
     if (mayHaveRun && !mayRepeat(*request.route)) {
         return RetryDenial::MustNotRepeat;
     }
--- a/tests/process/usagecountertest.cpp
+++ b/tests/process/usagecountertest.cpp
@@ -74,7 +74,7 @@
     PeerUpdate update{.sender = second};
     update.loads[targetHash("t1")] = {milliseconds(120), 3};
     update.routedBlocks.push_back({targetHash("t1"), {{77, 9000}}});
-    update.losses[5] = 2;
+    update.crashes.push_back({.run = 5, .age = milliseconds(40), .unneeded = milliseconds(30), .suspects = {{{7, 9}, milliseconds(20)}}, .cleared = {9}});
     update.usage[4]["w"].requests = 9;
     update.openWindow = 5;
     const auto decoded = decodePeerUpdate(encodePeerUpdate(update), reason);
@@ -84,7 +84,14 @@
     CHECK(decoded->loads.at(targetHash("t1")).running == 3);
     REQUIRE(decoded->routedBlocks.size() == 1);
     CHECK(decoded->routedBlocks[0].blocks[0].tokens == 9000);
-    CHECK(decoded->losses.at(5) == 2);
+    REQUIRE(decoded->crashes.size() == 1);
+    CHECK(decoded->crashes[0].run == 5);
+    CHECK(decoded->crashes[0].age == milliseconds(40));
+    CHECK(decoded->crashes[0].unneeded == milliseconds(30));
+    REQUIRE(decoded->crashes[0].suspects.size() == 1);
+    CHECK(decoded->crashes[0].suspects[0].causes == std::vector<CrashCause>{7, 9});
+    CHECK(decoded->crashes[0].suspects[0].sentBefore == milliseconds(20));
+    CHECK(decoded->crashes[0].cleared == std::vector<CrashCause>{9});
     CHECK(decoded->usage.at(4).at("w").requests == 9);
     CHECK(decoded->openWindow == 5);
     CHECK(!decodePeerUpdate("no news", reason));
