--- a/src/request/src/crashevidence.cpp
+++ b/src/request/src/crashevidence.cpp
@@ -156,18 +156,19 @@
 std::vector<CrashCause> companionsOf(CrashCause cause, const std::vector<OpenCrash> &crashes)
 {
     std::optional<std::set<CrashCause>> common;
-    for (const auto &[run, record] : crashes) {
-        if (!explains(*record, cause)) {
+    for (const OpenCrash &crash : crashes) {
+        const CrashRecord &record = *crash.second;
+        if (!explains(record, cause)) {
             continue;
         }
         std::set<CrashCause> beside;
-        for (const auto &[causes, sentBefore] : record->suspects) {
+        for (const auto &[causes, sentBefore] : record.suspects) {
             if (std::binary_search(causes.begin(), causes.end(), cause)) {
                 beside.insert(causes.begin(), causes.end());
             }
         }
         std::erase_if(beside, [&](CrashCause other) {
-            return record->cleared.contains(other) || (common && !common->contains(other));
+            return record.cleared.contains(other) || (common && !common->contains(other));
         });
         common = std::move(beside);
     }
