Charge engines that are down neither to the retries nor to the placements of a request

What callers saw: beside the crashes, sound prompts were refused: 361 of 389 had no retry because the budget was empty, after 370 refused connections. Cause: each placement on an engine that refused the connection took a retry from the shared budget and one of four placements. Change: a placement is a retry only if an engine received the request, or did not accept its prefill; refused connections, which take milliseconds, don't count as placements, up to 32. Suspicion denies only sends that repeat one: a prompt that no engine has received may be placed. Why it works: the budget bounds arrivals at engines, and a refused connection is none.

--- a/src/serving/src/directcall.cpp
+++ b/src/serving/src/directcall.cpp
@@ -108,10 +108,11 @@
     if (progress.unreachableTargets > maxUnreachableTargets) {
         return RetryDenial::PlacementsUsed;
     }
-    if (mayCrashTargets(request)) {
+    const bool repeated = request.sendCount + pendingSends > sendsBefore;
+    if (mayCrashTargets(request, repeated)) {
         return RetryDenial::CrashSuspect;
     }
-    if (request.sendCount + pendingSends == sendsBefore) {
+    if (!repeated) {
         return RetryDenial::None; // no target received the request, so this is not a retry
     }
     if ((request.mayHaveRun || pendingSends > 0) && !mayRepeat(*request.route)) {
--- a/src/serving/src/directrequest.cpp
+++ b/src/serving/src/directrequest.cpp
@@ -264,10 +264,10 @@
                          .explanation = "requests with this content have crashed " + std::to_string(block->lostRuns) + " targets and are not sent to others"};
 }
 
-bool mayCrashTargets(const DirectRequest &request)
+bool mayCrashTargets(const DirectRequest &request, bool repeated)
 {
     const TimePoint now = Clock::now();
-    return request.context.crashes.isSuspect(request.causes, now) || request.context.crashes.findBlock(request.causes, now);
+    return (repeated && request.context.crashes.isSuspect(request.causes, now)) || request.context.crashes.findBlock(request.causes, now);
 }
 
 void endUnanswered(const ActiveRequests &requests)
--- a/src/serving/src/directrequest.h
+++ b/src/serving/src/directrequest.h
@@ -93,8 +93,12 @@
 /** Refusal of a request that must not be sent because requests like it crash targets; empty if it may be sent. */
 std::optional<DirectRefusal> refusalForCrashes(DirectRequest &request);
 
-/** Whether a request whose target failed must not be sent to another one because it may be what crashes targets. */
-bool mayCrashTargets(const DirectRequest &request);
+/**
+ * Whether a request must not be sent to another target because it may be what crashes them.
+ *
+ * @param repeated a target has received it already; a first send is only denied if the request is blocked
+ */
+bool mayCrashTargets(const DirectRequest &request, bool repeated);
 
 /** Refusal for a request past its deadline: 504 if a target may have run it, else 503. */
 DirectRefusal timeoutRefusal(const DirectRequest &request);
--- a/src/serving/src/directstream.cpp
+++ b/src/serving/src/directstream.cpp
@@ -40,9 +40,11 @@
 /** Gives up a silent prefill if the request may be placed once more; otherwise the prefill goes on. */
 bool giveUpSilentPrefill(DirectRequest &request, const DirectExchange &exchange, StreamProgress &progress)
 {
+    ++progress.countedPrefills; // the engine may still answer that it refuses
     progress.denial = decidePlacement(request, progress, 0);
     progress.retryGranted = progress.denial == RetryDenial::None;
     if (!progress.retryGranted) {
+        --progress.countedPrefills;
         return false;
     }
     progress.reason = {Step::RunOnTarget, exchange.target.id, "the prefill is silent"};
@@ -81,8 +83,11 @@
     co_await handover.stop();
     if (std::exchange(progress.retryGranted, false)) {
         request.context.budgets.giveBack(request.group->name); // the prefill ended by itself in the meantime
+        --progress.countedPrefills;
     }
     if (result != SendResult::ResponseReceived) {
+        progress.countedPrefills += result == SendResult::OutcomeUnknown ? 1 : 0;
+        progress.downEngines += result == SendResult::NotSent && exchange.result == ConnectionResult::Broken ? 1 : 0;
         recordFailedExchange(request, exchange, result, progress.reason);
         co_return std::nullopt;
     }
@@ -94,6 +99,7 @@
     const auto body = co_await readBody(request, exchange, progress.reason);
     finishExchange(request, exchange);
     if (!body || status != statusOk) {
+        ++progress.countedPrefills;
         request.context.targets.recordPromptRefused(prefillEngine, Clock::now());
         logRequest(request, LogLevel::Warning, "prefill failed", {{"target", prefillEngine.id}, {"status", status}});
         co_return std::nullopt;
--- a/src/serving/src/streamrun.cpp
+++ b/src/serving/src/streamrun.cpp
@@ -22,6 +22,7 @@
 constexpr int callerPatienceGaps = 8; // ... and this multiple of the gap goal
 constexpr double takeoverFraction = 0.7; // of the caller's patience; the rest is left for the other engine's first event
 constexpr std::uint32_t maxPlacements = 4; // placements of one request, regardless of remaining time and budget
+constexpr std::uint32_t maxDownEngines = 32; // engines that refused the connection, which takes a few ms, and don't count as placements
 constexpr unsigned misdirected = 421;
 constexpr unsigned statusOk = 200;
 
@@ -107,7 +108,7 @@
 
 /** Sends the request to the engine of the placement and waits for the head of the response. */
 asio::awaitable<EngineReaction>
-sendPrompt(DirectRequest &request, const PlacedPrompt &placed, std::string kvCacheRef, const StreamProgress &progress, Reason &reason, DirectExchange &exchange)
+sendPrompt(DirectRequest &request, const PlacedPrompt &placed, std::string kvCacheRef, StreamProgress &progress, Reason &reason, DirectExchange &exchange)
 {
     const TargetRef &engine = placed.run.target;
     TargetRequestHeaders headers = headersFor(request, engine, progress);
@@ -121,6 +122,7 @@
     const SendResult result = co_await sendToTarget(request, engine, platform::buildTargetRequest(request.caller, headers), limits, exchange, reason);
     exchange.mayRun = true;
     if (result == SendResult::NotSent) {
+        progress.downEngines += exchange.result == ConnectionResult::Broken ? 1 : 0;
         recordFailedExchange(request, exchange, result, reason);
         co_return EngineReaction::NotRun;
     }
@@ -403,10 +405,11 @@
     if (request.exchange.isDisconnected()) {
         return RetryDenial::CallerLeft;
     }
-    if (progress.placements >= maxPlacements) {
+    if (progress.placements >= maxPlacements + std::min(progress.downEngines, maxDownEngines)) {
         return RetryDenial::PlacementsUsed;
     }
-    if (mayCrashTargets(request)) {
+    const bool repeated = request.sendCount + pendingSends + progress.countedPrefills > 0;
+    if (mayCrashTargets(request, repeated)) {
         return RetryDenial::CrashSuspect;
     }
     if (mayHaveRun && !mayRepeat(*request.route)) {
@@ -415,7 +418,7 @@
     if (mayHaveRun && request.sendCount + pendingSends >= request.route->maxAttempts) {
         return RetryDenial::AttemptsUsed;
     }
-    return request.context.budgets.tryConsume(request.group->name) ? RetryDenial::None : RetryDenial::NoBudget;
+    return !repeated || request.context.budgets.tryConsume(request.group->name) ? RetryDenial::None : RetryDenial::NoBudget;
 }
 
 asio::awaitable<PlacementOutcome> runOnEngine(DirectRequest &request, PlacedPrompt &placed, std::string kvCacheRef, StreamProgress &progress)
--- a/src/serving/src/streamrun.h
+++ b/src/serving/src/streamrun.h
@@ -24,6 +24,8 @@
     bool usageCounted = false; //!< the request was counted in the usage of the workspace
     bool allowDisaggregation = true; //!< prefill may run on a different engine than decode
     std::uint32_t placements = 0; //!< so far
+    std::uint32_t downEngines = 0; //!< engines that refused the connection
+    std::uint32_t countedPrefills = 0; //!< separate prefills that count as attempts, because their engine may not have accepted them
     TimePoint lastEvent{};
     Duration longestGap{}; //!< between two forwarded events
     RetryDenial denial = RetryDenial::None; //!< of the latest retry
--- a/tests/fakes/crashevidencerun.h
+++ b/tests/fakes/crashevidencerun.h
@@ -50,8 +50,9 @@
 class CrashEvidenceRun
 {
 public:
-    explicit CrashEvidenceRun(const CrashLoad &load)
+    explicit CrashEvidenceRun(const CrashLoad &load, const CrashEvidenceSettings &settings = {})
         : m_load(load)
+        , m_settings(settings)
         , m_random(load.seed)
         , m_entries(load.entries)
         , m_targets(load.targets)
--- a/tests/proofs/promptcrashtest.cpp
+++ b/tests/proofs/promptcrashtest.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -17,7 +18,8 @@
 constexpr milliseconds contactTime{3000}; // ... from this time after the last of these crashes on
 constexpr int maxRounds = 12;
 constexpr int laterRequests = 10;
-constexpr int engines = 6;
+constexpr int engines = 10; // enough for the crashes that are allowed, without a restart between them
+constexpr milliseconds updateTime{300}; // longer than two updates between entries
 
 DirectClusterOptions separateProcesses(std::size_t entries)
 {
@@ -42,18 +44,22 @@
     return call;
 }
 
-/** Starts engines that have ended again, as new runs. Returns their number. */
-int restartEnded(DirectCluster &cluster)
+/** Starts engines that have ended again, as new runs. */
+void restartEnded(DirectCluster &cluster)
 {
-    int ended = 0;
     for (auto &[id, process] : cluster.targetProcesses) {
         if (!process.running()) {
-            ++ended;
             cluster.restartTarget(id);
             cluster.setFaults(id, R"({"crashPart": "bad", "crashMs": 30})");
         }
     }
-    return ended;
+}
+
+int endedEngines(DirectCluster &cluster)
+{
+    return static_cast<int>(std::count_if(cluster.targetProcesses.begin(), cluster.targetProcesses.end(), [](auto &process) {
+        return !process.second.running();
+    }));
 }
 
 std::size_t sendsWith(const DirectCluster &cluster, const std::string &part)
@@ -68,6 +74,25 @@
 
 } // namespace
 
+// Guards against sound prompts refused for lack of retry budget because engines that are down refused their connections.
+TEST_CASE("Engines that are down cost a request neither retries nor its last placement", "[prompt-crash]")
+{
+    DirectCluster cluster(decodeEngines(), {.retrySlack = 0, .ownProcesses = true});
+    cluster.publish(defaultConfiguration(1));
+    REQUIRE(cluster.waitUntilReady(0));
+    for (auto &[id, process] : cluster.targetProcesses) {
+        if (id != "e7") {
+            process.kill();
+        }
+    }
+    for (int request = 0; request < 6; ++request) {
+        const Response response = cluster.call(0, partsCall("rules", "other", "s" + std::to_string(request)));
+        INFO("request " << request);
+        CHECK(response.status == 200);
+        sleepFor(milliseconds(1100)); // an engine that could not be reached is tried again after a second
+    }
+}
+
 // Guards against a part of prompts that crashes one engine after the other because no two requests with it are alike.
 TEST_CASE("Requests with a prompt part that crashes engines are stopped, sound ones with the same key and first part are served", "[prompt-crash]")
 {
@@ -94,9 +119,10 @@
             for (int round = 0; round < maxRounds && crashes < crashesAllowed; ++round) {
                 const std::string id = std::to_string(round);
                 cluster.call(static_cast<std::size_t>(round) % c.entries, partsCall(c.first, c.second, "b" + id));
-                crashes += restartEnded(cluster);
-                sleepFor(milliseconds(1000)); // longer than two polls of the entries
+                crashes = endedEngines(cluster);
+                sleepFor(updateTime);
                 const Response sound = cluster.call(static_cast<std::size_t>(round + 1) % c.entries, partsCall("rules", "other", "s" + id));
+                INFO(cluster.logOf(static_cast<std::size_t>(round + 1) % c.entries));
                 CHECK(sound.status == 200);
                 CHECK(sound.complete);
             }
@@ -109,6 +135,7 @@
                 CHECK(refused.headers.contains("retry-after"));
                 restartEnded(cluster);
                 const Response sound = cluster.call(static_cast<std::size_t>(i) % c.entries, partsCall("rules", "other", "t" + id));
+                INFO(cluster.logOf(static_cast<std::size_t>(i) % c.entries));
                 CHECK(sound.status == 200);
                 CHECK(sound.complete);
             }
