Give up responses that never end, in bytes and in progress

What callers would see: a target that sends bytes without end holds requests until their deadline and takes the entry's memory; with a byte now and then a stalled stream never counted as silent. Cause: EventStream kept an unfinished event without bound and searched it from its start with each piece; bodies of up to 32 MB were buffered for each request, those of other requests too; any byte counted as progress. Change: an event is bounded to 1 MB and searched once; bodies that nobody needs are skipped, up to 1 MB; the bodies being read share 48 MB; only a whole event ends the silence after which another engine is asked. Head and interim responses are bounded by the parser's 8 KB and the head's time limit already.

--- a/src/request/include/request/eventstream.h
+++ b/src/request/include/request/eventstream.h
@@ -15,6 +15,8 @@
 class EventStream
 {
 public:
+    static constexpr std::size_t maxEventBytes = 1U << 20U; //!< a longer event is no event; engines send some hundred bytes each
+
     /** Appends bytes and returns all complete events that are buffered, possibly none. */
     std::string append(std::string_view bytes);
     /** Id of the last complete event that had one; empty before the first. */
@@ -25,11 +27,15 @@
     void dropPartial();
     /** Whether an incomplete event is buffered. */
     bool hasPartial() const noexcept;
+    /** Whether the incomplete event is longer than maxEventBytes; nothing that follows can be used. */
+    bool isOverlong() const noexcept;
 
 private:
     void recordEvent(std::string_view event);
 
     std::string m_partial;
+    std::size_t m_lineStart = 0; //!< in m_partial, of the line that is not complete yet
+    std::size_t m_searched = 0; //!< bytes of m_partial that were searched for its end
     std::string m_lastId;
     std::uint64_t m_events = 0;
 };
--- a/src/request/src/eventstream.cpp
+++ b/src/request/src/eventstream.cpp
@@ -9,23 +9,6 @@
 constexpr std::string_view lineEnds = "\r\n";
 constexpr std::string_view idField = "id:";
 
-/** Offset just after the empty line that ends the first event; npos if the event is incomplete. */
-std::size_t endOfEvent(std::string_view text)
-{
-    std::size_t start = 0;
-    while (true) {
-        const auto end = text.find('\n', start);
-        if (end == std::string_view::npos) {
-            return end;
-        }
-        const std::string_view line = text.substr(start, end - start);
-        if (line.empty() || line == "\r") {
-            return end + 1;
-        }
-        start = end + 1;
-    }
-}
-
 std::string_view trimmed(std::string_view text)
 {
     const auto first = text.find_first_not_of(' ');
@@ -38,17 +21,19 @@
 {
     m_partial += bytes;
     std::size_t whole = 0;
-    while (true) {
-        const std::string_view rest = std::string_view(m_partial).substr(whole);
-        const std::size_t size = endOfEvent(rest);
-        if (size == std::string_view::npos) {
-            break;
+    for (auto end = m_partial.find('\n', m_searched); end != std::string::npos; end = m_partial.find('\n', m_searched)) {
+        const std::string_view line = std::string_view(m_partial).substr(m_lineStart, end - m_lineStart);
+        m_lineStart = end + 1;
+        m_searched = end + 1;
+        if (line.empty() || line == "\r") {
+            recordEvent(std::string_view(m_partial).substr(whole, m_lineStart - whole));
+            whole = m_lineStart;
         }
-        recordEvent(rest.substr(0, size));
-        whole += size;
     }
     std::string events = m_partial.substr(0, whole);
     m_partial.erase(0, whole);
+    m_lineStart -= whole;
+    m_searched = m_partial.size();
     return events;
 }
 
@@ -80,6 +65,8 @@
 void EventStream::dropPartial()
 {
     m_partial.clear();
+    m_lineStart = 0;
+    m_searched = 0;
 }
 
 bool EventStream::hasPartial() const noexcept
@@ -87,4 +74,9 @@
     return !m_partial.empty();
 }
 
+bool EventStream::isOverlong() const noexcept
+{
+    return m_partial.size() > maxEventBytes;
+}
+
 } // namespace snipehill
--- a/src/serving/src/directcall.cpp
+++ b/src/serving/src/directcall.cpp
@@ -60,7 +60,7 @@
         progress.reason = {Step::RunOnTarget, exchange.target.id, "the target refused with " + std::to_string(exchange.response.status)};
         logRequest(request, LogLevel::Warning, "target did not run the request", {{"target", exchange.target.id}, {"status", exchange.response.status}});
         Reason ignored;
-        if (co_await readBody(request, exchange, ignored)) {
+        if (co_await skipBody(request, exchange, ignored)) {
             finishExchange(request, exchange);
         } else {
             abortExchange(request, exchange);
--- a/src/serving/src/directcontext.h
+++ b/src/serving/src/directcontext.h
@@ -70,6 +70,39 @@
     std::size_t m_entryCount = 8; //!< used until peers are known; more than the usual initial size of a deployment
 };
 
+/** Limits the memory of response bodies that are being read, of all requests together. Thread-safe. */
+class BodyMemory
+{
+public:
+    /** What one response takes; returned when it ends. */
+    class Share
+    {
+    public:
+        explicit Share(BodyMemory &memory) : m_memory(memory) { }
+        ~Share()
+        {
+            m_memory.m_used -= m_bytes;
+        }
+        Share(const Share &) = delete;
+        Share &operator=(const Share &) = delete;
+
+        /** False if the limit is reached. */
+        bool add(std::size_t bytes) noexcept
+        {
+            m_bytes += bytes;
+            return m_memory.m_used += bytes, m_memory.m_used <= maxBytes;
+        }
+
+    private:
+        BodyMemory &m_memory;
+        std::size_t m_bytes = 0;
+    };
+
+private:
+    static constexpr std::size_t maxBytes = 48U << 20U; // below a third of the smallest instance's memory
+    std::atomic<std::size_t> m_used{0};
+};
+
 struct DirectRequest;
 
 /** Requests that this entry is serving, so that they can be ended before the process, and named if they are cut by its end. Thread-safe. */
@@ -143,6 +176,7 @@
     CrashGuard &crashes;
     UsageCounter &usage;
     ActiveRequests &activeRequests;
+    BodyMemory &bodyMemory;
     boost::asio::any_io_executor executor; //!< of the requests; for work that may outlive one
 };
 
--- a/src/serving/src/directentry.cpp
+++ b/src/serving/src/directentry.cpp
@@ -93,7 +93,7 @@
         , targets(registrySettings(settings))
         , budgets(settings)
         , usage({settings.instance, randomId()}, settings.usageWindow)
-        , requestContext{settings, routing, targets, connections, budgets, crashes, usage, activeRequests, serving.get_executor()}
+        , requestContext{settings, routing, targets, connections, budgets, crashes, usage, activeRequests, bodyMemory, serving.get_executor()}
         , watchContext{settings,
                        store,
                        routing,
@@ -138,6 +138,7 @@
     }
 
     const DirectSettings settings;
+    BodyMemory bodyMemory; // like activeRequests
     ActiveRequests activeRequests; // used by frames that are destroyed with the contexts
     asio::io_context control{1};
     asio::io_context serving{1};
--- a/src/serving/src/directexchange.cpp
+++ b/src/serving/src/directexchange.cpp
@@ -22,6 +22,7 @@
 constexpr int maxCrashProbes = 4; // connections that are reset after these are due to a limit of the target
 constexpr milliseconds crashProbeTime{30}; // an ending process closes its sockets within this time
 constexpr std::size_t maxBufferedBodyBytes = 32U << 20U;
+constexpr std::size_t maxSkippedBodyBytes = 1U << 20U; // a new connection is cheaper than reading more
 
 void removeActive(DirectRequest &request, const DirectExchange &exchange)
 {
@@ -41,7 +42,7 @@
             co_return true;
         }
         logRequest(request, LogLevel::Warning, "skipped response to another request", {{"target", exchange.target.id}, {"status", exchange.response.status}});
-        if (!co_await readBody(request, exchange, reason)) {
+        if (!co_await skipBody(request, exchange, reason)) {
             co_return false;
         }
     }
@@ -115,6 +116,7 @@
 
 asio::awaitable<std::optional<std::string>> readBody(DirectRequest &request, DirectExchange &exchange, Reason &reason)
 {
+    BodyMemory::Share memory(request.context.bodyMemory);
     std::string body;
     while (true) {
         const auto piece = co_await readPiece(request, exchange, reason);
@@ -124,14 +126,28 @@
         if (piece->empty()) {
             co_return body;
         }
-        body += *piece;
-        if (body.size() > maxBufferedBodyBytes) {
+        if (body.size() + piece->size() > maxBufferedBodyBytes || !memory.add(piece->size())) {
             reason = {Step::RunOnTarget, exchange.target.id, "the answer is too long"};
             co_return std::nullopt;
         }
+        body += *piece;
     }
 }
 
+asio::awaitable<bool> skipBody(DirectRequest &request, DirectExchange &exchange, Reason &reason)
+{
+    std::size_t skipped = 0;
+    while (skipped <= maxSkippedBodyBytes) {
+        const auto piece = co_await readPiece(request, exchange, reason);
+        if (!piece || piece->empty()) {
+            co_return piece.has_value();
+        }
+        skipped += piece->size();
+    }
+    reason = {Step::RunOnTarget, exchange.target.id, "the answer is too long"};
+    co_return false;
+}
+
 void finishExchange(DirectRequest &request, DirectExchange &exchange)
 {
     removeActive(request, exchange);
--- a/src/serving/src/directexchange.h
+++ b/src/serving/src/directexchange.h
@@ -42,9 +42,15 @@
 /** Reads the next part of the body, like HttpConnection::readSome(), until the deadline of the request. */
 boost::asio::awaitable<std::optional<std::string>> readPiece(DirectRequest &request, DirectExchange &exchange, Reason &reason);
 
-/** Reads the rest of a response body into memory; empty with a reason if it is incomplete or too long. */
+/**
+ * Reads the rest of a response body into memory; empty with a reason if it is incomplete, too long, or too long for the memory that
+ * the bodies of all requests may take.
+ */
 boost::asio::awaitable<std::optional<std::string>> readBody(DirectRequest &request, DirectExchange &exchange, Reason &reason);
 
+/** Reads the rest of a response body and discards it; false with a reason if it is incomplete or too long. */
+boost::asio::awaitable<bool> skipBody(DirectRequest &request, DirectExchange &exchange, Reason &reason);
+
 /** Returns the connection to the pool if the response was read completely, else closes it. */
 void finishExchange(DirectRequest &request, DirectExchange &exchange);
 
--- a/src/serving/src/streamrun.cpp
+++ b/src/serving/src/streamrun.cpp
@@ -102,7 +102,7 @@
                {{"target", engine.id}, {"status", exchange.response.status}, {"memory", separatePrefill ? 1 : 0}});
     reason = {Step::RunOnTarget, engine.id, "the engine refused with " + std::to_string(exchange.response.status)};
     Reason ignored;
-    co_await readBody(request, exchange, ignored);
+    co_await skipBody(request, exchange, ignored);
     finishExchange(request, exchange);
 }
 
@@ -317,34 +317,42 @@
         progress.headSent = co_await request.exchange.beginStream(run.exchange.response.status, run.exchange.response.headers);
     }
     bool first = true;
+    handover.beginWait();
     while (!request.exchange.isDisconnected()) {
-        handover.beginWait();
         const auto piece = co_await readPiece(request, run.exchange, progress.reason);
         // The other engine repeats what the current one sends after the other was asked.
         const bool unfinished = piece && piece->empty() && progress.events.hasPartial();
         if (unfinished) {
             progress.reason = {Step::RunOnTarget, run.exchange.target.id, "the stream ended within an event"};
         }
-        if (!piece || unfinished || handover.isAccepted()) {
+        const std::string wholeEvents = piece && !handover.isAccepted() ? progress.events.append(*piece) : std::string();
+        if (progress.events.isOverlong()) {
+            progress.reason = {Step::RunOnTarget, run.exchange.target.id, "an event of the stream has no end"};
+        }
+        if (!piece || unfinished || progress.events.isOverlong() || handover.isAccepted()) {
             if (const auto outcome = co_await handleBrokenStream(run, handover)) {
                 co_return *outcome;
             }
             first = true;
+            handover.beginWait();
             continue;
         }
         if (piece->empty()) {
             co_return co_await finishStream(run);
         }
-        recordProgress(run, handover);
         if (std::exchange(first, false)) {
             recordFirstPiece(run);
         }
-        const std::string wholeEvents = progress.events.append(*piece);
-        recordGap(progress, !wholeEvents.empty(), Clock::now());
-        if (!wholeEvents.empty() && !co_await request.exchange.write(wholeEvents)) {
+        if (wholeEvents.empty()) {
+            continue; // bytes that complete no event are no progress for the caller
+        }
+        recordProgress(run, handover);
+        recordGap(progress, true, Clock::now());
+        if (!co_await request.exchange.write(wholeEvents)) {
             logRequest(request, LogLevel::Info, "cannot write to the caller", {{"events", progress.events.events()}});
             break;
         }
+        handover.beginWait();
     }
     abortExchange(request, run.exchange);
     recordOutcome(request, "caller_left", 0);
--- a/tests/request/eventstreamtest.cpp
+++ b/tests/request/eventstreamtest.cpp
@@ -34,3 +34,20 @@
     CHECK(events.append("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
     CHECK(events.lastId() == "2");
 }
+
+// Guards against an event without end, which took memory without bound and was searched again with each piece.
+TEST_CASE("An event that never ends is searched once and reported as overlong", "[events]")
+{
+    EventStream events;
+    const std::string piece(16384, 'x');
+    std::size_t bytes = 0;
+    while (!events.isOverlong() && bytes <= 2 * EventStream::maxEventBytes) {
+        CHECK(events.append(piece).empty());
+        bytes += piece.size();
+    }
+    CHECK(bytes == EventStream::maxEventBytes + piece.size());
+    events.dropPartial();
+    CHECK(!events.isOverlong());
+    CHECK(events.append("id: 1\ndata: a\n\n") == "id: 1\ndata: a\n\n");
+    CHECK(events.lastId() == "1");
+}
--- a/tests/standins/platformserver.cpp
+++ b/tests/standins/platformserver.cpp
@@ -27,6 +27,7 @@
  * Target on the users' platform: plain responses, event streams and separate prefill. The fault "id" sets its instance id.
  * Further faults: refuse (503 with Not-Executed), status (of plain responses), orderStatus (of the response to an order),
  * cutAfter (aborts the next stream after N events), extraAnswer (the next N responses are followed by an unsolicited one),
+ * endless (the next N responses never end and hold no event, as fast as they are read or, with dripMs, a byte at a time),
  * eventMs (pause between events), beforeMs (delay before the response), readMs (prefill time of a prompt),
  * crashPart (ends the process crashMs after the head of a response to a prompt with this part, unless it is the last one), eventBytes (padding of each event), silences (the next N runs are silent for silentMs after silentAfter events, or before the response for 0, and then go on).
  */
@@ -88,7 +89,11 @@
         headers.emplace_back("Server-Seal", "seal-" + name);
         headers.emplace_back("Server-Load", "1,0,8");
         const bool stream = !header(exchange, "Token-Counts").empty();
-        if (!stream) {
+        if (faults.consume("", "endless")) {
+            headers.emplace_back("Content-Type", stream ? "text/event-stream" : "text/plain");
+            co_await exchange.beginStream(200, std::move(headers));
+            co_await sendWithoutEnd(exchange);
+        } else if (!stream) {
             const auto status = static_cast<unsigned>(faults.number("", "status", 200));
             co_await exchange.respond(status, std::move(headers), "ran " + entry["id"].asString() + " at " + name);
         } else {
@@ -100,6 +105,21 @@
         }
     }
 
+    /** Sends bytes that complete neither an event nor a response until the caller closes the connection. */
+    asio::awaitable<void> sendWithoutEnd(HttpExchange &exchange)
+    {
+        const milliseconds drip = faults.delay("", "dripMs");
+        const std::string bytes = drip.count() > 0 ? "x" : std::string(64U << 10U, 'x');
+        std::uint64_t sent = 0;
+        while (co_await exchange.write(bytes)) {
+            sent += bytes.size();
+            co_await pause(drip);
+        }
+        Json::Value entry;
+        entry["sent"] = Json::UInt64(sent);
+        journal.add("endless", std::move(entry));
+    }
+
     asio::awaitable<void> sendEvents(HttpExchange &exchange, HeaderList headers, Json::Value entry, std::int64_t silentAfter, milliseconds silence)
     {
         const std::string last = header(exchange, "Last-Event-Id");
