Show operators what is blocked because it crashes targets, and let them release it

Cause: a block showed only in refusals, and ended only ten minutes after the last request of its kind or with a restart of all entries. A release clears the causes of the combination of all crashes so far and reaches the other entries with the evidence.

--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -42,6 +42,7 @@
 int runKey(const CommandOptions &options);
 int runExplain(const CommandOptions &options);
 int runTrace(const CommandOptions &options);
+int runBlocks(const CommandOptions &options);
 
 /** Prints the report if --json was given, otherwise the text. */
 void printReport(const CommandOptions &options, const Json::Value &report, const std::string &text);
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -20,6 +20,8 @@
       "  status                        show processes and what they do (--instances)\n"
       "  key create DIR NAME           make a key and its record (--workspace)\n"
       "  key withdraw DIR NAME         turn a key's record into a withdrawal\n"
+      "  blocks IP:PORT                show what an entry refuses because it crashes targets (address of its metrics)\n"
+      "  blocks IP:PORT release CAUSE  let requests with the cause through again, at all entries\n"
       "  trace REQUEST_ID FILE...      draw a request's spans\n"
       "  explain REQUEST_ID FILE...    tell from logs what became of a request and why\n\n"
       "Exit codes: 0 done, 1 errors in records or differences or a process not ready, 2 wrong command line,\n"
@@ -72,6 +74,7 @@
         {"key", runKey},
         {"trace", runTrace},
         {"explain", runExplain},
+        {"blocks", runBlocks},
     };
     const auto command = commands.find(name);
     return command == commands.end() ? failCommand(ExitUsage, "unknown command " + name + ", see --help") : command->second(options);
--- a/src/request/include/request/crashevidence.h
+++ b/src/request/include/request/crashevidence.h
@@ -102,7 +102,7 @@
 /** Records a complete response to a request with these causes whose first event was received at the given time. */
 void recordSound(CrashEvidence &evidence, std::span<const CrashCause> causes, TimePoint began, const CrashEvidenceSettings &settings);
 
-/** Clears a cause of all crashes so far, at the wish of an operator. False if no crash has it. */
+/** Clears a cause of all crashes so far, with those that are blocked together with it, at the wish of an operator. False if no crash has it. */
 bool releaseCause(CrashEvidence &evidence, CrashCause cause, const CrashEvidenceSettings &settings, TimePoint now);
 
 /** Merges the report of another entry. */
--- a/src/request/src/crashevidence.cpp
+++ b/src/request/src/crashevidence.cpp
@@ -244,7 +244,19 @@
 
 bool releaseCause(CrashEvidence &evidence, CrashCause cause, const CrashEvidenceSettings &settings, TimePoint now)
 {
-    return clearBefore(evidence, cause, now, settings) > 0;
+    evaluateCrashes(evidence, settings, now);
+    // Without the others of its combination, evidence against these alone would block more requests than before.
+    std::set<CrashCause> causes{cause};
+    for (const BlockedCauses &blocked : evidence.blocked) {
+        if (std::binary_search(blocked.causes.begin(), blocked.causes.end(), cause)) {
+            causes.insert(blocked.causes.begin(), blocked.causes.end());
+        }
+    }
+    std::size_t cleared = 0;
+    for (const CrashCause each : causes) {
+        cleared += clearBefore(evidence, each, now, settings);
+    }
+    return cleared > 0;
 }
 
 void mergeCrashReport(CrashEvidence &evidence, const CrashReport &report, const CrashEvidenceSettings &settings, TimePoint now)
--- a/src/serving/src/directentry.cpp
+++ b/src/serving/src/directentry.cpp
@@ -19,6 +19,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <charconv>
 #include <csignal>
 #include <thread>
 
@@ -116,8 +117,8 @@
                     [this](HttpExchange &exchange) {
                         return respondReadiness(exchange);
                     })
-        , metrics(control.get_executor(), {}, [](HttpExchange &exchange) {
-            return respondText(exchange, statusOk, processMetrics().text());
+        , metrics(control.get_executor(), {}, [this](HttpExchange &exchange) {
+            return respondOperator(exchange);
         })
     {
     }
@@ -137,6 +138,37 @@
         co_await respondText(exchange, ready ? statusOk : unavailable, ready ? "ready\n" : "not ready\n");
     }
 
+    /** Metrics; what is blocked because it crashes targets; release of such a block. */
+    asio::awaitable<void> respondOperator(HttpExchange &exchange)
+    {
+        constexpr std::string_view blockedPath = "/blocked";
+        constexpr std::string_view releaseSuffix = "/release";
+        std::string_view path(exchange.request().target().data(), exchange.request().target().size());
+        if (!path.starts_with(blockedPath)) {
+            co_await respondText(exchange, statusOk, processMetrics().text());
+            co_return;
+        }
+        path.remove_prefix(blockedPath.size());
+        const bool release = exchange.request().method() == boost::beast::http::verb::post && path.ends_with(releaseSuffix);
+        if (!path.empty() && (!release || !releaseBlock(path.substr(0, path.size() - releaseSuffix.size())))) {
+            co_await respondText(exchange, notFound, "");
+            co_return;
+        }
+        co_await respondText(exchange, statusOk, crashes.blockedAsJson(Clock::now()));
+    }
+
+    /** Releases the cause that is named in hexadecimal after a slash. */
+    bool releaseBlock(std::string_view path)
+    {
+        constexpr int hexadecimal = 16;
+        CrashCause cause = 0;
+        const std::string_view text = path.substr(std::min<std::size_t>(1, path.size()));
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), cause, hexadecimal);
+        const bool released = error == std::errc() && end == text.data() + text.size() && crashes.release(cause, Clock::now());
+        logEvent(LogComponent::Entry, LogLevel::Info, "release asked for by an operator", {{"cause", text}, {"released", released ? 1 : 0}});
+        return released;
+    }
+
     const DirectSettings settings;
     BodyMemory bodyMemory; // like activeRequests
     ActiveRequests activeRequests; // used by frames that are destroyed with the contexts
--- a/tests/proofs/promptcrashtest.cpp
+++ b/tests/proofs/promptcrashtest.cpp
@@ -143,3 +143,37 @@
         }
     }
 }
+
+// Guards against a block that nobody can see or end once the part has been mended.
+TEST_CASE("An operator sees what is blocked and releases it", "[prompt-crash]")
+{
+    DirectCluster cluster(decodeEngines(), {.ownAddresses = true, .ownProcesses = true});
+    cluster.publish(defaultConfiguration(1));
+    for (const DirectTarget &engine : decodeEngines()) {
+        cluster.setFaults(engine.id, R"({"crashPart": "bad", "crashMs": 30})");
+    }
+    REQUIRE(cluster.waitUntilReady(0));
+    const Endpoint operatorPort{cluster.callers(0).address, 9464};
+    const auto blocked = [&operatorPort] {
+        return parseJson(callOnce(operatorPort, {.target = "/blocked"}).body).value_or(Json::Value());
+    };
+    CHECK(blocked().empty());
+    for (int request = 0; request < maxRounds && blocked().empty(); ++request) {
+        cluster.call(0, partsCall("rules", "bad", "b" + std::to_string(request)));
+        sleepFor(updateTime);
+    }
+    const Json::Value list = blocked();
+    REQUIRE(list.size() == 1);
+    CHECK(cluster.call(0, partsCall("rules", "bad", "x")).status == 503);
+    CHECK(callOnce(operatorPort, {.method = "POST", .target = "/blocked/1/release"}).status == 404);
+    CHECK(callOnce(operatorPort, {.method = "POST", .target = "/blocked/nonsense/release"}).status == 404);
+    for (const DirectTarget &engine : decodeEngines()) {
+        cluster.setFaults(engine.id, R"({"crashPart": null})");
+    }
+    const std::string cause = list[0]["causes"][0].asString();
+    CHECK(callOnce(operatorPort, {.method = "POST", .target = "/blocked/" + cause + "/release"}).status == 200);
+    CHECK(blocked().empty());
+    const Response served = cluster.call(0, partsCall("rules", "bad", "y"));
+    CHECK(served.status == 200);
+    CHECK(served.complete);
+}
