--- a/tests/proofs/endlessresponsetest.cpp
+++ b/tests/proofs/endlessresponsetest.cpp
@@ -63,6 +63,7 @@
             cluster.setFaults("e1", c.faults);
             std::vector<Response> responses(static_cast<std::size_t>(c.callers));
             std::vector<std::thread> threads;
+            threads.reserve(responses.size());
             for (int i = 0; i < c.callers; ++i) {
                 threads.emplace_back([&cluster, &responses, &c, i] {
                     const std::string id = "r" + std::to_string(i);
--- a/tests/proofs/silenttargettest.cpp
+++ b/tests/proofs/silenttargettest.cpp
@@ -213,7 +213,7 @@
 // Guards against refusing sound requests as if they took targets down, after time limits or callers have ended some like them.
 TEST_CASE("Requests that end before their target responds do not count as crashes of the target", "[direct][silence]")
 {
-    constexpr int maxLosses = 3; // of CrashCounterSettings
+    constexpr int maxLosses = 3; // CrashEvidenceSettings::minCrashes
     struct Case
     {
         const char *what;
