Tell callers why also if the block comes while their prompt is read

What callers saw: 503 with a wait of 150 ms and no reason, so that they came back at once. Cause: only the check at admission built the refusal for blocked requests; the one after a separate prefill ended in the general one. Change: a stream that has not run and is blocked by the end gets that refusal. The guard decides by its own settings how long a response may flow.

--- a/src/serving/src/crashguard.cpp
+++ b/src/serving/src/crashguard.cpp
@@ -68,8 +68,11 @@
     }
 }
 
-bool CrashGuard::recordBroken(const TargetRef &target, const CrashSuspect &suspect, TimePoint now)
+bool CrashGuard::recordBroken(const TargetRef &target, const CrashSuspect &suspect, Duration flowing, TimePoint now)
 {
+    if (flowing > m_settings.suspectTime) {
+        return false;
+    }
     const std::lock_guard lock(m_lock);
     if (m_evidence.crashes.contains(target.run)) {
         recordCrash(m_evidence, target.run, suspect, m_settings, now);
--- a/src/serving/src/crashguard.h
+++ b/src/serving/src/crashguard.h
@@ -33,9 +33,10 @@
     /**
      * A connection broke while the request was on the target.
      *
+     * @param flowing time since the first event of the response; a response that had been flowing for a while is no suspect
      * @return true if nobody is finding out yet whether this run of the target has ended; the caller then does, and calls resolve()
      */
-    bool recordBroken(const TargetRef &target, const CrashSuspect &suspect, TimePoint now);
+    bool recordBroken(const TargetRef &target, const CrashSuspect &suspect, Duration flowing, TimePoint now);
     /** Whether a run of a target with a broken connection has ended. */
     void resolve(const TargetRef &target, bool ended, TimePoint now);
     /** A request with these causes got a complete response; began is the time of its first event. */
--- a/src/serving/src/directcontext.h
+++ b/src/serving/src/directcontext.h
@@ -90,7 +90,8 @@
         bool add(std::size_t bytes) noexcept
         {
             m_bytes += bytes;
-            return m_memory.m_used += bytes, m_memory.m_used <= maxBytes;
+            m_memory.m_used += bytes;
+            return m_memory.m_used <= maxBytes;
         }
 
     private:
--- a/src/serving/src/directexchange.cpp
+++ b/src/serving/src/directexchange.cpp
@@ -183,12 +183,12 @@
 void recordPossibleCrash(DirectRequest &request, const DirectExchange &exchange)
 {
     const TimePoint now = Clock::now();
-    const bool pastStart = exchange.firstEvent != TimePoint{} && now - exchange.firstEvent > CrashEvidenceSettings().suspectTime;
     // The end of a target that leaves as planned breaks its connections too.
-    if (!exchange.mayRun || pastStart || !request.context.targets.acceptsWork(exchange.target)) {
+    if (!exchange.mayRun || !request.context.targets.acceptsWork(exchange.target)) {
         return;
     }
-    if (request.context.crashes.recordBroken(exchange.target, {request.causes, now - exchange.sent}, now)) {
+    const Duration flowing = exchange.firstEvent == TimePoint{} ? Duration::zero() : now - exchange.firstEvent;
+    if (request.context.crashes.recordBroken(exchange.target, {request.causes, now - exchange.sent}, flowing, now)) {
         asio::co_spawn(request.context.executor, resolveCrash(request.context.crashes, exchange.target), asio::detached);
     }
 }
--- a/src/serving/src/directstream.cpp
+++ b/src/serving/src/directstream.cpp
@@ -135,8 +135,8 @@
             co_return PlacementOutcome::NotRun;
         }
         // The block may have come while the prompt was read.
-        if (const auto refusal = refusalForCrashes(request)) {
-            progress.reason = refusal->reason;
+        if (mayCrashTargets(request, false)) {
+            progress.reason = {Step::Admit, "", "requests like this crash targets"};
             asio::co_spawn(co_await asio::this_coro::executor, releaseKvCache(placed.prefill->target.endpoint, *handle), asio::detached);
             request.context.targets.release(placed.run, Clock::now());
             co_return PlacementOutcome::NotRun;
@@ -186,6 +186,8 @@
     } else if (hasTimedOut(request)) {
         const DirectRefusal refusal = timeoutRefusal(request);
         co_await refuse(request, refusal);
+    } else if (const auto blocked = request.mayHaveRun ? std::nullopt : refusalForCrashes(request)) {
+        co_await refuse(request, *blocked);
     } else {
         const DirectRefusal refusal{request.mayHaveRun ? badGateway : unavailable, progress.reason, retryAfter};
         co_await refuse(request, refusal);
