Tell other entries of a crash only what they may need

What callers would see: on instances with links of 10 Mbit/s, peer updates after the crash of a failure domain took the whole link for 30 s. Cause: each change went out with all that had been merged, and four whole crashes were repeated in each update for 30 s, to every peer: by the sizes of a grown deployment (12 targets with 40 requests each, 25 peers) about 1.2 MB a second. Found by reading, worked out, not measured. Change: an entry tells what it has seen itself, bounded to 256 causes an update; repeats hold only what verdicts and suspicion rest on, 64 causes an update. Complete responses look only at causes that some crash may still be blamed on.

--- a/src/request/include/request/crashevidence.h
+++ b/src/request/include/request/crashevidence.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <span>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace snipehill
@@ -33,7 +34,8 @@
     std::size_t maxSuspectsPerCrash = 128; //!< requests that one target runs or queues
     std::size_t maxSoundCauses = 8192; //!< remembered times of complete responses; the older half is dropped at this number
     std::uint32_t sendsPerChange = 3; //!< peer updates that carry a change: one or two of them may be lost
-    std::size_t crashesPerUpdate = 4; //!< unchanged crashes in one peer update, in turn, for entries that missed the change
+    std::size_t changesPerUpdate = 256; //!< causes in the changes of one peer update; what is left goes with the next ones
+    std::size_t repeatsPerUpdate = 64; //!< causes in the repeated crashes of one peer update, for entries that missed the changes
 };
 
 /** Request that was on a target when it crashed. */
@@ -43,13 +45,21 @@
     Duration sentBefore{}; //!< time from sending it to the target to the crash
 };
 
+/** What a crash record knows of one suspect. */
+struct SuspectRecord
+{
+    Duration sentBefore{}; //!< shortest CrashSuspect::sentBefore
+    bool local = false; //!< seen by this entry, which tells the others
+};
+
 /** Crash of one target run. Suspects and cleared causes only grow, so that reports can be merged in any order and more than once. */
 struct CrashRecord
 {
     TimePoint time{}; //!< earliest time at which an entry noticed it
     TimePoint lastNeeded{}; //!< of the crash, or of the latest refusal that it explains
-    std::map<std::vector<CrashCause>, Duration> suspects; //!< shortest CrashSuspect::sentBefore, by causes
+    std::map<std::vector<CrashCause>, SuspectRecord> suspects; //!< by causes
     std::set<CrashCause> cleared; //!< a request with the cause began after the crash and got a complete response
+    std::set<CrashCause> clearedLocally; //!< those of cleared that this entry tells the others
     std::uint32_t unsentUpdates = 0; //!< peer updates that still have to carry the record
 };
 
@@ -92,6 +102,7 @@
     std::unordered_map<CrashCause, TimePoint> olderSound; //!< the older half of these
     std::vector<BlockedCauses> blocked; //!< as of the latest evaluation
     std::unordered_map<CrashCause, std::uint32_t> unexplained; //!< independent crashes that no blocked cause explains, by cause
+    std::unordered_set<CrashCause> suspected; //!< causes that some crash may still be blamed on
     bool changed = false; //!< since the latest evaluation
     TargetRunHash nextReport = 0; //!< where the turn of unchanged crashes goes on
 };
@@ -108,7 +119,7 @@
 /** Merges the report of another entry. */
 void mergeCrashReport(CrashEvidence &evidence, const CrashReport &report, const CrashEvidenceSettings &settings, TimePoint now);
 
-/** Reports for the next peer update: the changes of the last few updates, and some of the other crashes in turn. */
+/** Reports for the next peer update: what this entry has seen since the last few updates, and in turn some of what verdicts and suspicion rest on. */
 std::vector<CrashReport> takeCrashReports(CrashEvidence &evidence, const CrashEvidenceSettings &settings, TimePoint now);
 
 /** Brings CrashEvidence::blocked up to date and forgets old crashes. Cheap if nothing has changed. */
--- a/src/request/src/crashevidence.cpp
+++ b/src/request/src/crashevidence.cpp
@@ -61,22 +61,24 @@
 }
 
 /** Adds a suspect; returns whether the record changed. */
-bool addSuspect(CrashEvidence &evidence, CrashRecord &record, const CrashSuspect &suspect, const CrashEvidenceSettings &settings)
+bool addSuspect(CrashEvidence &evidence, CrashRecord &record, const CrashSuspect &suspect, bool local, const CrashEvidenceSettings &settings)
 {
     const auto known = record.suspects.find(suspect.causes);
     if (known != record.suspects.end()) {
-        const bool shorter = suspect.sentBefore < known->second;
-        known->second = std::min(known->second, suspect.sentBefore);
-        return shorter;
+        const bool changed = suspect.sentBefore < known->second.sentBefore || (local && !known->second.local);
+        known->second = {std::min(known->second.sentBefore, suspect.sentBefore), known->second.local || local};
+        return changed;
     }
     if (record.suspects.size() >= settings.maxSuspectsPerCrash || suspect.causes.empty()) {
         return false;
     }
-    record.suspects.emplace(suspect.causes, suspect.sentBefore);
+    record.suspects.emplace(suspect.causes, SuspectRecord{suspect.sentBefore, local});
+    evidence.suspected.insert(suspect.causes.begin(), suspect.causes.end());
     for (const CrashCause cause : suspect.causes) {
         const auto began = lastSound(evidence, cause);
-        if (began && *began > record.time) {
-            record.cleared.insert(cause);
+        if (began && *began > record.time && record.cleared.insert(cause).second) {
+            record.clearedLocally.insert(cause);
+            record.unsentUpdates = settings.sendsPerChange;
         }
     }
     return true;
@@ -93,9 +95,13 @@
 std::size_t clearBefore(CrashEvidence &evidence, CrashCause cause, TimePoint began, const CrashEvidenceSettings &settings)
 {
     std::size_t cleared = 0;
+    if (!evidence.suspected.contains(cause)) {
+        return cleared;
+    }
     for (auto &[run, record] : evidence.crashes) {
         if (record.time < began && !record.cleared.contains(cause) && hasCause(record, cause)) {
             record.cleared.insert(cause);
+            record.clearedLocally.insert(cause);
             record.unsentUpdates = settings.sendsPerChange;
             evidence.changed = true;
             ++cleared;
@@ -108,11 +114,11 @@
 void countCrash(Tallies &tallies, const CrashRecord &record)
 {
     std::map<CrashCause, Duration> latest; // shortest time from sending to the crash
-    for (const auto &[causes, sentBefore] : record.suspects) {
+    for (const auto &[causes, suspect] : record.suspects) {
         for (const CrashCause cause : causes) {
             if (!record.cleared.contains(cause)) {
-                const auto found = latest.try_emplace(cause, sentBefore).first;
-                found->second = std::min(found->second, sentBefore);
+                const auto found = latest.try_emplace(cause, suspect.sentBefore).first;
+                found->second = std::min(found->second, suspect.sentBefore);
                 ++tallies[cause].requests;
             }
         }
@@ -162,7 +168,7 @@
             continue;
         }
         std::set<CrashCause> beside;
-        for (const auto &[causes, sentBefore] : record.suspects) {
+        for (const auto &[causes, suspect] : record.suspects) {
             if (std::binary_search(causes.begin(), causes.end(), cause)) {
                 beside.insert(causes.begin(), causes.end());
             }
@@ -199,19 +205,53 @@
     return blocked;
 }
 
-CrashReport reportOf(TargetRunHash run, const CrashRecord &record, TimePoint now)
+CrashReport emptyReport(TargetRunHash run, const CrashRecord &record, TimePoint now)
+{
+    return {.run = run,
+            .age = std::chrono::duration_cast<milliseconds>(now - record.time),
+            .unneeded = std::chrono::duration_cast<milliseconds>(now - record.lastNeeded),
+            .suspects = {},
+            .cleared = {}};
+}
+
+std::size_t causesIn(const CrashReport &report)
+{
+    std::size_t causes = report.cleared.size();
+    for (const CrashSuspect &suspect : report.suspects) {
+        causes += suspect.causes.size();
+    }
+    return causes;
+}
+
+/** What this entry has seen of a crash; entries that merge it don't tell it again as a change. */
+CrashReport reportOfChanges(TargetRunHash run, const CrashRecord &record, TimePoint now)
 {
-    CrashReport report{.run = run,
-                       .age = std::chrono::duration_cast<milliseconds>(now - record.time),
-                       .unneeded = std::chrono::duration_cast<milliseconds>(now - record.lastNeeded)};
-    for (const auto &[causes, sentBefore] : record.suspects) {
-        report.suspects.push_back({causes, sentBefore});
+    CrashReport report = emptyReport(run, record, now);
+    for (const auto &[causes, suspect] : record.suspects) {
+        if (suspect.local) {
+            report.suspects.push_back({causes, suspect.sentBefore});
+        }
     }
-    report.cleared.assign(record.cleared.begin(), record.cleared.end());
+    report.cleared.assign(record.clearedLocally.begin(), record.clearedLocally.end());
     return report;
 }
 
-/** Whether entries that missed the changes of a crash still need it. */
+/** Causes that a verdict names, or of which one more crash could bring one. */
+std::set<CrashCause> relevantCauses(const CrashEvidence &evidence, const CrashEvidenceSettings &settings)
+{
+    std::set<CrashCause> causes;
+    for (const BlockedCauses &blocked : evidence.blocked) {
+        causes.insert(blocked.causes.begin(), blocked.causes.end());
+    }
+    for (const auto &[cause, crashes] : evidence.unexplained) {
+        if (crashes + 1 >= settings.minCrashes) {
+            causes.insert(cause);
+        }
+    }
+    return causes;
+}
+
+/** Whether a verdict rests on the crash, or it is recent enough for one to come. */
 bool isWorthRepeating(const CrashEvidence &evidence, TargetRunHash run, const CrashRecord &record, TimePoint now)
 {
     return now - record.time < repeatTime || std::any_of(evidence.blocked.begin(), evidence.blocked.end(), [run](const BlockedCauses &blocked) {
@@ -219,12 +259,32 @@
            });
 }
 
+/** What entries that missed the changes of a crash still need to know of it. */
+CrashReport reportOfRelevant(TargetRunHash run, const CrashRecord &record, const std::set<CrashCause> &relevant, TimePoint now)
+{
+    CrashReport report = emptyReport(run, record, now);
+    for (const auto &[causes, suspect] : record.suspects) {
+        const bool needed = std::any_of(causes.begin(), causes.end(), [&](CrashCause cause) {
+            return relevant.contains(cause) && !record.cleared.contains(cause);
+        });
+        if (needed) {
+            report.suspects.push_back({causes, suspect.sentBefore});
+        }
+    }
+    for (const CrashSuspect &suspect : report.suspects) {
+        std::copy_if(suspect.causes.begin(), suspect.causes.end(), std::back_inserter(report.cleared), [&record](CrashCause cause) {
+            return record.cleared.contains(cause);
+        });
+    }
+    return report;
+}
+
 } // namespace
 
 void recordCrash(CrashEvidence &evidence, TargetRunHash run, const CrashSuspect &suspect, const CrashEvidenceSettings &settings, TimePoint now)
 {
     CrashRecord &record = recordFor(evidence, run, settings, now);
-    if (addSuspect(evidence, record, suspect, settings)) {
+    if (addSuspect(evidence, record, suspect, true, settings)) {
         record.unsentUpdates = settings.sendsPerChange;
         evidence.changed = true;
     }
@@ -272,7 +332,7 @@
         record.lastNeeded = now - report.unneeded;
     }
     for (const CrashSuspect &suspect : report.suspects) {
-        changed = addSuspect(evidence, record, suspect, settings) || changed;
+        changed = addSuspect(evidence, record, suspect, false, settings) || changed;
     }
     for (const CrashCause cause : report.cleared) {
         changed = record.cleared.insert(cause).second || changed;
@@ -283,21 +343,27 @@
 std::vector<CrashReport> takeCrashReports(CrashEvidence &evidence, const CrashEvidenceSettings &settings, TimePoint now)
 {
     std::vector<CrashReport> reports;
+    std::size_t causes = 0;
     for (auto &[run, record] : evidence.crashes) {
-        if (record.unsentUpdates > 0) {
+        if (record.unsentUpdates > 0 && causes < settings.changesPerUpdate) {
             --record.unsentUpdates;
-            reports.push_back(reportOf(run, record, now));
+            reports.push_back(reportOfChanges(run, record, now));
+            causes += causesIn(reports.back());
         }
     }
+    const std::set<CrashCause> relevant = relevantCauses(evidence, settings);
     auto crash = evidence.crashes.lower_bound(evidence.nextReport);
-    std::size_t repeated = 0;
-    for (std::size_t i = 0; i < evidence.crashes.size() && repeated < settings.crashesPerUpdate; ++i) {
+    causes = 0;
+    for (std::size_t i = 0; i < evidence.crashes.size() && !relevant.empty() && causes < settings.repeatsPerUpdate; ++i) {
         if (crash == evidence.crashes.end()) {
             crash = evidence.crashes.begin();
         }
         if (isWorthRepeating(evidence, crash->first, crash->second, now)) {
-            ++repeated;
-            reports.push_back(reportOf(crash->first, crash->second, now));
+            CrashReport report = reportOfRelevant(crash->first, crash->second, relevant, now);
+            causes += causesIn(report);
+            if (!report.suspects.empty()) {
+                reports.push_back(std::move(report));
+            }
         }
         ++crash;
     }
@@ -323,6 +389,10 @@
     evidence.blocked.clear();
     evidence.unexplained.clear();
     Tallies tallies = tally(open);
+    evidence.suspected.clear();
+    for (const auto &[cause, counted] : tallies) {
+        evidence.suspected.insert(cause);
+    }
     while (!tallies.empty()) {
         const auto likely = mostLikely(tallies);
         if (likely->second.independent < settings.minCrashes) {
--- a/tests/request/crashevidencetest.cpp
+++ b/tests/request/crashevidencetest.cpp
@@ -198,6 +198,49 @@
     CHECK(suspicionOf(evidence, std::vector<CrashCause>{beside}) == 0);
 }
 
+// Guards against updates that fill the links of small entries after a failure domain has crashed.
+TEST_CASE("Peer updates about crashes stay small and end with the suspicion", "[crash]")
+{
+    constexpr std::size_t targets = 20;
+    constexpr CrashCause requestsPerTarget = 40;
+    const auto causesOf = [](const std::vector<CrashReport> &reports) {
+        std::size_t causes = 0;
+        for (const CrashReport &report : reports) {
+            causes += report.cleared.size();
+            for (const CrashSuspect &suspect : report.suspects) {
+                causes += suspect.causes.size();
+            }
+        }
+        return causes;
+    };
+    CrashEvidence sender;
+    CrashEvidence receiver;
+    for (TargetRunHash run = 1; run <= targets; ++run) {
+        for (CrashCause request = 0; request < requestsPerTarget; ++request) {
+            recordCrash(sender, run, {{1 + request % 8, 100 + request % 30, 100000 + run * 1000 + request}, milliseconds(100)}, defaults, start);
+        }
+    }
+    const std::size_t mostOfOneCrash = 3 * requestsPerTarget;
+    std::size_t merged = 0;
+    for (int update = 0; update < 60; ++update) {
+        const TimePoint now = start + milliseconds(100) * update;
+        evaluateCrashes(sender, defaults, now);
+        const auto reports = takeCrashReports(sender, defaults, now);
+        CHECK(causesOf(reports) <= defaults.changesPerUpdate + defaults.repeatsPerUpdate + 2 * mostOfOneCrash);
+        for (const CrashReport &report : reports) {
+            mergeCrashReport(receiver, report, defaults, now);
+        }
+        merged += takeCrashReports(receiver, defaults, now).size();
+    }
+    // All has arrived, what was learned from another entry is not told again, and nothing is left to say.
+    REQUIRE(receiver.crashes.size() == targets);
+    for (const auto &[run, record] : receiver.crashes) {
+        CHECK(record.suspects.size() == requestsPerTarget);
+    }
+    CHECK(merged == 0);
+    CHECK(causesOf(takeCrashReports(sender, defaults, start + seconds(6))) == 0);
+}
+
 TEST_CASE("An operator can release a cause, at all entries", "[crash]")
 {
     CrashEvidence evidence;
