Let events be as long as the platform allows bodies to be

What callers would see: a stream with an event of over 1 MB was broken off and run again elsewhere. Cause: the bound for events without end was 1 MB; an existing proof, a slow caller of events of 1.5 MB, has longer ones. Found by the whole run of the tests on beside load: 'A slow caller does not make its target look silent', 2 runs instead of 1. Change: the bound is 4 MB, the platform's own for request bodies, and unfinished events share the 48 MB for bodies that are being read.

--- a/src/request/include/request/eventstream.h
+++ b/src/request/include/request/eventstream.h
@@ -15,7 +15,7 @@
 class EventStream
 {
 public:
-    static constexpr std::size_t maxEventBytes = 1U << 20U; //!< a longer event is no event; engines send some hundred bytes each
+    static constexpr std::size_t maxEventBytes = 4U << 20U; //!< a longer event is no event; as much as the platform allows for a request body
 
     /** Appends bytes and returns all complete events that are buffered, possibly none. */
     std::string append(std::string_view bytes);
@@ -27,6 +27,8 @@
     void dropPartial();
     /** Whether an incomplete event is buffered. */
     bool hasPartial() const noexcept;
+    /** Bytes of the incomplete event. */
+    std::size_t partialBytes() const noexcept;
     /** Whether the incomplete event is longer than maxEventBytes; nothing that follows can be used. */
     bool isOverlong() const noexcept;
 
--- a/src/request/src/eventstream.cpp
+++ b/src/request/src/eventstream.cpp
@@ -74,6 +74,11 @@
     return !m_partial.empty();
 }
 
+std::size_t EventStream::partialBytes() const noexcept
+{
+    return m_partial.size();
+}
+
 bool EventStream::isOverlong() const noexcept
 {
     return m_partial.size() > maxEventBytes;
--- a/src/serving/src/directcontext.h
+++ b/src/serving/src/directcontext.h
@@ -70,7 +70,7 @@
     std::size_t m_entryCount = 8; //!< used until peers are known; more than the usual initial size of a deployment
 };
 
-/** Limits the memory of response bodies that are being read, of all requests together. Thread-safe. */
+/** Limits the memory of bodies and events of responses that are being read, of all requests together. Thread-safe. */
 class BodyMemory
 {
 public:
@@ -86,11 +86,11 @@
         Share(const Share &) = delete;
         Share &operator=(const Share &) = delete;
 
-        /** False if the limit is reached. */
-        bool add(std::size_t bytes) noexcept
+        /** Sets what the response takes now; false if all together take more than the limit. */
+        bool resize(std::size_t bytes) noexcept
         {
-            m_bytes += bytes;
-            m_memory.m_used += bytes;
+            m_memory.m_used += bytes - m_bytes; // wraps around when the share shrinks, which adds up
+            m_bytes = bytes;
             return m_memory.m_used <= maxBytes;
         }
 
--- a/src/serving/src/directexchange.cpp
+++ b/src/serving/src/directexchange.cpp
@@ -126,7 +126,7 @@
         if (piece->empty()) {
             co_return body;
         }
-        if (body.size() + piece->size() > maxBufferedBodyBytes || !memory.add(piece->size())) {
+        if (body.size() + piece->size() > maxBufferedBodyBytes || !memory.resize(body.size() + piece->size())) {
             reason = {Step::RunOnTarget, exchange.target.id, "the answer is too long"};
             co_return std::nullopt;
         }
--- a/src/serving/src/streamrun.cpp
+++ b/src/serving/src/streamrun.cpp
@@ -314,6 +314,7 @@
     if (!progress.headSent) {
         progress.headSent = co_await request.exchange.beginStream(run.exchange.response.status, run.exchange.response.headers);
     }
+    BodyMemory::Share memory(request.context.bodyMemory);
     bool first = true;
     handover.beginWait();
     while (!request.exchange.isDisconnected()) {
@@ -324,10 +325,11 @@
             progress.reason = {Step::RunOnTarget, run.exchange.target.id, "the stream ended within an event"};
         }
         const std::string wholeEvents = piece && !handover.isAccepted() ? progress.events.append(*piece) : std::string();
-        if (progress.events.isOverlong()) {
+        const bool endless = progress.events.isOverlong() || !memory.resize(progress.events.partialBytes());
+        if (endless) {
             progress.reason = {Step::RunOnTarget, run.exchange.target.id, "an event of the stream has no end"};
         }
-        if (!piece || unfinished || progress.events.isOverlong() || handover.isAccepted()) {
+        if (!piece || unfinished || endless || handover.isAccepted()) {
             if (const auto outcome = co_await handleBrokenStream(run, handover)) {
                 co_return *outcome;
             }
