--- a/tests/request/crashevidencetest.cpp
+++ b/tests/request/crashevidencetest.cpp
@@ -277,7 +277,7 @@
     CHECK(evidence.crashes.size() == 20);
 }
 
-// The load of the incident: a crashing part in 10 requests a second beside sound ones, at deployments of several sizes.
+// Guards against missing a crashing part, and against blaming sound requests, at deployments of other sizes and loads.
 TEST_CASE("A crashing part is found before its fifth crash counts, and sound requests are not blamed", "[crash][load]")
 {
     struct Case
