Show when the platform's log comes back from an older copy

Cause: nothing read the era that the store names in each response, so no log line could tell whether two holders or two reports of a window came from a log that had forgotten records.

Change: the store's client reads the era of every response, of appends and keyed calls too; a rise is logged and counted, a response of an earlier era than one already received fails. Pages carry the era they were read in. Readers don't use it yet, so what they decide has not changed, except that a late response of an earlier era is not applied. The stand-in of the store can come back from an older copy and gives offsets out again.

--- a/bench/configspread.cpp
+++ b/bench/configspread.cpp
@@ -192,7 +192,7 @@
     replica.fold.complete = true;
     replica.fold.config.offset = 123455;
     replica.fold.nextRead = 123456;
-    applyPage(replica, {123456, 123457, {{123456, record}}}, now, now, {});
+    applyPage(replica, {.firstRetained = 123456, .next = 123457, .records = {{123456, record}}}, now, now, {});
     replica.contactAt = now - milliseconds(900);
     Json::Value reply;
     reply["instance"] = "instance-1234";
--- a/src/core/include/core/ids.h
+++ b/src/core/include/core/ids.h
@@ -12,6 +12,12 @@
 /** Stands for "no record" and precedes every offset. */
 constexpr Offset noOffset = -1;
 
+/**
+ * How often the log has come back from an older copy, as told by the log; 0 if it does not tell. What was appended after
+ * that copy was made is lost, and the same offsets are given out again, so an offset is unique only within one era.
+ */
+using LogEra = std::uint64_t;
+
 /** Random 64-bit id of one attempt of a request, unique among all entries. */
 using AttemptId = std::uint64_t;
 
--- a/src/process/include/process/logclient.h
+++ b/src/process/include/process/logclient.h
@@ -36,6 +36,7 @@
 /** Result of a read. */
 struct LogPage
 {
+    LogEra era = 0; //!< era of the log in which this page was read
     Offset firstRetained = 0; //!< lowest offset still retained; older records have been removed
     Offset next = 0; //!< offset from which to continue reading; at the end of the stream, that of the next record appended
     std::vector<LogRecord> records;
@@ -58,6 +59,7 @@
 {
     std::function<boost::asio::awaitable<std::optional<LogPage>>(std::string stream, Offset from, milliseconds wait, Reason &reason)> read;
     std::function<boost::asio::awaitable<std::optional<Offset>>(std::string stream, std::vector<Json::Value> records, Reason &reason)> append;
+    std::function<LogEra()> era; //!< highest era in any response so far; not set for logs that never lose records
 };
 
 /** Access to the log service at the given address. */
--- a/src/process/src/metrics.cpp
+++ b/src/process/src/metrics.cpp
@@ -61,6 +61,7 @@
         {CounterType, "snipehill_requests_ended_total", "Received requests, by how they ended for the caller.", {"end"}},
         {CounterType, "snipehill_target_crashes_total", "Runs of targets that ended with requests on them.", {}},
         {CounterType, "snipehill_crash_verdicts_total", "Causes of crashes that were blocked or released.", {"change"}},
+        {CounterType, "snipehill_log_era_events_total", "Returns of the log from an older copy, and what followed from them.", {"event"}},
         {CounterType, "snipehill_crash_refusals_total", "Requests not sent because requests like them crash targets.", {"workspace"}},
         {GaugeType, "snipehill_config_version", "Offset of the configuration in force.", {}},
         {GaugeType, "snipehill_config_age_seconds", "Time since the configuration was last known to be current.", {}},
--- a/src/serving/src/directusage.cpp
+++ b/src/serving/src/directusage.cpp
@@ -192,7 +192,7 @@
         if (!page) {
             co_return std::nullopt;
         }
-        LogPage converted{.firstRetained = page->firstRetained, .next = page->next};
+        LogPage converted{.era = page->era, .firstRetained = page->firstRetained, .next = page->next};
         for (const platform::StoreRecord &record : page->records) {
             if (auto value = parseJsonText(record.value)) {
                 converted.records.push_back({record.offset, std::move(*value)});
@@ -208,6 +208,9 @@
         }
         co_return co_await store.append(std::move(stream), std::move(converted), storeTimeout, reason);
     };
+    access.era = [&store] {
+        return store.era();
+    };
     return access;
 }
 
--- a/tests/platform/storeclienttest.cpp
+++ b/tests/platform/storeclienttest.cpp
@@ -55,16 +55,33 @@
     }
 
     void setFaults(const std::string &json)
+    {
+        runOnStore([&] {
+            m_store->faults.merge(*standins::parseJson(json));
+        });
+    }
+
+    /** Brings the store back without what was appended within the given time. */
+    void loseRecordsOf(milliseconds time)
+    {
+        runOnStore([&] {
+            Json::Value copy;
+            copy["ms"] = Json::Int64(time.count());
+            REQUIRE(m_store->control("/copy", copy));
+        });
+    }
+
+private:
+    template<typename Work> void runOnStore(Work work)
     {
         std::promise<void> done;
         asio::post(m_storeContext, [&] {
-            m_store->faults.merge(*standins::parseJson(json));
+            work();
             done.set_value();
         });
         done.get_future().wait();
     }
 
-private:
     asio::io_context m_clientContext;
     asio::io_context m_storeContext;
     std::unique_ptr<standins::StandIn> m_store;
@@ -160,3 +177,46 @@
     REQUIRE(page);
     CHECK(page->records.size() == 1);
 }
+
+// Guards against taking records of two lives of the log for one sequence, as offsets are given out again.
+TEST_CASE("Reads and appends tell the era after the store came back from an older copy", "[platform][era]")
+{
+    StoreHost host;
+    platform::StoreClient store(host.endpoint());
+    Reason reason;
+    CHECK(host.run(store.append("own", oneRecord("", "x"), timeout, reason)) == 0);
+    const auto before = host.run(store.read("own", 0, milliseconds(0), timeout, reason));
+    REQUIRE(before);
+    CHECK(store.era() == before->era);
+    host.loseRecordsOf(seconds(10));
+    // Nothing is at offset 1 any more.
+    const auto beyondEnd = host.run(store.read("own", 1, milliseconds(0), timeout, reason));
+    REQUIRE(beyondEnd);
+    CHECK(beyondEnd->offsetDeleted);
+    CHECK(beyondEnd->era == before->era + 1);
+    CHECK(host.run(store.append("own", oneRecord("", "y"), timeout, reason)) == 0);
+    const auto after = host.run(store.read("own", 0, milliseconds(0), timeout, reason));
+    REQUIRE(after);
+    REQUIRE(after->records.size() == 1);
+    CHECK(after->records[0].value == "y");
+    CHECK(after->era == before->era + 1);
+    const auto newest = host.run(store.readNewest("keyed.own", timeout, reason));
+    REQUIRE(newest);
+    CHECK(newest->era == before->era + 1);
+}
+
+// Guards against applying a response that a slow connection delivers after the store came back from an older copy.
+TEST_CASE("A response of an earlier era fails after one of a later era", "[platform][era]")
+{
+    StoreHost host;
+    platform::StoreClient store(host.endpoint());
+    Reason reason;
+    host.loseRecordsOf(seconds(10));
+    REQUIRE(host.run(store.read("own", 0, milliseconds(0), timeout, reason)));
+    const LogEra later = store.era();
+    host.setFaults(R"({"eraBehind": 1})");
+    CHECK(!host.run(store.read("own", 0, milliseconds(0), timeout, reason)));
+    CHECK(reason.detail.find("came after one of era") != std::string::npos);
+    CHECK(!host.run(store.append("own", oneRecord("", "x"), timeout, reason)));
+    CHECK(store.era() == later);
+}
--- a/tests/process/configsimulation.cpp
+++ b/tests/process/configsimulation.cpp
@@ -172,7 +172,7 @@
         if (outage()) {
             return;
         }
-        const auto page = std::make_shared<LogPage>(LogPage{m_firstRetained, static_cast<Offset>(m_records.size()), {}});
+        const auto page = std::make_shared<LogPage>(LogPage{.firstRetained = m_firstRetained, .next = static_cast<Offset>(m_records.size())});
         for (Offset offset = std::max(from, m_firstRetained); offset < page->next && page->records.size() < pageRecords; ++offset) {
             page->records.push_back({offset, m_records[static_cast<std::size_t>(offset)]});
         }
--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace snipehill::standins
@@ -33,23 +34,53 @@
     return text;
 }
 
+struct Record
+{
+    std::string bytes; //!< without the length prefix
+    TimePoint appended{};
+};
+
 /** Records of a topic with a single partition. */
 struct Topic
 {
-    std::vector<std::string> records; //!< without the length prefix
+    std::vector<Record> records;
     std::size_t first = 0; //!< offset of the first record that is not trimmed
 };
 
 /**
  * The platform's store and usage interface. Store calls: append at an expected offset, read with long poll, latest record of
  * each key, trim. Faults: down (503), silent (no response for 10 minutes), loseAnswers (the next N appends take effect, then
- * the connection closes).
+ * the connection closes), eraBehind (responses name the era that was N earlier). POST /copy on the control port brings the store back from an older copy: {"ms": N} drops what was
+ * appended within the last N ms, to all topics or to those in the array "topics", and raises the era.
  */
 class PlatformStore : public StandIn
 {
 public:
     using StandIn::StandIn;
 
+    bool control(const std::string &path, const Json::Value &body) override
+    {
+        if (path != "/copy" || !body["ms"].isInt64()) {
+            return false;
+        }
+        const TimePoint copied = Clock::now() - milliseconds(body["ms"].asInt64());
+        std::set<std::string> topics;
+        for (const Json::Value &name : body["topics"]) {
+            topics.insert(name.asString());
+        }
+        for (auto &[name, topic] : m_topics) {
+            while ((topics.empty() || topics.contains(name)) && !topic.records.empty() && topic.records.back().appended > copied) {
+                topic.records.pop_back();
+            }
+            topic.first = std::min(topic.first, topic.records.size());
+        }
+        ++m_era;
+        Json::Value entry;
+        entry["era"] = Json::UInt64(m_era);
+        journal.add("copy", entry);
+        return true;
+    }
+
     asio::awaitable<void> handle(HttpExchange &exchange) override
     {
         const Target target = splitTarget(std::string(exchange.request().target()));
@@ -58,7 +89,7 @@
             co_await pause(milliseconds(600000));
         }
         if (faults.flag("", "down")) {
-            co_await respondJson(exchange, 503, Json::Value(Json::objectValue));
+            co_await respondWithEra(exchange, 503, Json::Value(Json::objectValue));
         } else if (target.path == "/api/log-append") {
             co_await append(exchange, target, topic);
         } else if (target.path == "/api/log-read") {
@@ -67,7 +98,7 @@
             co_await newest(exchange, topic);
         } else if (target.path == "/api/log-trim") {
             topic.first = std::min(topic.records.size(), static_cast<std::size_t>(queryNumber(target, "before_offset", 0)));
-            co_await respondJson(exchange, 200, Json::Value(Json::objectValue));
+            co_await respondWithEra(exchange, 200, Json::Value(Json::objectValue));
         } else if (target.path == "/usage") {
             co_await usage(exchange);
         } else {
@@ -76,6 +107,18 @@
     }
 
 private:
+    HeaderList eraHeaders() const
+    {
+        return {{"Store-Era", std::to_string(m_era - static_cast<std::uint64_t>(faults.number("", "eraBehind", 0)))}};
+    }
+
+    asio::awaitable<void> respondWithEra(HttpExchange &exchange, unsigned status, Json::Value value)
+    {
+        HeaderList headers = eraHeaders();
+        headers.emplace_back("Content-Type", "application/json");
+        co_await exchange.respond(status, std::move(headers), writeJson(value));
+    }
+
     asio::awaitable<void> usage(HttpExchange &exchange)
     {
         Json::Value entry;
@@ -102,7 +145,7 @@
         const std::int64_t at = queryNumber(target, "at", -1);
         if (at >= 0 && at != static_cast<std::int64_t>(topic.records.size())) {
             response["end_offset"] = Json::UInt64(topic.records.size());
-            co_await respondJson(exchange, 412, std::move(response));
+            co_await respondWithEra(exchange, 412, std::move(response));
             co_return;
         }
         response["offset"] = Json::UInt64(topic.records.size());
@@ -112,7 +155,7 @@
             for (std::size_t i = 0; i < 4; ++i) {
                 size = size << 8U | static_cast<unsigned char>(body[start + i]);
             }
-            topic.records.push_back(body.substr(start + 4, size));
+            topic.records.push_back({body.substr(start + 4, size), Clock::now()});
             start += 4 + size;
         }
         response["end_offset"] = Json::UInt64(topic.records.size());
@@ -120,35 +163,35 @@
             exchange.abort();
             co_return;
         }
-        co_await respondJson(exchange, 200, std::move(response));
+        co_await respondWithEra(exchange, 200, std::move(response));
     }
 
     asio::awaitable<void> read(HttpExchange &exchange, const Target &target, Topic &topic)
     {
         const auto from = static_cast<std::size_t>(queryNumber(target, "from", 0));
         milliseconds left(queryNumber(target, "wait_ms", 0));
-        while (from >= topic.records.size() && left > milliseconds(0) && !exchange.isDisconnected()) {
+        while (from == topic.records.size() && left > milliseconds(0) && !exchange.isDisconnected()) {
             co_await pause(waitStep);
             left -= waitStep;
         }
-        if (from < topic.first) {
+        if (from < topic.first || from > topic.records.size()) {
             Json::Value response;
             response["first_offset"] = Json::UInt64(topic.first);
-            co_await respondJson(exchange, 410, std::move(response));
+            co_await respondWithEra(exchange, 410, std::move(response));
             co_return;
         }
         std::string body = bigEndian(topic.records.size(), 8) + bigEndian(topic.first, 8);
         for (std::size_t i = from; i < topic.records.size(); ++i) {
-            body += bigEndian(topic.records[i].size(), 4) + topic.records[i];
+            body += bigEndian(topic.records[i].bytes.size(), 4) + topic.records[i].bytes;
         }
-        co_await exchange.respond(200, {}, std::move(body));
+        co_await exchange.respond(200, eraHeaders(), std::move(body));
     }
 
     asio::awaitable<void> newest(HttpExchange &exchange, const Topic &topic)
     {
         std::map<std::string, std::pair<std::size_t, std::string>> values;
         for (std::size_t i = 0; i < topic.records.size(); ++i) {
-            const std::string &record = topic.records[i];
+            const std::string &record = topic.records[i].bytes;
             const std::size_t length = record.empty() ? 0 : static_cast<unsigned char>(record[0]);
             const std::string key = record.substr(std::min<std::size_t>(1, record.size()), length);
             const std::string value = record.size() > 1 + length ? record.substr(1 + length) : std::string();
@@ -169,10 +212,11 @@
         }
         response["has_more"] = false;
         response["end_offset"] = Json::UInt64(topic.records.size());
-        co_await respondJson(exchange, 200, std::move(response));
+        co_await respondWithEra(exchange, 200, std::move(response));
     }
 
     std::map<std::string, Topic> m_topics;
+    std::uint64_t m_era = 1;
 };
 
 } // namespace
