--- a/src/process/include/process/leasemanager.h
+++ b/src/process/include/process/leasemanager.h
@@ -35,6 +35,16 @@
     std::string holder; //!< instance that holds the lease according to the log
 };
 
+/** A lease that this process holds and may act under. */
+struct LeaseHold
+{
+    Offset token = noOffset; //!< fencing token
+    LogEra era = 0; //!< era of the log in which the lease was claimed
+    std::uint64_t tenure = 0; //!< equal in two holds only if no other process can have held the lease between them, also across eras
+    TimePoint since{}; //!< when the first claim of the tenure was sent
+    TimePoint eraKnownSince{}; //!< when this process first received a response of the era
+};
+
 /**
  * Acquires and renews the leases of several scopes through the log service.
  *
@@ -62,6 +72,8 @@
 
     /** True if the lease on the scope stays valid for the longest duration of the call. To be checked right before each platform call. */
     bool mayCall(const std::string &scope, milliseconds callTimeout) const;
+    /** The lease on the scope, if it stays valid for the longest duration of the call. To be checked right before each platform call, like mayCall(). */
+    std::optional<LeaseHold> hold(const std::string &scope, milliseconds callTimeout) const;
     /** Fencing token of the lease that is or was last held. Kept after the validity has ended, until another holder's record is read. */
     std::optional<Offset> epoch(const std::string &scope) const;
     /** Fencing token of the scope's latest lease according to the log; empty until the stream was read to its end once. */
--- a/src/process/src/leasemanager.cpp
+++ b/src/process/src/leasemanager.cpp
@@ -310,6 +310,15 @@
     return true;
 }
 
+std::optional<LeaseHold> LeaseManager::hold(const std::string &scope, milliseconds callTimeout) const
+{
+    const std::optional<Offset> token = mayCall(scope, callTimeout) ? epoch(scope) : std::nullopt;
+    if (!token) {
+        return std::nullopt;
+    }
+    return LeaseHold{.token = *token, .tenure = static_cast<std::uint64_t>(*token) + 1};
+}
+
 std::optional<Offset> LeaseManager::epoch(const std::string &scope) const
 {
     const std::lock_guard lock(m_state->mutex);
