Show that a log that comes back from an older copy breaks the leases

The simulated log forgets the records of its last 0.2 to 5 s, gives their offsets out again and raises its era: once or twice in a row, beside restarts, planned stops with a release, and a process that the log does not answer. A second checker reads the tokens of the calls in the order of their arrival.

--- a/tests/process/leasesimulation.cpp
+++ b/tests/process/leasesimulation.cpp
@@ -1,6 +1,8 @@
 #include "leasesimulation.h"
 
 #include <algorithm>
+#include <iterator>
+#include <map>
 #include <memory>
 
 namespace snipehill::test
@@ -20,15 +22,30 @@
 /** Log service that applies each append and read at the time of its arrival. */
 struct FakeLog
 {
+    LogEra era = 0;
     Offset firstRetained = 0;
     std::vector<LeaseRecord> records;
     std::vector<Duration> appended;
+    std::map<Duration, Offset> firstRetainedSince; //!< by time of change
     Duration outageUntil{};
 
     bool down(Duration now) const
     {
         return now < outageUntil;
     }
+
+    /** Goes back to what was appended and retained at the given time. */
+    void returnTo(Duration time)
+    {
+        ++era;
+        while (!records.empty() && appended.back() > time) {
+            records.pop_back();
+            appended.pop_back();
+        }
+        const auto later = firstRetainedSince.upper_bound(time);
+        firstRetained = later == firstRetainedSince.begin() ? 0 : std::prev(later)->second;
+        firstRetainedSince.erase(later, firstRetainedSince.end());
+    }
 };
 
 struct Process
@@ -40,7 +57,9 @@
     std::unique_ptr<LeaseStateMachine> holder;
     bool readOnce = false;
     bool caughtUp = false;
+    bool stopping = false;
     Duration pausedUntil{};
+    Duration cutUntil{}; //!< until then, neither calls to the log nor its responses arrive
     std::optional<std::uint64_t> awaitedRead;
     Duration readSent{};
     std::optional<TimePoint> mutatedValidUntil; //!< for the mutation ValidityFromReceipt
@@ -50,7 +69,7 @@
 class LeaseSimulation
 {
 public:
-    LeaseSimulation(std::uint64_t seed, LeaseMutation mutation) : m_choices(seed), m_mutation(mutation)
+    LeaseSimulation(std::uint64_t seed, LeaseMutation mutation, LeaseLogKind kind) : m_choices(seed), m_mutation(mutation), m_kind(kind)
     {
         m_faults.lossPercent = static_cast<int>(m_choices.between(0, 15));
         m_faults.duplicatePercent = static_cast<int>(m_choices.between(0, 10));
@@ -85,6 +104,7 @@
         process.holder = std::make_unique<LeaseStateMachine>("usage", process.self, settings());
         process.readOnce = false;
         process.caughtUp = false;
+        process.stopping = false;
         process.awaitedRead.reset();
         process.mutatedValidUntil.reset();
     }
@@ -102,7 +122,7 @@
     {
         ++m_history.faults;
         Process &process = m_processes[m_choices.between(0, processCount - 1)];
-        switch (m_choices.between(0, 4)) {
+        switch (m_choices.between(0, m_kind == LeaseLogKind::Copied ? 8 : 5)) {
         case 0:
         case 1:
             process.pausedUntil = m_time.now() + m_choices.time(200, 6000);
@@ -114,15 +134,91 @@
         case 3:
             m_log.outageUntil = m_time.now() + m_choices.time(500, 5000);
             break;
-        default:
+        case 4:
             expireRecords(m_choices.between(1, 8));
             break;
+        case 5:
+            stopProcess(process);
+            break;
+        default:
+            injectCopy();
+            break;
         }
         m_time.after(m_choices.time(300, 4000), [this] {
             injectFault();
         });
     }
 
+    /** The log comes back from an older copy; beside it, by chance: again soon after, restarts, a process without the log. */
+    void injectCopy()
+    {
+        const Duration beforeCopy = m_choices.time(0, 1000);
+        if (m_choices.percent(50)) {
+            m_log.outageUntil = m_time.now() + beforeCopy;
+        }
+        if (m_choices.percent(30)) {
+            m_processes[m_choices.between(0, processCount - 1)].cutUntil = m_time.now() + m_choices.time(500, 6000);
+        }
+        const bool restartAll = m_choices.percent(15);
+        const bool restartOne = m_choices.percent(40);
+        for (Process &process : m_processes) {
+            if (restartAll || (restartOne && m_choices.percent(40))) {
+                m_time.after(m_choices.time(0, 2000), [this, &process] {
+                    process.pausedUntil = {};
+                    startProcess(process);
+                });
+            }
+        }
+        const auto returnFromCopy = [this] {
+            ++m_history.copies;
+            m_log.returnTo(m_time.now() - m_choices.time(200, 5000));
+        };
+        m_time.after(beforeCopy, returnFromCopy);
+        if (m_choices.percent(35)) {
+            m_time.after(beforeCopy + m_choices.time(20, 2500), returnFromCopy);
+        }
+    }
+
+    /** Planned stop: no calls any more, then the release, then a new incarnation. */
+    void stopProcess(Process &process)
+    {
+        if (process.stopping) {
+            return;
+        }
+        process.stopping = true;
+        const std::uint64_t incarnation = process.self.number;
+        const auto callsEnded = std::chrono::duration_cast<Duration>(Duration(callTimeout) / process.clock.rate);
+        m_time.after(callsEnded, [this, &process, incarnation] {
+            if (process.self.number != incarnation) {
+                return;
+            }
+            whenRunning(process, [this, &process] {
+                releaseLease(process);
+            });
+        });
+        m_time.after(callsEnded + m_choices.time(20, 1500), [this, &process, incarnation] {
+            if (process.self.number == incarnation) {
+                process.pausedUntil = {};
+                startProcess(process);
+            }
+        });
+    }
+
+    void releaseLease(Process &process)
+    {
+        const auto record = process.holder->release(process.table, process.clock.at(m_time.now()), m_choices.number());
+        for (ValidPeriod &period : m_history.validPeriods) {
+            if (period.incarnation == process.self.number) {
+                period.until = std::min(period.until, m_time.now());
+            }
+        }
+        recordValidity(process);
+        if (record) {
+            ++m_history.releases;
+            sendAppend(process, *record);
+        }
+    }
+
     void expireRecords(std::int64_t count)
     {
         for (; count > 0 && m_log.firstRetained < static_cast<Offset>(m_log.records.size()); --count) {
@@ -130,9 +226,15 @@
                 return;
             }
             ++m_log.firstRetained;
+            m_log.firstRetainedSince[m_time.now()] = m_log.firstRetained;
         }
     }
 
+    bool isCut(const Process &process) const
+    {
+        return m_time.now() < process.cutUntil;
+    }
+
     bool paused(const Process &process) const
     {
         return m_time.now() < process.pausedUntil;
@@ -168,12 +270,20 @@
     void appendDueRecord(Process &process)
     {
         const TimePoint now = process.clock.at(m_time.now());
-        const auto record = process.holder->nextRecord(process.table, now, m_choices.number());
+        const auto record = process.stopping ? std::nullopt : process.holder->nextRecord(process.table, now, m_choices.number());
         if (!record) {
             return;
         }
         m_history.claims += record->action == LeaseAction::Claim ? 1 : 0;
-        sendMessage(m_time, m_choices, m_faults, [this, record = *record] {
+        sendAppend(process, *record);
+    }
+
+    void sendAppend(const Process &process, const LeaseRecord &record)
+    {
+        if (isCut(process)) {
+            return;
+        }
+        sendMessage(m_time, m_choices, m_faults, [this, record] {
             if (!m_log.down(m_time.now())) {
                 m_log.records.push_back(record);
                 m_log.appended.push_back(m_time.now());
@@ -190,8 +300,11 @@
         process.awaitedRead = id;
         process.readSent = m_time.now();
         const Offset from = process.readOnce ? process.table.next : 0;
+        if (isCut(process)) {
+            return;
+        }
         sendMessage(m_time, m_choices, m_faults, [this, &process, id, from] {
-            if (m_log.down(m_time.now())) {
+            if (m_log.down(m_time.now()) || isCut(process)) {
                 return;
             }
             LeasePageCopy page = readPage(from);
@@ -222,7 +335,7 @@
 
     void applyPage(Process &process, std::uint64_t id, const LeasePageCopy &page)
     {
-        if (process.awaitedRead != id) {
+        if (process.awaitedRead != id || isCut(process)) {
             return;
         }
         process.awaitedRead.reset();
@@ -275,7 +388,7 @@
         if (m_mutation == LeaseMutation::ValidityFromReceipt) {
             return process.mutatedValidUntil && now + timeout <= *process.mutatedValidUntil;
         }
-        return process.holder->mayCall(now, timeout);
+        return !process.stopping && process.holder->mayCall(now, timeout);
     }
 
     void callPlatform(Process &process)
@@ -315,6 +428,7 @@
     VirtualTime m_time;
     SeededRandom m_choices;
     LeaseMutation m_mutation;
+    LeaseLogKind m_kind;
     NetworkFaults m_faults;
     FakeLog m_log;
     Process m_processes[processCount];
@@ -333,9 +447,9 @@
 
 } // namespace
 
-LeaseRunHistory simulateLease(std::uint64_t seed, LeaseMutation mutation)
+LeaseRunHistory simulateLease(std::uint64_t seed, LeaseMutation mutation, LeaseLogKind kind)
 {
-    return LeaseSimulation(seed, mutation).run();
+    return LeaseSimulation(seed, mutation, kind).run();
 }
 
 std::vector<std::string> checkLease(const LeaseRunHistory &history)
@@ -361,4 +475,38 @@
     return violations;
 }
 
+std::vector<std::string> checkTokens(const LeaseRunHistory &history)
+{
+    std::vector<CallArrival> calls = history.callArrivals;
+    std::stable_sort(calls.begin(), calls.end(), [](const CallArrival &left, const CallArrival &right) {
+        return left.at < right.at;
+    });
+    std::vector<std::string> violations;
+    const auto violated = [&violations](const char *rule, const CallArrival &call) {
+        violations.push_back(std::string(rule) + ": process " + std::to_string(call.process) + ", token " + std::to_string(call.epoch));
+    };
+    std::map<Offset, std::uint64_t> users;
+    std::map<int, CallArrival> latestCalls; // by process
+    Offset highest = noOffset;
+    for (const CallArrival &call : calls) {
+        if (users.try_emplace(call.epoch, call.incarnation).first->second != call.incarnation) {
+            violated("token of two incarnations", call);
+        }
+        if (call.epoch < highest) {
+            violated("token lower than an earlier one", call);
+        }
+        highest = std::max(highest, call.epoch);
+        const auto before = latestCalls.find(call.process);
+        const bool returns = before != latestCalls.end() && call.at - before->second.at < simulatedTurnPeriod
+            && std::any_of(latestCalls.begin(), latestCalls.end(), [&](const auto &entry) {
+                                 return entry.first != call.process && entry.second.at > before->second.at;
+                             });
+        if (returns) {
+            violated("holder returned within the turn period", call);
+        }
+        latestCalls[call.process] = call;
+    }
+    return violations;
+}
+
 } // namespace snipehill::test
--- a/tests/process/leasetest.cpp
+++ b/tests/process/leasetest.cpp
@@ -165,6 +165,35 @@
     WARN("lease: valid periods " << validPeriods << ", calls " << callArrivals << ", faults " << faults);
 }
 
+// Guards against two holders, or one holder's token at another, after the log has forgotten its latest records.
+TEST_CASE("one holder and rising tokens when the log comes back from an older copy", "[lease][era]")
+{
+    std::size_t failed = 0;
+    std::size_t copies = 0;
+    std::size_t releases = 0;
+    std::size_t callArrivals = 0;
+    std::string first;
+    const std::vector<std::uint64_t> seeds = seedsToRun(leaseRuns);
+    for (const std::uint64_t seed : seeds) {
+        const LeaseRunHistory history = simulateLease(seed, LeaseMutation::None, LeaseLogKind::Copied);
+        std::vector<std::string> violations = checkLease(history);
+        const auto tokenViolations = checkTokens(history);
+        violations.insert(violations.end(), tokenViolations.begin(), tokenViolations.end());
+        if (!violations.empty()) {
+            first = failed == 0 ? "SNIPEHILL_SEED=" + std::to_string(seed) + ": " + violations.front() : first;
+            ++failed;
+        }
+        copies += history.copies;
+        releases += history.releases;
+        callArrivals += history.callArrivals.size();
+    }
+    WARN("lease: calls " << callArrivals << ", returns from an older copy " << copies << ", releases " << releases);
+    INFO(first);
+    INFO(failed << " of " << seeds.size() << " seeds");
+    CHECK(callArrivals > 0);
+    CHECK(failed == 0);
+}
+
 TEST_CASE("the lease checker detects each omitted rule", "[lease]")
 {
     struct Case
