Keep one holder and rising tokens when the log comes back from an older copy

Callers saw two holders at once and tokens that were used twice or fell after the platform's log had come back from an older copy.

Cause: lease readers kept their table and position although the log had forgotten records and gave their offsets out again, so two readers went by two tables; the fencing token was the offset of the claim.

Change: records name their era and the nonce of the record that they replace; the token has the era in its high bits; a rise of the era starts the reader anew. A record gives validity only in the era in which it was made. Nothing is claimed for one lease after an era became known, except by a process whose lease of an earlier era is still valid. A former holder returns no earlier than one lease after the end of its own. Calls under a new token wait for those under the one before. Logs that tell no era: as before, but for the last two.

--- a/src/process/include/process/leasemanager.h
+++ b/src/process/include/process/leasemanager.h
@@ -31,20 +31,12 @@
     std::string scope;
     LeasePhase phase = LeasePhase::Unread;
     bool valid = false;
+    milliseconds validFor{0}; //!< rest of the validity
+    LogEra era = 0; //!< era of the log as known to this process; 0 if the log does not tell
     Offset epoch = noOffset; //!< fencing token of this process's lease; noOffset if it has none
     std::string holder; //!< instance that holds the lease according to the log
 };
 
-/** A lease that this process holds and may act under. */
-struct LeaseHold
-{
-    Offset token = noOffset; //!< fencing token
-    LogEra era = 0; //!< era of the log in which the lease was claimed
-    std::uint64_t tenure = 0; //!< equal in two holds only if no other process can have held the lease between them, also across eras
-    TimePoint since{}; //!< when the first claim of the tenure was sent
-    TimePoint eraKnownSince{}; //!< when this process first received a response of the era
-};
-
 /**
  * Acquires and renews the leases of several scopes through the log service.
  *
--- a/src/process/include/process/leasestatemachine.h
+++ b/src/process/include/process/leasestatemachine.h
@@ -15,6 +15,16 @@
     milliseconds margin{1000}; //!< covers the drift between two clocks over one duration
 };
 
+/** A lease that this process holds and may act under. */
+struct LeaseHold
+{
+    Offset token = noOffset; //!< fencing token
+    LogEra era = 0; //!< era of the log in which the lease was claimed
+    std::uint64_t tenure = 0; //!< equal in two holds only if no other process can have held the lease between them, also across eras
+    TimePoint since{}; //!< when the first claim of the tenure was sent
+    TimePoint eraKnownSince{}; //!< when this process first received a response of the era; not set if the log does not tell its era
+};
+
 /** Number of renewals that a holder sends within the duration of a lease. */
 constexpr int renewalsPerLease = 3;
 
@@ -41,6 +51,10 @@
  *
  * The lease is considered valid only after an own record was read back as effective, and its validity counts from the
  * time at which the record was created for sending. A lost response to the append therefore does no harm.
+ *
+ * With a log that tells its era, a record gives validity only in the era in which it was made, and nothing is claimed for
+ * one lease after an era became known: leases of earlier eras, whose records may be forgotten, have ended by then. A
+ * process whose own lease from an earlier era is still valid is the only one, so it may claim at once.
  * The source file implements the phases with Boost.MSM. Not thread-safe; the owner synchronizes access.
  */
 class LeaseStateMachine
@@ -57,14 +71,21 @@
     void onCaughtUp(const LeaseTable &table, TimePoint now);
     /** To be called when retention removed unread records: all earlier knowledge is invalid. */
     void onGap();
+    /** To be called when the log's era becomes known, first or by a rise, with a new table. Not called for logs that do not tell it. */
+    void onEra(LogEra era, TimePoint knownSince);
 
     /** Returns the claim or renewal to append now, if one is due. The validity of the lease counts from the given time. */
     std::optional<LeaseRecord> nextRecord(const LeaseTable &table, TimePoint now, std::uint64_t nonce);
     /** Ends the validity of the lease and returns the release to append if the lease is held. Nothing is claimed afterwards. */
     std::optional<LeaseRecord> release(const LeaseTable &table, TimePoint now, std::uint64_t nonce);
 
-    /** True if the lease is valid now and stays valid for the longest duration of the call. */
-    bool mayCall(TimePoint now, milliseconds callTimeout) const noexcept;
+    /**
+     * True if the lease is valid now and stays valid for the longest duration of the call. After a change of the token, false
+     * until all calls allowed before have ended, so that no call with the lower token arrives later.
+     */
+    bool mayCall(TimePoint now, milliseconds callTimeout) noexcept;
+    /** The lease, under the same condition as mayCall(). */
+    std::optional<LeaseHold> hold(TimePoint now, milliseconds callTimeout) noexcept;
     /** End of the lease's validity; empty if the lease is not held. */
     std::optional<TimePoint> validUntil() const noexcept;
     /** Fencing token of the lease that is or was last held. Kept after the validity has ended, until another holder's record is read. */
@@ -78,11 +99,30 @@
     Incarnation m_self;
     LeaseSettings m_settings;
     std::unique_ptr<Machine> m_machine;
-    std::map<std::uint64_t, TimePoint> m_sent; //!< send times by nonce, of records whose effect is not known yet
+    struct Sent
+    {
+        TimePoint at{};
+        bool continuing = false; //!< a claim sent while the lease of an earlier era was valid
+    };
+    /** The machine's knowledge of its own lease after an own record of the current era took effect. */
+    void onOwnEffective(const LeaseTable &table, const LeaseRecord &record, TimePoint received);
+    /** True if a lease of an earlier era is still valid: nobody else can hold or claim the lease. */
+    bool holdsFromEarlierEra(TimePoint now) const noexcept;
+    /** Earliest time of a claim, except by the holder. */
+    TimePoint claimTime() const noexcept;
+
+    std::map<std::uint64_t, Sent> m_sent; //!< by nonce, records whose effect is not known yet
+    LogEra m_era = 0;
+    TimePoint m_eraKnownSince{};
+    std::optional<TimePoint> m_quarantineUntil; //!< end of all leases of earlier eras
     std::optional<TimePoint> m_validUntil;
+    std::optional<TimePoint> m_lastValidUntil; //!< latest end of a validity, also after another process has claimed
     std::optional<Offset> m_epoch;
+    LeaseHold m_lease; //!< the lease that m_epoch belongs to
     TimePoint m_claimableFrom{};
     TimePoint m_lastSent{};
+    TimePoint m_lastCallEnd{}; //!< latest end of a call that mayCall() allowed
+    TimePoint m_callableFrom{}; //!< end of the calls allowed under the token before
     bool m_releasing = false;
 };
 
--- a/src/process/src/lease.cpp
+++ b/src/process/src/lease.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 namespace snipehill
@@ -38,21 +40,37 @@
     return "";
 }
 
+constexpr unsigned tokenOffsetBits = 32;
+constexpr std::uint64_t maxTokenOffset = (std::uint64_t(1) << tokenOffsetBits) - 1;
+constexpr LogEra maxTokenEra = std::numeric_limits<std::int32_t>::max(); // more would not fit into a signed 64-bit token
+
+Offset claimOffsetOf(const LeaseRecord &record)
+{
+    return record.era == 0 || record.epoch == noOffset ? record.epoch : static_cast<Offset>(static_cast<std::uint64_t>(record.epoch) & maxTokenOffset);
+}
+
 void setLatestRecord(ScopeLease &lease, Offset offset, const LeaseRecord &record)
 {
     lease.latest = offset;
-    lease.epoch = record.action == LeaseAction::Claim ? offset : record.epoch;
+    lease.latestNonce = record.nonce;
+    lease.era = record.era;
+    lease.epoch = record.action == LeaseAction::Claim ? leaseToken(record.era, offset).value_or(noOffset) : record.epoch;
     lease.holder = record.holder;
     lease.duration = record.duration;
     lease.released = record.action == LeaseAction::Release;
 }
 
+bool replacesRecord(const LeaseRecord &record, Offset offset, std::uint64_t nonce)
+{
+    return record.replaces == offset && (record.replacesNonce == 0 || record.replacesNonce == nonce);
+}
+
 bool hasEffect(const ScopeLease &lease, const LeaseRecord &record)
 {
     if (record.action == LeaseAction::Claim) {
-        return record.replaces == noOffset ? record.firstRetained > lease.latest : record.replaces == lease.latest;
+        return record.replaces == noOffset ? record.firstRetained > lease.latest : replacesRecord(record, lease.latest, lease.latestNonce);
     }
-    return record.replaces == lease.latest && record.holder == lease.holder && record.epoch == lease.epoch && !lease.released;
+    return replacesRecord(record, lease.latest, lease.latestNonce) && record.holder == lease.holder && record.epoch == lease.epoch && !lease.released;
 }
 
 LeaseEffect applyKnown(ScopeLease &lease, Offset offset, const LeaseRecord &record)
@@ -76,7 +94,7 @@
 {
     const std::vector<UndecidedLeaseRecord> undecided = std::exchange(lease.undecided, {});
     const auto replaced = std::find_if(undecided.begin(), undecided.end(), [&record](const UndecidedLeaseRecord &candidate) {
-        return candidate.offset == record.replaces;
+        return replacesRecord(record, candidate.offset, candidate.record.nonce);
     });
     if (replaced == undecided.end()) {
         lease.undecided = undecided;
@@ -92,6 +110,17 @@
 
 } // namespace
 
+std::optional<Offset> leaseToken(LogEra era, Offset offset) noexcept
+{
+    if (era == 0) {
+        return offset;
+    }
+    if (era > maxTokenEra || offset < 0 || static_cast<std::uint64_t>(offset) > maxTokenOffset) {
+        return std::nullopt;
+    }
+    return static_cast<Offset>(era << tokenOffsetBits | static_cast<std::uint64_t>(offset));
+}
+
 Json::Value toJson(const LeaseRecord &record)
 {
     Json::Value value;
@@ -100,8 +129,10 @@
     value["holder"] = record.holder.instance;
     value["incarnation"] = Json::UInt64(record.holder.number);
     value["nonce"] = Json::UInt64(record.nonce);
-    value["epoch"] = Json::Int64(record.epoch);
+    value["era"] = Json::UInt64(record.era);
+    value["epoch"] = Json::Int64(claimOffsetOf(record));
     value["replaces"] = Json::Int64(record.replaces);
+    value["replacesNonce"] = Json::UInt64(record.replacesNonce);
     value["firstRetained"] = Json::Int64(record.firstRetained);
     value["durationMs"] = Json::Int64(record.duration.count());
     return value;
@@ -118,8 +149,11 @@
     const auto unsignedNumber = [&value](const char *name) {
         return value[name].isUInt64();
     };
+    const auto optionalNumber = [&value](const char *name) {
+        return !value.isMember(name) || value[name].isUInt64();
+    };
     if (!text("kind") || !text("scope") || !text("holder") || !unsignedNumber("incarnation") || !unsignedNumber("nonce") || !number("epoch")
-        || !number("replaces") || !number("firstRetained") || !number("durationMs")) {
+        || !number("replaces") || !number("firstRetained") || !number("durationMs") || !optionalNumber("era") || !optionalNumber("replacesNonce")) {
         reason = {Step::Lease, "", "lease record lacks a field"};
         return std::nullopt;
     }
@@ -133,16 +167,25 @@
     record.scope = value["scope"].asString();
     record.holder = {value["holder"].asString(), value["incarnation"].asUInt64()};
     record.nonce = value["nonce"].asUInt64();
-    record.epoch = value["epoch"].asInt64();
+    record.era = value.isMember("era") ? value["era"].asUInt64() : 0;
+    record.replacesNonce = value.isMember("replacesNonce") ? value["replacesNonce"].asUInt64() : 0;
+    const Offset claimOffset = value["epoch"].asInt64();
+    const auto epoch = claimOffset == noOffset ? noOffset : leaseToken(record.era, claimOffset);
+    if (!epoch) {
+        reason = {Step::Lease, "", "era or epoch of a lease record is out of range"};
+        return std::nullopt;
+    }
+    record.epoch = *epoch;
     record.replaces = value["replaces"].asInt64();
     record.firstRetained = value["firstRetained"].asInt64();
     record.duration = milliseconds(value["durationMs"].asInt64());
     return record;
 }
 
-LeaseTable startLeaseTable(Offset firstRetained)
+LeaseTable startLeaseTable(Offset firstRetained, LogEra era)
 {
     LeaseTable table;
+    table.era = era;
     table.readFrom = firstRetained;
     table.firstRetained = firstRetained;
     table.next = firstRetained;
@@ -155,6 +198,9 @@
         return LeaseEffect::None;
     }
     table.next = offset + 1;
+    if (record.action == LeaseAction::Claim && !leaseToken(record.era, offset)) {
+        return LeaseEffect::None;
+    }
     ScopeLease &lease = table.scopes[record.scope];
     if (lease.certain) {
         return applyKnown(lease, offset, record);
@@ -186,15 +232,22 @@
     return found == table.scopes.end() || found->second.certain || found->second.latest < table.firstRetained;
 }
 
+bool canIssueToken(const LeaseTable &table) noexcept
+{
+    return leaseToken(table.era, table.next).has_value();
+}
+
 LeaseRecord makeClaim(const LeaseTable &table, const std::string &scope)
 {
     LeaseRecord record;
+    record.era = table.era;
     record.action = LeaseAction::Claim;
     record.scope = scope;
     record.firstRetained = table.firstRetained;
     const auto found = table.scopes.find(scope);
     if (found != table.scopes.end() && found->second.latest >= table.firstRetained) {
         record.replaces = found->second.latest;
+        record.replacesNonce = found->second.latestNonce;
     }
     return record;
 }
--- a/src/process/src/leasemanager.cpp
+++ b/src/process/src/leasemanager.cpp
@@ -43,6 +43,18 @@
     return "roles/" + targetGroup;
 }
 
+namespace
+{
+
+/** Where the next read starts, and the era in which that offset is valid. */
+struct ReadPosition
+{
+    Offset from = 0;
+    std::optional<LogEra> era; //!< empty before the first response
+};
+
+} // namespace
+
 /** State shared by the coroutines, which keep it alive. */
 struct LeaseManager::State
 {
@@ -51,11 +63,19 @@
     {
     }
 
-    void applyPage(const LogPage &page, Offset readFrom, TimePoint received);
+    /** Applies a page, unless it was read in another era than the table. */
+    void applyPage(const LogPage &page, const ReadPosition &position, TimePoint received);
+    /** Starts anew if the era is higher than the known one; false if it is lower. */
+    bool learnEra(LogEra told, TimePoint now);
+    /** Learns the era from responses to any call of this process. */
+    void checkEra(TimePoint now);
+    bool tellsEra() const;
+    LeaseStateMachine startMachine(const std::string &scope) const;
     void applyEntry(const LogRecord &entry, TimePoint received);
     std::vector<Json::Value> dueRecords(TimePoint now);
     std::vector<Json::Value> releases(TimePoint now);
-    std::optional<Offset> readPosition();
+    ReadPosition readPosition();
+    bool hasCaughtUp();
     bool isStopped();
     /** True if the stream must be read without delay: before the first catch-up, or while a lease is held or claimed. */
     bool isActive();
@@ -69,6 +89,9 @@
     std::mutex mutex;
     std::map<std::string, LeaseStateMachine> holders;
     LeaseTable table;
+    std::optional<LogEra> era; //!< of the table; empty before the first response
+    TimePoint eraKnownSince{};
+    bool tokensExhausted = false; //!< logged once per era
     bool readOnce = false;
     bool caughtUp = false;
     bool stopping = false;
@@ -87,11 +110,72 @@
     }
     const char *change = record.action == LeaseAction::Claim ? "claimed" : "released";
     processMetrics().count(Counter::LeaseChanges, {record.scope, change});
-    logEvent(LogComponent::Lease, LogLevel::Info, change, {{"scope", record.scope}, {"holder", record.holder.instance}, {"offset", offset}});
+    logEvent(
+        LogComponent::Lease, LogLevel::Info, change, {{"scope", record.scope}, {"holder", record.holder.instance}, {"offset", offset}, {"era", record.era}});
 }
 
 } // namespace
 
+bool LeaseManager::State::tellsEra() const
+{
+    return era && (log.era || *era > 0);
+}
+
+LeaseStateMachine LeaseManager::State::startMachine(const std::string &scope) const
+{
+    LeaseStateMachine machine(scope, self, settings);
+    if (tellsEra()) {
+        machine.onEra(*era, eraKnownSince);
+    }
+    return machine;
+}
+
+bool LeaseManager::State::learnEra(LogEra told, TimePoint now)
+{
+    if (era && told <= *era) {
+        return told == *era;
+    }
+    if (era) {
+        processMetrics().count(Counter::LogEraEvents, {"leases_restarted"});
+        for (const auto &[scope, holder] : holders) {
+            const auto lease = table.scopes.find(scope);
+            logEvent(LogComponent::Lease,
+                     LogLevel::Warning,
+                     "log came back from an older copy, reading the leases from the start",
+                     {{"stream", streams::leases},
+                      {"era", told},
+                      {"eraBefore", *era},
+                      {"position", table.next},
+                      {"scope", scope},
+                      {"holder", lease == table.scopes.end() ? "" : lease->second.holder.instance},
+                      {"token", lease == table.scopes.end() ? noOffset : lease->second.epoch},
+                      {"valid", holder.validUntil() && now <= *holder.validUntil() ? 1 : 0}});
+        }
+    }
+    era = told;
+    eraKnownSince = now;
+    table = startLeaseTable(0, told);
+    readOnce = false;
+    caughtUp = false;
+    tokensExhausted = false;
+    if (tellsEra()) {
+        for (auto &[scope, holder] : holders) {
+            holder.onEra(told, now);
+        }
+    }
+    return true;
+}
+
+void LeaseManager::State::checkEra(TimePoint now)
+{
+    const LogEra told = log.era ? log.era() : 0;
+    const std::lock_guard lock(mutex);
+    // Before the first response the log's access tells era 0.
+    if (era || told > 0) {
+        learnEra(std::max(told, era.value_or(0)), now);
+    }
+}
+
 void LeaseManager::State::applyEntry(const LogRecord &entry, TimePoint received)
 {
     Reason reason;
@@ -110,23 +194,29 @@
     }
 }
 
-void LeaseManager::State::applyPage(const LogPage &page, Offset readFrom, TimePoint received)
+void LeaseManager::State::applyPage(const LogPage &page, const ReadPosition &position, TimePoint received)
 {
     const std::lock_guard lock(mutex);
-    if (!readOnce || readFrom < page.firstRetained) {
-        table = startLeaseTable(page.firstRetained);
+    if (!learnEra(page.era, received) || (position.era && *position.era != page.era)) {
+        return;
+    }
+    if (!readOnce || position.from < page.firstRetained) {
+        table = startLeaseTable(page.firstRetained, page.era);
         caughtUp = false;
-        readOnce = true;
-        for (auto &[scope, holder] : holders) {
-            holder.onGap();
+        if (readOnce) {
+            for (auto &[scope, holder] : holders) {
+                holder.onGap();
+            }
         }
+        readOnce = true;
     }
     for (const LogRecord &entry : page.records) {
         applyEntry(entry, received);
     }
     const Offset next = page.records.empty() ? page.next : page.records.back().offset + 1;
     advanceReadPosition(table, page.firstRetained, next);
-    caughtUp = caughtUp || page.records.empty();
+    // A page that only moves the position past removed records says nothing about those after them.
+    caughtUp = caughtUp || (page.records.empty() && page.next <= position.from);
     if (caughtUp) {
         for (auto &[scope, holder] : holders) {
             holder.onCaughtUp(table, received);
@@ -141,6 +231,13 @@
     if (stopping) {
         return due;
     }
+    if (!tokensExhausted && !canIssueToken(table)) {
+        tokensExhausted = true;
+        logEvent(LogComponent::Lease,
+                 LogLevel::Error,
+                 "era or offset is too large for a fencing token, nothing is claimed",
+                 {{"era", table.era}, {"offset", table.next}});
+    }
     for (auto &[scope, holder] : holders) {
         if (const auto record = holder.nextRecord(table, now, randomId())) {
             due.push_back(toJson(*record));
@@ -161,13 +258,16 @@
     return due;
 }
 
-std::optional<Offset> LeaseManager::State::readPosition()
+ReadPosition LeaseManager::State::readPosition()
 {
     const std::lock_guard lock(mutex);
-    if (!readOnce) {
-        return std::nullopt;
-    }
-    return table.next;
+    return {readOnce ? table.next : 0, era};
+}
+
+bool LeaseManager::State::hasCaughtUp()
+{
+    const std::lock_guard lock(mutex);
+    return caughtUp;
 }
 
 bool LeaseManager::State::isActive()
@@ -192,16 +292,20 @@
 asio::awaitable<void> followStream(StatePointer state)
 {
     while (!state->isStopped()) {
-        const std::optional<Offset> position = state->readPosition();
-        const Offset from = position.value_or(0);
-        const milliseconds wait = position ? readWait : milliseconds(0);
+        const ReadPosition position = state->readPosition();
+        const milliseconds wait = state->hasCaughtUp() ? readWait : milliseconds(0);
+        const TimePoint sent = bootNow();
         Reason reason;
-        const auto page = co_await state->log.read(streams::leases, from, wait, reason);
+        const auto page = co_await state->log.read(streams::leases, position.from, wait, reason);
         if (!page) {
             co_await pauseFor(retryDelay);
             continue;
         }
-        state->applyPage(*page, from, bootNow());
+        state->applyPage(*page, position, bootNow());
+        // The log answers at once if it has no record at the position; the loop must not spin then.
+        if (page->records.empty() && bootNow() - sent < wait / 2) {
+            co_await pauseFor(retryDelay);
+        }
         const milliseconds pause = std::clamp(readIntervalPerCandidate * static_cast<std::int64_t>(state->candidates),
                                               minStandbyReadInterval,
                                               std::max(minStandbyReadInterval, state->settings.duration / minReadsPerLease));
@@ -221,6 +325,7 @@
 asio::awaitable<void> appendDueRecords(StatePointer state)
 {
     while (!state->isStopped()) {
+        state->checkEra(bootNow());
         std::vector<Json::Value> records = state->dueRecords(bootNow());
         if (!records.empty()) {
             // Not awaited, so that an append without a response does not delay the next renewal.
@@ -247,10 +352,10 @@
 void LeaseManager::addScope(const std::string &scope)
 {
     const std::lock_guard lock(m_state->mutex);
-    const auto [holder, added] = m_state->holders.try_emplace(scope, scope, m_state->self, m_state->settings);
-    if (!added) {
+    if (m_state->holders.contains(scope)) {
         return;
     }
+    const auto holder = m_state->holders.emplace(scope, m_state->startMachine(scope)).first;
     // The actual receive time of earlier records is unknown. Using the current time is safe: it only delays a claim.
     const auto lease = m_state->table.scopes.find(scope);
     if (lease != m_state->table.scopes.end()) {
@@ -258,6 +363,7 @@
         record.scope = scope;
         record.holder = lease->second.holder;
         record.action = lease->second.released ? LeaseAction::Release : LeaseAction::Renew;
+        record.era = lease->second.era;
         record.duration = lease->second.duration;
         holder->second.onRecord(m_state->table, lease->second.certain ? LeaseEffect::Effective : LeaseEffect::Unknown, record, bootNow());
     }
@@ -312,11 +418,17 @@
 
 std::optional<LeaseHold> LeaseManager::hold(const std::string &scope, milliseconds callTimeout) const
 {
-    const std::optional<Offset> token = mayCall(scope, callTimeout) ? epoch(scope) : std::nullopt;
-    if (!token) {
+    const std::lock_guard lock(m_state->mutex);
+    const TimePoint now = bootNow();
+    const auto holder = m_state->holders.find(scope);
+    if (m_state->stopping || holder == m_state->holders.end()) {
         return std::nullopt;
     }
-    return LeaseHold{.token = *token, .tenure = static_cast<std::uint64_t>(*token) + 1};
+    const auto held = holder->second.hold(now, callTimeout);
+    if (held) {
+        m_state->lastCallEnd = std::max(m_state->lastCallEnd, now + callTimeout);
+    }
+    return held;
 }
 
 std::optional<Offset> LeaseManager::epoch(const std::string &scope) const
@@ -352,7 +464,10 @@
         LeaseStatus status;
         status.scope = scope;
         status.phase = holder.phase();
-        status.valid = holder.mayCall(bootNow(), milliseconds(0));
+        const auto rest = holder.validUntil() ? std::chrono::floor<milliseconds>(*holder.validUntil() - bootNow()) : milliseconds(0);
+        status.valid = rest > milliseconds(0);
+        status.validFor = std::max(rest, milliseconds(0));
+        status.era = m_state->era.value_or(0);
         status.epoch = holder.epoch().value_or(noOffset);
         const auto lease = m_state->table.scopes.find(scope);
         if (lease != m_state->table.scopes.end()) {
--- a/src/process/src/leasestatemachine.cpp
+++ b/src/process/src/leasestatemachine.cpp
@@ -122,8 +122,9 @@
 void LeaseStateMachine::onRecord(const LeaseTable &table, LeaseEffect effect, const LeaseRecord &record, TimePoint received)
 {
     const bool own = record.holder == m_self;
+    const bool ofCurrentEra = record.era == table.era;
     if (effect == LeaseEffect::None) {
-        const bool ownClaim = own && record.action == LeaseAction::Claim;
+        const bool ownClaim = own && ofCurrentEra && record.action == LeaseAction::Claim;
         m_sent.erase(record.nonce);
         if (ownClaim) {
             m_machine->fsm.process_event(ClaimRejected{});
@@ -134,9 +135,12 @@
     if (effect == LeaseEffect::Unknown) {
         return;
     }
-    if (!own) {
-        m_validUntil.reset();
-        m_epoch.reset();
+    if (!own || !ofCurrentEra) {
+        // A record of an earlier era may have survived the lease of this process or be late; it ends only a lease that it has replaced.
+        if (ofCurrentEra || m_lease.era == table.era) {
+            m_validUntil.reset();
+            m_epoch.reset();
+        }
         m_machine->fsm.process_event(OtherEffective{});
         return;
     }
@@ -144,13 +148,32 @@
         m_machine->fsm.process_event(OwnReleased{});
         return;
     }
+    onOwnEffective(table, record, received);
+    m_machine->fsm.process_event(OwnEffective{});
+}
+
+void LeaseStateMachine::onOwnEffective(const LeaseTable &table, const LeaseRecord &record, TimePoint received)
+{
     const auto sent = m_sent.find(record.nonce);
-    if (sent != m_sent.end() && !m_releasing) {
-        m_validUntil = leaseValidUntil(sent->second, m_settings);
+    const bool known = sent != m_sent.end();
+    const Offset token = table.scopes.at(m_scope).epoch;
+    if (m_epoch != token) {
+        const bool continues = m_epoch && known && sent->second.continuing;
+        if (!continues) {
+            ++m_lease.tenure;
+            m_lease.since = known ? sent->second.at : received;
+        }
+        m_epoch = token;
+        m_lease.token = token;
+        m_lease.era = table.era;
+        m_lease.eraKnownSince = m_eraKnownSince;
+        m_callableFrom = m_lastCallEnd;
+    }
+    if (known && !m_releasing) {
+        m_validUntil = leaseValidUntil(sent->second.at, m_settings);
+        m_lastValidUntil = std::max(m_lastValidUntil, m_validUntil);
     }
     m_sent.erase(record.nonce);
-    m_epoch = table.scopes.at(m_scope).epoch;
-    m_machine->fsm.process_event(OwnEffective{});
 }
 
 void LeaseStateMachine::onCaughtUp(const LeaseTable &table, TimePoint)
@@ -166,6 +189,34 @@
     m_machine->fsm.process_event(Gap{});
 }
 
+void LeaseStateMachine::onEra(LogEra era, TimePoint knownSince)
+{
+    m_era = era;
+    m_eraKnownSince = knownSince;
+    m_quarantineUntil = claimableFrom(knownSince, m_settings.duration, m_settings);
+    m_sent.clear();
+    m_lastSent = {};
+    m_machine->fsm.process_event(Gap{});
+}
+
+bool LeaseStateMachine::holdsFromEarlierEra(TimePoint now) const noexcept
+{
+    return m_validUntil && now <= *m_validUntil && m_lease.era != m_era;
+}
+
+TimePoint LeaseStateMachine::claimTime() const noexcept
+{
+    TimePoint earliest = m_claimableFrom;
+    if (m_quarantineUntil) {
+        earliest = std::max(earliest, *m_quarantineUntil);
+    }
+    // No quick return: calls under the lease that this process lost may have arrived until its end.
+    if (m_lastValidUntil) {
+        earliest = std::max(earliest, *m_lastValidUntil + m_settings.duration);
+    }
+    return earliest;
+}
+
 std::optional<LeaseRecord> LeaseStateMachine::nextRecord(const LeaseTable &table, TimePoint now, std::uint64_t nonce)
 {
     const LeasePhase current = phase();
@@ -173,11 +224,16 @@
     if (m_releasing || current == LeasePhase::Unread || !isClaimable(table, m_scope) || (!retryDue && m_lastSent != TimePoint{})) {
         return std::nullopt;
     }
-    if (current != LeasePhase::Holding && now < m_claimableFrom) {
+    const bool continuing = holdsFromEarlierEra(now);
+    if (current != LeasePhase::Holding && !continuing && now < claimTime()) {
         return std::nullopt;
     }
     LeaseRecord record = makeClaim(table, m_scope);
-    if (current == LeasePhase::Holding && record.replaces != noOffset) {
+    const bool renews = current == LeasePhase::Holding && record.replaces != noOffset;
+    if (!renews && !canIssueToken(table)) {
+        return std::nullopt;
+    }
+    if (renews) {
         record.action = LeaseAction::Renew;
         record.epoch = *m_epoch;
     } else {
@@ -188,10 +244,10 @@
     record.duration = m_settings.duration;
     if (m_sent.size() >= maxPendingRecords) {
         m_sent.erase(std::min_element(m_sent.begin(), m_sent.end(), [](const auto &left, const auto &right) {
-            return left.second < right.second;
+            return left.second.at < right.second.at;
         }));
     }
-    m_sent[nonce] = now;
+    m_sent[nonce] = {now, continuing};
     m_lastSent = now;
     return record;
 }
@@ -214,9 +270,21 @@
     return record;
 }
 
-bool LeaseStateMachine::mayCall(TimePoint now, milliseconds callTimeout) const noexcept
+bool LeaseStateMachine::mayCall(TimePoint now, milliseconds callTimeout) noexcept
 {
-    return m_validUntil && now + callTimeout <= *m_validUntil;
+    if (!m_validUntil || now + callTimeout > *m_validUntil || now < m_callableFrom) {
+        return false;
+    }
+    m_lastCallEnd = std::max(m_lastCallEnd, now + callTimeout);
+    return true;
+}
+
+std::optional<LeaseHold> LeaseStateMachine::hold(TimePoint now, milliseconds callTimeout) noexcept
+{
+    if (!m_epoch || !mayCall(now, callTimeout)) {
+        return std::nullopt;
+    }
+    return m_lease;
 }
 
 std::optional<TimePoint> LeaseStateMachine::validUntil() const noexcept
--- a/src/serving/src/processparts.cpp
+++ b/src/serving/src/processparts.cpp
@@ -71,6 +71,8 @@
         entry["held"] = lease.valid;
         entry["holder"] = lease.holder;
         entry["epoch"] = Json::Int64(lease.epoch);
+        entry["era"] = Json::UInt64(lease.era);
+        entry["validForMs"] = Json::Int64(lease.validFor.count());
         list.append(std::move(entry));
     }
     return list;
--- a/tests/process/leasesimulation.cpp
+++ b/tests/process/leasesimulation.cpp
@@ -13,10 +13,12 @@
 
 constexpr int processCount = 3;
 constexpr milliseconds runTime{24000};
+constexpr milliseconds runTimeWithCopies{40000}; //!< each copy costs a lease at least
+constexpr milliseconds longMaxFaultInterval{9000}; //!< leases last for several renewals
 constexpr milliseconds callTimeout{300};
 constexpr milliseconds readTimeout{1500};
 constexpr milliseconds minRetention{3000}; //!< longer than a lease on any of the drifting clocks
-constexpr std::size_t pageRecords = 20;
+constexpr std::size_t pageRecordsOfMany = 500; //!< the whole stream in one page
 const LeaseSettings leaseSettings{.duration = milliseconds(2000), .margin = milliseconds(400)};
 
 /** Log service that applies each append and read at the time of its arrival. */
@@ -58,6 +60,7 @@
     bool readOnce = false;
     bool caughtUp = false;
     bool stopping = false;
+    std::optional<LogEra> era; //!< highest in any response of the log
     Duration pausedUntil{};
     Duration cutUntil{}; //!< until then, neither calls to the log nor its responses arrive
     std::optional<std::uint64_t> awaitedRead;
@@ -75,6 +78,15 @@
         m_faults.duplicatePercent = static_cast<int>(m_choices.between(0, 10));
         m_faults.slowPercent = static_cast<int>(m_choices.between(0, 15));
         m_faults.usualDelay = m_choices.time(2, 300);
+        if (kind == LeaseLogKind::Copied) {
+            m_copyShare = m_choices.between(1, 3);
+            m_pageRecords = m_choices.percent(50) ? pageRecordsOfMany : m_pageRecords;
+            m_maxFaultInterval = m_choices.percent(50) ? longMaxFaultInterval : m_maxFaultInterval;
+            m_runTime = runTimeWithCopies;
+            // On a slow network no lease would last until the claim in the new era was read back.
+            m_faults.usualDelay = m_choices.percent(50) ? m_choices.time(2, 30) : m_faults.usualDelay;
+        }
+        m_history.kind = kind;
     }
 
     LeaseRunHistory run()
@@ -89,7 +101,7 @@
         m_time.after(m_choices.time(500, 3000), [this] {
             injectFault();
         });
-        m_time.run(runTime);
+        m_time.run(m_runTime);
         return std::move(m_history);
     }
 
@@ -105,6 +117,7 @@
         process.readOnce = false;
         process.caughtUp = false;
         process.stopping = false;
+        process.era.reset();
         process.awaitedRead.reset();
         process.mutatedValidUntil.reset();
     }
@@ -118,11 +131,53 @@
         return result;
     }
 
+    /** Handles the era in a response; false if the response is to be dropped. */
+    bool learnEra(Process &process, LogEra era)
+    {
+        if (m_kind == LeaseLogKind::Lasting || process.era == era) {
+            return true;
+        }
+        if (process.era && era < *process.era) {
+            return m_mutation == LeaseMutation::PageOfEarlierEra;
+        }
+        const bool first = !process.era;
+        process.era = era;
+        if (m_mutation == LeaseMutation::SameTableInNewEra) {
+            return true;
+        }
+        const TimePoint now = process.clock.at(m_time.now());
+        const bool waits = !(m_mutation == LeaseMutation::NoWaitAfterRise && !first) && !(m_mutation == LeaseMutation::NoWaitAfterStart && first)
+            && !(m_mutation == LeaseMutation::FormerHolderClaims && process.recordedValidUntil);
+        process.table = startLeaseTable(0, era);
+        process.readOnce = false;
+        process.caughtUp = false;
+        process.holder->onEra(era, waits ? now : now - seconds(60));
+        return true;
+    }
+
+    /** Any call to the log tells its era, not only the reads of the leases. */
+    void callLog(Process &process)
+    {
+        const std::uint64_t incarnation = process.self.number;
+        sendMessage(m_time, m_choices, m_faults, [this, &process, incarnation] {
+            if (m_log.down(m_time.now()) || isCut(process)) {
+                return;
+            }
+            sendMessage(m_time, m_choices, m_faults, [this, &process, incarnation, era = m_log.era] {
+                whenRunning(process, [this, &process, incarnation, era] {
+                    if (process.self.number == incarnation && !isCut(process)) {
+                        learnEra(process, era);
+                    }
+                });
+            });
+        });
+    }
+
     void injectFault()
     {
         ++m_history.faults;
         Process &process = m_processes[m_choices.between(0, processCount - 1)];
-        switch (m_choices.between(0, m_kind == LeaseLogKind::Copied ? 8 : 5)) {
+        switch (m_choices.between(0, 5 + m_copyShare)) {
         case 0:
         case 1:
             process.pausedUntil = m_time.now() + m_choices.time(200, 6000);
@@ -144,7 +199,7 @@
             injectCopy();
             break;
         }
-        m_time.after(m_choices.time(300, 4000), [this] {
+        m_time.after(m_choices.time(300, m_maxFaultInterval.count()), [this] {
             injectFault();
         });
     }
@@ -152,15 +207,15 @@
     /** The log comes back from an older copy; beside it, by chance: again soon after, restarts, a process without the log. */
     void injectCopy()
     {
-        const Duration beforeCopy = m_choices.time(0, 1000);
-        if (m_choices.percent(50)) {
+        const Duration beforeCopy = m_choices.time(0, 600);
+        if (m_choices.percent(40)) {
             m_log.outageUntil = m_time.now() + beforeCopy;
         }
         if (m_choices.percent(30)) {
             m_processes[m_choices.between(0, processCount - 1)].cutUntil = m_time.now() + m_choices.time(500, 6000);
         }
         const bool restartAll = m_choices.percent(15);
-        const bool restartOne = m_choices.percent(40);
+        const bool restartOne = m_choices.percent(30);
         for (Process &process : m_processes) {
             if (restartAll || (restartOne && m_choices.percent(40))) {
                 m_time.after(m_choices.time(0, 2000), [this, &process] {
@@ -260,6 +315,9 @@
         if (!paused(process)) {
             appendDueRecord(process);
             readNext(process);
+            if (m_choices.percent(15)) {
+                callLog(process);
+            }
             callPlatform(process);
         }
         m_time.after(m_choices.time(60, 240), [this, &process] {
@@ -278,11 +336,14 @@
         sendAppend(process, *record);
     }
 
-    void sendAppend(const Process &process, const LeaseRecord &record)
+    void sendAppend(const Process &process, LeaseRecord record)
     {
         if (isCut(process)) {
             return;
         }
+        if (m_mutation == LeaseMutation::ReplacesByOffset) {
+            record.replacesNonce = 0;
+        }
         sendMessage(m_time, m_choices, m_faults, [this, record] {
             if (!m_log.down(m_time.now())) {
                 m_log.records.push_back(record);
@@ -303,11 +364,12 @@
         if (isCut(process)) {
             return;
         }
-        sendMessage(m_time, m_choices, m_faults, [this, &process, id, from] {
+        sendMessage(m_time, m_choices, m_faults, [this, &process, id, from, era = process.era] {
             if (m_log.down(m_time.now()) || isCut(process)) {
                 return;
             }
             LeasePageCopy page = readPage(from);
+            page.requestedEra = era;
             sendMessage(m_time, m_choices, m_faults, [this, &process, id, page = std::move(page)] {
                 whenRunning(process, [this, &process, id, page] {
                     applyPage(process, id, page);
@@ -318,6 +380,8 @@
 
     struct LeasePageCopy
     {
+        LogEra era = 0;
+        std::optional<LogEra> requestedEra;
         Offset from = 0;
         Offset firstRetained = 0;
         Offset first = 0;
@@ -326,8 +390,13 @@
 
     LeasePageCopy readPage(Offset from) const
     {
-        LeasePageCopy page{.from = from, .firstRetained = m_log.firstRetained, .first = std::max(from, m_log.firstRetained), .records = {}};
-        for (std::size_t offset = static_cast<std::size_t>(page.first); offset < m_log.records.size() && page.records.size() < pageRecords; ++offset) {
+        LeasePageCopy page{.era = m_log.era,
+                           .requestedEra = {},
+                           .from = from,
+                           .firstRetained = m_log.firstRetained,
+                           .first = std::max(from, m_log.firstRetained),
+                           .records = {}};
+        for (std::size_t offset = static_cast<std::size_t>(page.first); offset < m_log.records.size() && page.records.size() < m_pageRecords; ++offset) {
             page.records.push_back(m_log.records[offset]);
         }
         return page;
@@ -340,21 +409,46 @@
         }
         process.awaitedRead.reset();
         const TimePoint now = process.clock.at(m_time.now());
+        if (!learnEra(process, page.era)) {
+            return;
+        }
+        const bool otherEra = page.requestedEra && *page.requestedEra != page.era;
+        if (otherEra && m_mutation != LeaseMutation::PageOfEarlierEra && m_mutation != LeaseMutation::SameTableInNewEra) {
+            readNext(process);
+            return;
+        }
         if (!process.readOnce || page.from < page.firstRetained) {
-            process.table = startLeaseTable(page.firstRetained);
+            process.table = startLeaseTable(page.firstRetained, process.table.era);
+            if (process.readOnce) {
+                process.holder->onGap();
+            }
             process.readOnce = true;
             process.caughtUp = false;
-            process.holder->onGap();
         }
         for (std::size_t i = 0; i < page.records.size(); ++i) {
             applyRecord(process, page.first + static_cast<Offset>(i), page.records[i], now);
         }
         advanceReadPosition(process.table, page.firstRetained, page.first + static_cast<Offset>(page.records.size()));
-        process.caughtUp = process.caughtUp || page.records.empty();
+        process.caughtUp = process.caughtUp || (page.records.empty() && page.first <= page.from);
         if (process.caughtUp) {
             process.holder->onCaughtUp(process.table, now);
         }
+        compareTables(process);
         recordValidity(process);
+        if (!process.caughtUp && m_kind == LeaseLogKind::Copied) {
+            readNext(process);
+        }
+    }
+
+    void compareTables(const Process &process)
+    {
+        for (const Process &other : m_processes) {
+            const auto own = process.table.scopes.find("usage");
+            const auto others = other.table.scopes.find("usage");
+            const bool comparable = process.table.era == other.table.era && process.table.next == other.table.next && own != process.table.scopes.end()
+                && others != other.table.scopes.end() && own->second.certain && others->second.certain;
+            m_history.disagreements += comparable && own->second.latest != others->second.latest ? 1 : 0;
+        }
     }
 
     void applyRecord(Process &process, Offset offset, LeaseRecord record, TimePoint now)
@@ -367,7 +461,19 @@
         if (m_mutation == LeaseMutation::NoClaimDelay) {
             record.duration = -leaseSettings.margin;
         }
+        if (m_mutation == LeaseMutation::EarlierRecordHolds && record.holder == process.self) {
+            record.era = process.table.era;
+        }
+        if (m_mutation == LeaseMutation::QuickReturn && record.action == LeaseAction::Release && effect == LeaseEffect::Effective
+            && record.era == process.table.era && !process.stopping) {
+            forgetLease(process);
+        }
+        const std::optional<TimePoint> validBefore = process.holder->validUntil();
         process.holder->onRecord(process.table, effect, record, now);
+        const bool ownClaim = effect == LeaseEffect::Effective && record.action == LeaseAction::Claim && record.holder == process.self;
+        if (ownClaim && record.era == process.table.era && validBefore && now < *validBefore) {
+            ++m_history.continued;
+        }
         if (effect == LeaseEffect::Effective) {
             process.mutatedValidUntil.reset();
             if (record.holder == process.self) {
@@ -376,18 +482,31 @@
         }
     }
 
+    /** Replaces the machine by one that never held the lease. */
+    void forgetLease(Process &process)
+    {
+        process.holder = std::make_unique<LeaseStateMachine>("usage", process.self, settings());
+        if (process.era) {
+            process.holder->onEra(*process.era, process.clock.at(m_time.now()) - seconds(60));
+        }
+    }
+
     std::optional<TimePoint> validUntil(const Process &process) const
     {
         return m_mutation == LeaseMutation::ValidityFromReceipt ? process.mutatedValidUntil : process.holder->validUntil();
     }
 
-    bool mayCall(const Process &process) const
+    bool mayCall(Process &process) const
     {
         const milliseconds timeout = m_mutation == LeaseMutation::NoCallTimeout ? milliseconds(0) : callTimeout;
         const TimePoint now = process.clock.at(m_time.now());
         if (m_mutation == LeaseMutation::ValidityFromReceipt) {
             return process.mutatedValidUntil && now + timeout <= *process.mutatedValidUntil;
         }
+        if (m_mutation == LeaseMutation::TokenChangesInCall) {
+            const auto until = process.holder->validUntil();
+            return !process.stopping && until && now + timeout <= *until;
+        }
         return !process.stopping && process.holder->mayCall(now, timeout);
     }
 
@@ -406,11 +525,23 @@
             }
             // The caller aborts the call at its timeout, by its own clock, so it arrives before that or never.
             const auto travel = std::chrono::duration_cast<Duration>(m_choices.time(0, callTimeout.count()) / process.clock.rate);
-            const CallArrival arrival{process.index, process.self.number, process.holder->epoch().value_or(noOffset), m_time.now() + travel};
-            m_history.callArrivals.push_back(arrival);
+            m_history.callArrivals.push_back({process.index, process.self.number, tokenOf(process), tenureOf(process), m_time.now() + travel});
         });
     }
 
+    Offset tokenOf(const Process &process) const
+    {
+        constexpr Offset offsetMask = 0xffffffff;
+        const Offset token = process.holder->epoch().value_or(noOffset);
+        return m_mutation == LeaseMutation::TokenWithoutEra ? token & offsetMask : token;
+    }
+
+    std::uint64_t tenureOf(Process &process) const
+    {
+        const auto hold = process.holder->hold(process.clock.at(m_time.now()), milliseconds(0));
+        return m_mutation == LeaseMutation::OneTenure || !hold ? 0 : hold->tenure;
+    }
+
     // A period is recorded to its full end even if the process dies earlier, since its calls may still be in flight.
     void recordValidity(Process &process)
     {
@@ -429,22 +560,16 @@
     SeededRandom m_choices;
     LeaseMutation m_mutation;
     LeaseLogKind m_kind;
+    std::int64_t m_copyShare = 0; //!< of the faults, relative to the other kinds
+    std::size_t m_pageRecords = 20;
+    milliseconds m_maxFaultInterval{4000};
+    milliseconds m_runTime{runTime};
     NetworkFaults m_faults;
     FakeLog m_log;
     Process m_processes[processCount];
     LeaseRunHistory m_history;
 };
 
-bool overlap(const ValidPeriod &left, const ValidPeriod &right)
-{
-    return left.from < right.until && right.from < left.until;
-}
-
-bool covers(const ValidPeriod &period, const CallArrival &arrival)
-{
-    return period.incarnation == arrival.incarnation && period.from <= arrival.at && arrival.at <= period.until;
-}
-
 } // namespace
 
 LeaseRunHistory simulateLease(std::uint64_t seed, LeaseMutation mutation, LeaseLogKind kind)
@@ -452,61 +577,4 @@
     return LeaseSimulation(seed, mutation, kind).run();
 }
 
-std::vector<std::string> checkLease(const LeaseRunHistory &history)
-{
-    std::vector<std::string> violations;
-    for (std::size_t i = 0; i < history.validPeriods.size(); ++i) {
-        for (std::size_t j = i + 1; j < history.validPeriods.size(); ++j) {
-            const ValidPeriod &left = history.validPeriods[i];
-            const ValidPeriod &right = history.validPeriods[j];
-            if (left.incarnation != right.incarnation && overlap(left, right)) {
-                violations.push_back("two valid leases at the same time: " + std::to_string(left.process) + " and " + std::to_string(right.process));
-            }
-        }
-    }
-    for (const CallArrival &arrival : history.callArrivals) {
-        const bool covered = std::any_of(history.validPeriods.begin(), history.validPeriods.end(), [&arrival](const ValidPeriod &period) {
-            return covers(period, arrival);
-        });
-        if (!covered) {
-            violations.push_back("call of process " + std::to_string(arrival.process) + " outside its valid period");
-        }
-    }
-    return violations;
-}
-
-std::vector<std::string> checkTokens(const LeaseRunHistory &history)
-{
-    std::vector<CallArrival> calls = history.callArrivals;
-    std::stable_sort(calls.begin(), calls.end(), [](const CallArrival &left, const CallArrival &right) {
-        return left.at < right.at;
-    });
-    std::vector<std::string> violations;
-    const auto violated = [&violations](const char *rule, const CallArrival &call) {
-        violations.push_back(std::string(rule) + ": process " + std::to_string(call.process) + ", token " + std::to_string(call.epoch));
-    };
-    std::map<Offset, std::uint64_t> users;
-    std::map<int, CallArrival> latestCalls; // by process
-    Offset highest = noOffset;
-    for (const CallArrival &call : calls) {
-        if (users.try_emplace(call.epoch, call.incarnation).first->second != call.incarnation) {
-            violated("token of two incarnations", call);
-        }
-        if (call.epoch < highest) {
-            violated("token lower than an earlier one", call);
-        }
-        highest = std::max(highest, call.epoch);
-        const auto before = latestCalls.find(call.process);
-        const bool returns = before != latestCalls.end() && call.at - before->second.at < simulatedTurnPeriod
-            && std::any_of(latestCalls.begin(), latestCalls.end(), [&](const auto &entry) {
-                                 return entry.first != call.process && entry.second.at > before->second.at;
-                             });
-        if (returns) {
-            violated("holder returned within the turn period", call);
-        }
-        latestCalls[call.process] = call;
-    }
-    return violations;
-}
-
 } // namespace snipehill::test
