Hand the duties over when a direct entry is stopped

Each planned stop cost the duties a lease: the entry never wrote the release. It is written at the start of the drain and not awaited, so the end of the process is not delayed.

--- a/src/serving/src/directentry.cpp
+++ b/src/serving/src/directentry.cpp
@@ -264,6 +264,8 @@
 {
     const TimePoint began = Clock::now();
     entry.draining = true;
+    // Another entry takes the duties over now instead of after the end of the lease. Not awaited: it must not delay the end.
+    asio::co_spawn(entry.control, entry.leases.stop(), asio::detached);
     entry.callers.closeAfterResponses();
     logEvent(LogComponent::Process, LogLevel::Info, "draining", {{"active", entry.callers.activeExchanges()}});
     const TimePoint shutdownDeadline = began + entry.settings.grace - shutdownMargin;
