Start the configuration reader anew when the store comes back from an older copy

What callers saw: a version that the operator wrote again, or newly, could stay unread for as long as the entry ran, and requests with its keys or routes were refused with 401 or 404 as if the entry had the newest version.

Cause: the reader went on at its old offset. Records that were written below it after the return, while the log grew past it, were never read. Each read of the copy also counted as proof that the version in force is the newest, though the copy had lost it.

A read confirms the version in force only if the store has shown a version that is not older since the return, and not within the two seconds in which lost records are written again.

--- a/src/serving/src/directwatch.cpp
+++ b/src/serving/src/directwatch.cpp
@@ -1,5 +1,7 @@
 #include "directwatch.h"
 
+#include "storereader.h"
+
 #include <platform/records.h>
 #include <process/log.h>
 #include <process/pause.h>
@@ -21,7 +23,7 @@
 constexpr int targetReadsPerDrain = 3; // a leaving target is noticed well within its drain time even if one read fails
 constexpr milliseconds retryPause{100}; // after the first failure; doubles with each further one
 constexpr milliseconds maxRetryPause{600}; // limits the load on a busy store that refuses calls; recovery must be noticed well within configTimeout
-constexpr milliseconds recoveryGrace{2000}; // entries that expired during a store outage are registered again within this time
+constexpr milliseconds recoveryGrace{2000}; // what a store outage let expire or an older copy has lost is written again within this time
 
 /** Reads the newest record of each key on the first call, later the records from next on. */
 asio::awaitable<std::optional<platform::StorePage>> readNext(WatchContext &context, std::string topic, Offset next, milliseconds wait, Reason &reason)
@@ -69,7 +71,23 @@
     milliseconds m_pause = retryPause;
 };
 
-void applyConfiguration(WatchContext &context, const platform::StoreRecord &record)
+/** What has been read of the configuration since the store last came back from an older copy. */
+struct ConfigurationReads
+{
+    std::uint64_t newestVersion = 0; //!< highest version read
+    TimePoint rewrittenBy{}; //!< by then the operator has written again what the copy has lost
+};
+
+/**
+ * Whether a read shows that no newer version than the one in force exists. Not if the store has only older ones: it has then
+ * lost the version in force, and may have lost a newer one.
+ */
+bool confirmsVersion(const ConfigurationReads &reads, const RoutingVersion &inForce, TimePoint requestedAt)
+{
+    return reads.newestVersion >= inForce.version && requestedAt >= reads.rewrittenBy;
+}
+
+void applyConfiguration(WatchContext &context, const platform::StoreRecord &record, ConfigurationReads &reads)
 {
     if (record.key != platform::configurationKey) {
         return;
@@ -80,6 +98,7 @@
         logEvent(LogComponent::Config, LogLevel::Error, "invalid configuration", reason, {{"offset", record.offset}});
         return;
     }
+    reads.newestVersion = std::max(reads.newestVersion, version->version);
     const auto shared = std::make_shared<const RoutingVersion>(std::move(*version));
     if (!context.routing.apply(shared)) {
         return;
@@ -183,26 +202,30 @@
 {
     StoreAvailability availability("configuration", context.store.address());
     const auto wait = std::chrono::duration_cast<milliseconds>(context.settings.configTimeout * configurationWaitFraction);
-    Offset next = noOffset;
+    StoreReader reader{.topic = platform::operatorTopic};
+    ConfigurationReads reads;
     while (!context.stopped) {
         Reason reason;
-        const TimePoint requestedAt = Clock::now();
-        const auto page = co_await readNext(context, platform::operatorTopic, next, wait, reason);
+        const auto page = co_await readNextPage(reader, context.store, wait, storeTimeout, reason);
         if (!page) {
             co_await pauseFor(availability.reportFailure(reason));
             continue;
         }
         availability.reportRecovery();
-        if (page->offsetDeleted) {
-            next = noOffset;
-            continue;
+        if (page->afterOlderCopy) {
+            reads = {.rewrittenBy = Clock::now() + recoveryGrace};
         }
-        for (const platform::StoreRecord &record : page->records) {
-            applyConfiguration(context, record);
+        for (const platform::StoreRecord &record : page->page.records) {
+            applyConfiguration(context, record, reads);
+        }
+        const RoutingVersionPointer inForce = context.routing.current();
+        if (page->afterOlderCopy) {
+            logReaderRestart("configuration", *page, {{"version", reads.newestVersion}, {"versionInForce", inForce ? inForce->version : 0}});
         }
-        next = page->next;
         // All records written before the read was sent are now applied.
-        context.routing.confirm(requestedAt);
+        if (!inForce || confirmsVersion(reads, *inForce, page->requestedAt)) {
+            context.routing.confirm(page->requestedAt);
+        }
     }
 }
 
--- /dev/null
+++ b/src/serving/src/storereader.cpp
@@ -0,0 +1,54 @@
+#include "storereader.h"
+
+#include <process/metrics.h>
+
+#include <utility>
+
+namespace snipehill
+{
+
+namespace asio = boost::asio;
+
+bool isBehindEra(const StoreReader &reader, const platform::StoreClient &store)
+{
+    return reader.hasRead && store.era() > reader.era;
+}
+
+asio::awaitable<std::optional<ReaderPage>>
+readNextPage(StoreReader &reader, platform::StoreClient &store, milliseconds wait, milliseconds timeout, Reason &reason)
+{
+    if (!reader.needsSnapshot && !isBehindEra(reader, store)) {
+        const TimePoint requestedAt = Clock::now();
+        auto page = co_await store.read(reader.topic, reader.next, wait, timeout, reason);
+        if (!page) {
+            co_return std::nullopt;
+        }
+        if (!page->offsetDeleted && page->era == reader.era && !isBehindEra(reader, store)) {
+            reader.next = page->next;
+            co_return ReaderPage{.page = std::move(*page), .requestedAt = requestedAt, .eraBefore = reader.era};
+        }
+    }
+    reader.needsSnapshot = true;
+    const TimePoint requestedAt = Clock::now();
+    auto snapshot = co_await store.readNewest(reader.topic, timeout, reason);
+    if (!snapshot) {
+        co_return std::nullopt;
+    }
+    ReaderPage result{.page = std::move(*snapshot), .requestedAt = requestedAt, .isSnapshot = true, .eraBefore = reader.era, .offsetBefore = reader.next};
+    result.afterOlderCopy = reader.hasRead && result.page.era > reader.era;
+    reader.era = result.page.era;
+    reader.next = result.page.next;
+    reader.needsSnapshot = false;
+    reader.hasRead = true;
+    co_return result;
+}
+
+void logReaderRestart(const char *watch, const ReaderPage &page, LogFields fields)
+{
+    processMetrics().count(Counter::LogEraEvents, {"reader_restarted"});
+    LogFields all{{"watch", watch}, {"era", page.page.era}, {"eraBefore", page.eraBefore}, {"offset", page.page.next}, {"offsetBefore", page.offsetBefore}};
+    all.insert(all.end(), fields.begin(), fields.end());
+    logEvent(LogComponent::Config, LogLevel::Info, "reader started anew", std::move(all));
+}
+
+} // namespace snipehill
--- /dev/null
+++ b/tests/serving/storecopytest.cpp
@@ -0,0 +1,198 @@
+#include "platform/storehost.h"
+#include "support/childprocess.h"
+
+#include <serving/src/directpeers.h>
+#include <serving/src/directusage.h>
+#include <serving/src/directwatch.h>
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <string>
+#include <vector>
+
+using namespace snipehill;
+using snipehill::support::StoreHost;
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr milliseconds callTimeout{2000};
+constexpr milliseconds storeStep{60}; // time between two groups of records, so that a copy loses one group and keeps the other
+constexpr milliseconds configTimeout{1000};
+constexpr milliseconds settleTime{configTimeout + milliseconds(100)}; // all calls that wait at the store have been answered
+
+DirectSettings settingsFor(const Endpoint &store)
+{
+    DirectSettings settings;
+    settings.instance = "entry-1";
+    settings.store = store;
+    settings.configTimeout = configTimeout;
+    settings.drainTimeout = milliseconds(150);
+    settings.callers = {"127.0.0.1", 1};
+    return settings;
+}
+
+std::string configuration(int version)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[]})";
+}
+
+/** A store, and the readers of one entry, which run only while a run function is called. */
+class ReaderRun
+{
+public:
+    ReaderRun()
+        : settings(settingsFor(host.endpoint()))
+        , readerStore(host.endpoint())
+        , targets({.instance = "entry-1", .failureDomain = "fd-a"})
+        , watch{settings, readerStore, routing, targets, [](const RoutingVersion &) {}}
+        , writerStore(host.endpoint())
+    {
+    }
+
+    void write(const char *topic, const std::string &key, const std::string &value)
+    {
+        std::vector<platform::StoreRecord> records;
+        records.push_back({noOffset, key, value});
+        Reason reason;
+        const auto offset = host.run(writerStore.append(topic, std::move(records), callTimeout, reason));
+        INFO(reason.detail);
+        REQUIRE(offset);
+    }
+
+    /** Lets time pass so that a copy can lose what is written afterwards and keep what was written before. */
+    void separate()
+    {
+        std::this_thread::sleep_for(storeStep);
+        m_separatedAt = Clock::now();
+        std::this_thread::sleep_for(storeStep);
+    }
+
+    /** Brings the store back without the records since separate(). The readers' calls in progress were answered before. */
+    void loseRecords()
+    {
+        std::this_thread::sleep_for(settleTime);
+        host.loseRecordsOf(std::chrono::duration_cast<milliseconds>(Clock::now() - m_separatedAt));
+    }
+
+    bool runUntil(const std::function<bool()> &condition, milliseconds time)
+    {
+        const TimePoint end = Clock::now() + time;
+        while (!condition() && Clock::now() < end) {
+            context.run_for(milliseconds(5));
+        }
+        return condition();
+    }
+
+    std::uint64_t version() const
+    {
+        const auto current = routing.current();
+        return current ? current->version : 0;
+    }
+
+    bool accepts(const std::string &id)
+    {
+        return targets.acceptsWork({.group = "g", .id = id});
+    }
+
+    StoreHost host;
+    asio::io_context context;
+    const DirectSettings settings;
+    platform::StoreClient readerStore;
+    RoutingHolder routing;
+    TargetRegistry targets;
+    WatchContext watch;
+    platform::StoreClient writerStore;
+
+private:
+    TimePoint m_separatedAt{};
+};
+
+} // namespace
+
+// Guards against reading on past records that were written below the reader's offset after the store came back from an older copy.
+TEST_CASE("A version written after the store came back from an older copy is in force within its time", "[era][direct]")
+{
+    struct Case
+    {
+        const char *what;
+        int lost; //!< records of other keys that are lost with the last version
+        int later; //!< records of other keys after the new version
+    };
+    for (const Case &c :
+         {Case{"offsets end below the reader's", 2, 0}, Case{"offsets end at the reader's", 1, 1}, Case{"offsets have grown past the reader's", 0, 4}}) {
+        INFO(c.what);
+        ReaderRun run;
+        run.write(platform::operatorTopic, platform::configurationKey, configuration(1));
+        run.separate();
+        run.write(platform::operatorTopic, platform::configurationKey, configuration(2));
+        for (int record = 0; record < c.lost; ++record) {
+            run.write(platform::operatorTopic, "other", "x");
+        }
+        asio::co_spawn(run.context, watchConfiguration(run.watch), asio::detached);
+        REQUIRE(run.runUntil(
+            [&] {
+                return run.version() == 2;
+            },
+            seconds(5)));
+        run.loseRecords();
+        run.write(platform::operatorTopic, platform::configurationKey, configuration(3));
+        for (int record = 0; record < c.later; ++record) {
+            run.write(platform::operatorTopic, "other", "y");
+        }
+        CHECK(run.runUntil(
+            [&] {
+                return run.version() == 3;
+            },
+            configTimeout));
+    }
+}
+
+// Guards against refusing what only a newer version allows because a copy that has lost this version seems to have the newest.
+TEST_CASE("A configuration read from an older copy neither replaces the one in force nor confirms it", "[era][direct]")
+{
+    struct Case
+    {
+        const char *what;
+        bool lost; //!< whether the copy lacks the version in force
+        milliseconds unconfirmed; //!< after the copy was read
+    };
+    // What the copy has lost is written again within two seconds; longer if the copy shows that the operator has not done so yet.
+    for (const Case &c : {Case{"the copy has the version in force", false, milliseconds(1800)}, Case{"the copy lacks it", true, milliseconds(4000)}}) {
+        INFO(c.what);
+        ReaderRun run;
+        run.write(platform::operatorTopic, platform::configurationKey, configuration(1));
+        if (c.lost) {
+            run.separate();
+        }
+        run.write(platform::operatorTopic, platform::configurationKey, configuration(2));
+        if (!c.lost) {
+            run.separate();
+        }
+        asio::co_spawn(run.context, watchConfiguration(run.watch), asio::detached);
+        REQUIRE(run.runUntil(
+            [&] {
+                return run.version() == 2;
+            },
+            seconds(5)));
+        const auto isConfirmed = [&run] {
+            return run.routing.age(Clock::now()) < configTimeout;
+        };
+        run.loseRecords();
+        CHECK(!run.runUntil(isConfirmed, c.unconfirmed));
+        CHECK(run.version() == 2);
+        if (c.lost) {
+            run.write(platform::operatorTopic, platform::configurationKey, configuration(2));
+        }
+        CHECK(run.runUntil(isConfirmed, seconds(3)));
+        CHECK(run.version() == 2);
+    }
+}
