Keep what is known of targets when the store comes back from an older copy

What callers saw: requests went to targets that had left or were draining, as the copy showed their earlier entries, and targets whose entries the copy had lost were dropped at once, so that a group could be without targets.

Change: TargetEntryTable decides by free functions over plain structs. Records that are written later count as before, and so do entries without a start time. The sequence of an entry is parsed.

--- a/src/serving/src/directwatch.cpp
+++ b/src/serving/src/directwatch.cpp
@@ -4,10 +4,12 @@
 
 #include <platform/records.h>
 #include <process/log.h>
+#include <process/metrics.h>
 #include <process/pause.h>
+#include <process/targetentrytable.h>
 
 #include <algorithm>
-#include <set>
+#include <iterator>
 #include <utility>
 
 namespace snipehill
@@ -25,17 +27,6 @@
 constexpr milliseconds maxRetryPause{600}; // limits the load on a busy store that refuses calls; recovery must be noticed well within configTimeout
 constexpr milliseconds recoveryGrace{2000}; // what a store outage let expire or an older copy has lost is written again within this time
 
-/** Reads the newest record of each key on the first call, later the records from next on. */
-asio::awaitable<std::optional<platform::StorePage>> readNext(WatchContext &context, std::string topic, Offset next, milliseconds wait, Reason &reason)
-{
-    if (next == noOffset) {
-        auto page = co_await context.store.readNewest(std::move(topic), storeTimeout, reason);
-        co_return page;
-    }
-    auto page = co_await context.store.read(std::move(topic), next, wait, storeTimeout, reason);
-    co_return page;
-}
-
 /** Logs the first failure and the recovery of the store as seen by one watch, and computes the retry backoff. */
 class StoreAvailability
 {
@@ -110,91 +101,58 @@
     context.onVersionApplied(*shared);
 }
 
-/** Applies target entries from the store; entries missing after an outage of the store get a grace period to return. */
-class TargetEntryFollower
+TargetRecord parseTargetRecord(const platform::StoreRecord &record)
 {
-public:
-    explicit TargetEntryFollower(WatchContext &context) : m_context(context) { }
-
-    void applyRecord(const platform::StoreRecord &record)
-    {
-        Reason reason;
-        const auto entry = record.value.empty() ? std::nullopt : platform::parseTargetEntry(record.key, record.value, reason);
-        if (!entry) {
-            if (!record.value.empty()) {
-                logEvent(LogComponent::Config, LogLevel::Warning, "invalid target entry", reason, {{"target", record.key}});
-            }
-            handleMissing(record.key);
-            return;
-        }
-        m_missing.erase(record.key);
-        m_present.insert(record.key);
-        if (m_context.targets.apply(*entry)) {
-            logEvent(LogComponent::Config,
-                     LogLevel::Info,
-                     "target entry changed",
-                     {{"target", entry->id},
-                      {"group", entry->group},
-                      {"address", entry->address},
-                      {"role", toString(entry->role)},
-                      {"leaving", entry->draining ? 1 : 0},
-                      {"offset", record.offset}});
+    Reason reason;
+    TargetRecord parsed{.offset = record.offset, .id = record.key};
+    if (!record.value.empty()) {
+        parsed.entry = platform::parseTargetEntry(record.key, record.value, reason);
+        if (!parsed.entry) {
+            logEvent(LogComponent::Config, LogLevel::Warning, "invalid target entry", reason, {{"target", record.key}});
         }
     }
+    return parsed;
+}
 
-    /** Applies a page with all existing entries; entries missing from it are gone. */
-    void applySnapshot(const platform::StorePage &page)
-    {
-        const std::set<std::string> before = std::exchange(m_present, {});
-        for (const platform::StoreRecord &record : page.records) {
-            applyRecord(record);
-        }
-        for (const std::string &id : before) {
-            if (!m_present.contains(id)) {
-                handleMissing(id);
-            }
+void applyTargetChange(WatchContext &context, const TargetChange &change)
+{
+    if (!change.entry) {
+        if (context.targets.remove(change.id)) {
+            logEvent(LogComponent::Config, LogLevel::Info, "target removed", {{"target", change.id}});
         }
+        return;
     }
-
-    void onStoreRecovered(TimePoint now)
-    {
-        m_graceUntil = now + recoveryGrace;
+    const TargetEntry &entry = *change.entry;
+    if (context.targets.apply(entry)) {
+        logEvent(LogComponent::Config,
+                 LogLevel::Info,
+                 "target entry changed",
+                 {{"target", entry.id},
+                  {"group", entry.group},
+                  {"address", entry.address},
+                  {"role", toString(entry.role)},
+                  {"leaving", entry.draining ? 1 : 0},
+                  {"offset", change.offset}});
     }
+}
 
-    /** Removes missing entries whose grace period has ended. */
-    void removeExpired(TimePoint now)
-    {
-        if (now < m_graceUntil) {
-            return;
-        }
-        for (const std::string &id : std::exchange(m_missing, {})) {
-            remove(id);
-        }
+void applyTargetSnapshot(WatchContext &context, TargetEntryTable &table, const ReaderPage &page, TimePoint now)
+{
+    std::vector<TargetRecord> records;
+    std::transform(page.page.records.begin(), page.page.records.end(), std::back_inserter(records), parseTargetRecord);
+    const auto source = page.afterOlderCopy ? SnapshotSource::OlderCopy : SnapshotSource::SameLog;
+    const TargetSnapshotResult result = applyTargetSnapshot(table, records, source, now);
+    for (const TargetChange &change : result.changes) {
+        applyTargetChange(context, change);
     }
-
-private:
-    void handleMissing(const std::string &id)
-    {
-        m_present.erase(id);
-        if (Clock::now() < m_graceUntil) {
-            m_missing.insert(id);
-        } else {
-            remove(id);
-        }
+    if (page.afterOlderCopy) {
+        logReaderRestart("targets", page, {{"entries", records.size()}, {"outdated", result.outdated.size()}, {"missing", result.missing}});
     }
-
-    void remove(const std::string &id)
-    {
-        if (m_context.targets.remove(id)) {
-            logEvent(LogComponent::Config, LogLevel::Info, "target removed", {{"target", id}});
-        }
+    for (const std::string &id : result.outdated) {
+        processMetrics().count(Counter::LogEraEvents, {"target_entry_outdated"});
+        logEvent(LogComponent::Config, LogLevel::Info, "outdated target entry not applied", {{"target", id}, {"era", page.page.era}});
     }
-
-    WatchContext &m_context;
-    std::set<std::string> m_present;
-    std::set<std::string> m_missing;
-    TimePoint m_graceUntil{};
-};
+}
 
 } // namespace
 
@@ -232,33 +190,32 @@
 asio::awaitable<void> watchTargets(WatchContext &context)
 {
     StoreAvailability availability("targets", context.store.address());
-    TargetEntryFollower follower(context);
-    Offset next = noOffset;
+    StoreReader reader{.topic = platform::targetTopic};
+    TargetEntryTable table;
     while (!context.stopped) {
         Reason reason;
-        const bool isSnapshot = next == noOffset;
-        const auto page = co_await readNext(context, platform::targetTopic, next, milliseconds(0), reason);
+        const auto page = co_await readNextPage(reader, context.store, milliseconds(0), storeTimeout, reason);
         if (!page) {
             co_await pauseFor(availability.reportFailure(reason));
             continue;
         }
-        if (availability.reportRecovery()) {
-            follower.onStoreRecovered(Clock::now());
-        }
-        if (page->offsetDeleted) {
-            next = noOffset;
-            continue;
+        const TimePoint now = Clock::now();
+        if (availability.reportRecovery() || page->afterOlderCopy) {
+            startTargetGrace(table, now + recoveryGrace);
         }
-        if (isSnapshot) {
-            follower.applySnapshot(*page);
+        if (page->isSnapshot) {
+            applyTargetSnapshot(context, table, *page, now);
         } else {
-            for (const platform::StoreRecord &record : page->records) {
-                follower.applyRecord(record);
+            for (const platform::StoreRecord &record : page->page.records) {
+                if (const auto change = applyTargetRecord(table, parseTargetRecord(record), now)) {
+                    applyTargetChange(context, *change);
+                }
             }
         }
-        next = page->next;
         context.targetsLoaded = true;
-        follower.removeExpired(Clock::now());
+        for (const TargetChange &change : expireTargets(table, now)) {
+            applyTargetChange(context, change);
+        }
         co_await pauseFor(context.settings.drainTimeout / targetReadsPerDrain);
     }
 }
--- a/src/version/include/version/targetentry.h
+++ b/src/version/include/version/targetentry.h
@@ -21,6 +21,7 @@
     milliseconds warmupRemaining{0}; //!< remaining time in which the target is still slow after its start
     EngineRole role = EngineRole::Mixed;
     std::int64_t startTimeMs = 0; //!< Unix time; distinguishes two runs with the same id, 0 if unknown
+    std::uint64_t sequence = 0; //!< rises with each record that a run writes; 0 if unknown
 };
 
 } // namespace snipehill
--- a/tests/serving/storecopytest.cpp
+++ b/tests/serving/storecopytest.cpp
@@ -196,3 +196,93 @@
         CHECK(run.version() == 2);
     }
 }
+
+namespace
+{
+
+std::string target(std::int64_t startTimeMs, int sequence, const std::string &state = "ready", const std::string &address = "10.0.0.1:80")
+{
+    return R"({"service":"g","address":")" + address + R"(","zone":"fd-a","slots":4,"state":")" + state + R"(","born":)" + std::to_string(startTimeMs)
+        + R"(,"sequence":)" + std::to_string(sequence) + "}";
+}
+
+} // namespace
+
+// Guards against undoing what is known of targets with entries that an older copy brings back or has lost.
+TEST_CASE("Target entries read from an older copy don't undo what is known", "[era][direct]")
+{
+    ReaderRun run;
+    run.write(platform::targetTopic, "draining", target(1, 1));
+    run.write(platform::targetTopic, "steady", target(1, 1));
+    run.separate();
+    run.write(platform::targetTopic, "draining", target(1, 2, "draining"));
+    run.write(platform::targetTopic, "lost", target(1, 1));
+    run.write(platform::targetTopic, "lost for good", target(1, 1));
+    asio::co_spawn(run.context, watchTargets(run.watch), asio::detached);
+    REQUIRE(run.runUntil(
+        [&] {
+            return run.watch.targetsLoaded.load() && run.accepts("lost for good");
+        },
+        seconds(5)));
+    run.loseRecords();
+    const TimePoint copied = Clock::now();
+    while (Clock::now() < copied + milliseconds(900)) {
+        run.runUntil(
+            [] {
+                return false;
+            },
+            milliseconds(50));
+        CHECK(!run.accepts("draining"));
+        CHECK(run.accepts("steady"));
+        CHECK(run.accepts("lost"));
+        CHECK(run.accepts("lost for good"));
+    }
+    run.write(platform::targetTopic, "lost", target(1, 2));
+    run.write(platform::targetTopic, "draining", target(2, 1));
+    CHECK(run.runUntil(
+        [&] {
+            return run.accepts("draining");
+        },
+        seconds(1)));
+    CHECK(run.runUntil(
+        [&] {
+            return !run.accepts("lost for good");
+        },
+        seconds(3)));
+    CHECK(run.accepts("lost"));
+}
+
+// Guards against sending requests to a target that has left because an older copy still has its entry.
+TEST_CASE("A target that has left does not come back with an older copy", "[era][direct]")
+{
+    ReaderRun run;
+    run.write(platform::targetTopic, "t1", target(1, 1));
+    run.write(platform::targetTopic, "t2", target(1, 1, "ready", "10.0.0.2:80"));
+    asio::co_spawn(run.context, watchTargets(run.watch), asio::detached);
+    REQUIRE(run.runUntil(
+        [&] {
+            return run.accepts("t1") && run.accepts("t2");
+        },
+        seconds(5)));
+    run.separate();
+    run.write(platform::targetTopic, "t1", "");
+    REQUIRE(run.runUntil(
+        [&] {
+            return !run.accepts("t1");
+        },
+        seconds(5)));
+    run.loseRecords();
+    run.runUntil(
+        [&] {
+            return run.accepts("t1");
+        },
+        seconds(1));
+    CHECK(!run.accepts("t1"));
+    CHECK(run.accepts("t2"));
+    run.write(platform::targetTopic, "t1", target(2, 1));
+    CHECK(run.runUntil(
+        [&] {
+            return run.accepts("t1");
+        },
+        seconds(1)));
+}
