Space the calls of a store reader

The store's limit on calls is for all entries together, so other entries would have been refused.

Cause: 410 answers a waiting read at once, and nothing else limited the loop.

Change: calls of one reader begin at least 100 ms apart. A read that waits is longer than that, so that only bursts wait.

--- a/src/serving/src/storereader.cpp
+++ b/src/serving/src/storereader.cpp
@@ -1,6 +1,7 @@
 #include "storereader.h"
 
 #include <process/metrics.h>
+#include <process/pause.h>
 
 #include <utility>
 
@@ -9,6 +10,22 @@
 
 namespace asio = boost::asio;
 
+namespace
+{
+
+constexpr milliseconds minCallInterval{100}; // bounds the calls of a reader; short against the times within which changes take effect
+
+asio::awaitable<void> spaceCalls(StoreReader &reader)
+{
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(Clock::now() - reader.lastCall);
+    if (elapsed < minCallInterval) {
+        co_await pauseFor(minCallInterval - elapsed);
+    }
+    reader.lastCall = Clock::now();
+}
+
+} // namespace
+
 bool isBehindEra(const StoreReader &reader, const platform::StoreClient &store)
 {
     return reader.hasRead && store.era() > reader.era;
@@ -18,6 +35,7 @@
 readNextPage(StoreReader &reader, platform::StoreClient &store, milliseconds wait, milliseconds timeout, Reason &reason)
 {
     if (!reader.needsSnapshot && !isBehindEra(reader, store)) {
+        co_await spaceCalls(reader);
         const TimePoint requestedAt = Clock::now();
         auto page = co_await store.read(reader.topic, reader.next, wait, timeout, reason);
         if (!page) {
@@ -29,6 +47,7 @@
         }
     }
     reader.needsSnapshot = true;
+    co_await spaceCalls(reader);
     const TimePoint requestedAt = Clock::now();
     auto snapshot = co_await store.readNewest(reader.topic, timeout, reason);
     if (!snapshot) {
--- a/src/serving/src/storereader.h
+++ b/src/serving/src/storereader.h
@@ -17,6 +17,7 @@
     Offset next = noOffset; //!< of the next record
     bool needsSnapshot = true; //!< the next read is a snapshot with the newest record of each key
     bool hasRead = false; //!< a page has been read
+    TimePoint lastCall{}; //!< when the last call to the store was made
 };
 
 /** Records for a reader to apply. */
@@ -37,7 +38,7 @@
  * Reads the next page for a reader; waits up to the given time for a record. The timeout of a call is in addition to the wait.
  *
  * A reader whose records may have been lost, or whose next record was deleted, starts anew with a snapshot; no record of one
- * era is returned after a page of another without a snapshot in between.
+ * era is returned after a page of another without a snapshot in between. Calls are spaced, also when the store responds at once.
  * Empty with a reason if a call failed.
  */
 boost::asio::awaitable<std::optional<ReaderPage>>
--- a/tests/serving/storecopytest.cpp
+++ b/tests/serving/storecopytest.cpp
@@ -286,3 +286,40 @@
         },
         seconds(1)));
 }
+
+// Guards against a reader that asks again at once for as long as the store doesn't have the requested offset.
+TEST_CASE("A store that never has the requested offset is asked a bounded number of times a second", "[era][direct]")
+{
+    constexpr int maxCallsPerSecond = 30; // by one reader
+    struct Case
+    {
+        const char *what;
+        bool eraRises;
+        asio::awaitable<void> (*reader)(WatchContext &);
+    };
+    for (const Case &c : {Case{"configuration", false, watchConfiguration},
+                          Case{"configuration, an era after the other", true, watchConfiguration},
+                          Case{"targets", false, watchTargets},
+                          Case{"targets, an era after the other", true, watchTargets}}) {
+        INFO(c.what);
+        asio::io_context context;
+        int calls = 0;
+        HttpServer server(context.get_executor(), {}, [&](HttpExchange &exchange) -> asio::awaitable<void> {
+            ++calls;
+            const bool newest = std::string_view(exchange.request().target()).starts_with("/api/log-newest");
+            const HeaderList headers{{"Store-Era", std::to_string(c.eraRises ? calls : 1)}};
+            co_await exchange.respond(newest ? 200 : 410, headers, newest ? R"({"items":[],"has_more":false,"end_offset":100})" : R"({"first_offset":0})");
+        });
+        Reason reason;
+        REQUIRE(server.start({"127.0.0.1", 0}, reason));
+        const DirectSettings settings = settingsFor({"127.0.0.1", server.port()});
+        platform::StoreClient store(settings.store);
+        RoutingHolder routing;
+        TargetRegistry targets({.instance = "entry-1", .failureDomain = "fd-a"});
+        WatchContext watch{settings, store, routing, targets, [](const RoutingVersion &) {}};
+        asio::co_spawn(context, c.reader(watch), asio::detached);
+        context.run_for(seconds(1));
+        CHECK(calls > 1);
+        CHECK(calls <= maxCallsPerSecond);
+    }
+}
