Register an entry again when the store comes back from an older copy

What was seen: an entry whose registration the copy had lost never wrote it again, so entries that started later didn't find it, and shared the retry budget with too few. A former address in the copy replaced the one that a peer sends from.

Cause: an entry registered once at its start, and records were applied whatever was known of the peer.

Change: a rise of the era makes an entry register again within a second at a random time and read all registrations anew. A record doesn't change the address of a peer that was heard from within three seconds. Known peers stay.

Evidence: the two tests of [era] about registrations failed on (not registered 4 s after the return) and pass now.

--- a/src/serving/src/directpeers.cpp
+++ b/src/serving/src/directpeers.cpp
@@ -1,5 +1,7 @@
 #include "directpeers.h"
 
+#include "storereader.h"
+
 #include <process/log.h>
 #include <process/pause.h>
 #include <process/peerupdate.h>
@@ -13,6 +15,7 @@
 
 #include <array>
 #include <memory>
+#include <random>
 
 namespace snipehill
 {
@@ -32,6 +35,8 @@
 constexpr milliseconds lookupInterval{20000}; // can be long: a starting entry finds the others and sends them updates
 constexpr milliseconds firstLookupInterval{300}; // while entries that started together register
 constexpr int firstLookups = 8;
+constexpr milliseconds eraCheckInterval{200}; // needs no call
+constexpr milliseconds registrationSpread{1000}; // bounds the rate at which many entries register again; shorter than the first lookups of a starting entry
 constexpr seconds peerTimeout{3}; // an entry without updates for this time counts as gone
 constexpr int silentPeerProbeRounds = 20; // silent entries get one update in this many rounds, in case they return
 constexpr std::size_t maxDatagramBytes = 65507;
@@ -74,11 +79,16 @@
     return !error;
 }
 
-void updatePeer(PeerExchange &exchange, const platform::StoreRecord &record)
+void updatePeer(PeerExchange &exchange, const platform::StoreRecord &record, TimePoint now)
 {
     if (record.key == exchange.context.settings.instance) {
         return;
     }
+    const auto known = exchange.peers.find(record.key);
+    if (known != exchange.peers.end() && now - known->second.lastHeard <= peerTimeout) {
+        // Its updates show where it is; the record may be of an earlier run.
+        return;
+    }
     Reason reason;
     const auto endpoint = parseEndpoint(record.value, reason);
     boost::system::error_code error;
@@ -91,42 +101,65 @@
     peer.endpoint = {address, endpoint->port};
 }
 
-asio::awaitable<void> registerSelf(PeerExchange &exchange)
+/** Writes this entry's address to the store; returns the era of the store in which it is known to be written. */
+asio::awaitable<LogEra> registerSelf(PeerExchange &exchange)
 {
     const DirectSettings &settings = exchange.context.settings;
+    const platform::StoreClient &store = exchange.context.store;
     while (!exchange.context.stopped) {
         std::vector<platform::StoreRecord> records;
         records.push_back({.key = settings.instance, .value = toString(Endpoint{settings.callers.address, settings.firstPort})});
         Reason reason;
+        const LogEra eraBefore = store.era();
         const auto appended = co_await exchange.context.store.append(entriesTopic, std::move(records), storeTimeout, reason);
         if (appended) {
-            co_return;
+            co_return eraBefore == 0 ? store.era() : eraBefore;
         }
         logEvent(LogComponent::Members, LogLevel::Warning, "entry registration failed, will retry", reason);
         co_await pauseFor(firstLookupInterval);
     }
+    co_return store.era();
+}
+
+/** Pauses until the next lookup is due or the store has come back from an older copy since the given era. */
+asio::awaitable<void> pauseWithinEra(const PeerExchange &exchange, LogEra era, milliseconds time)
+{
+    const TimePoint end = Clock::now() + time;
+    while (Clock::now() < end && exchange.context.store.era() == era && !exchange.context.stopped) {
+        const auto remaining = std::chrono::ceil<milliseconds>(end - Clock::now());
+        co_await pauseFor(std::min(remaining, eraCheckInterval));
+    }
+}
+
+milliseconds randomPart(milliseconds time)
+{
+    thread_local std::minstd_rand generator(std::random_device{}());
+    return milliseconds(std::uniform_int_distribution<milliseconds::rep>(0, time.count())(generator));
 }
 
-/** Registers this entry, then keeps reading the registrations of the other entries. */
+/** Registers this entry, again after the store came back from an older copy, and keeps reading the registrations of the others. */
 asio::awaitable<void> followRegistrations(PeerExchangePointer exchange)
 {
-    co_await registerSelf(*exchange);
-    Offset next = noOffset;
+    platform::StoreClient &store = exchange->context.store;
+    LogEra registeredIn = co_await registerSelf(*exchange);
+    StoreReader reader{.topic = entriesTopic};
     for (int lookups = 0; !exchange->context.stopped; ++lookups) {
-        Reason reason;
-        std::optional<platform::StorePage> page;
-        if (next == noOffset) {
-            page = co_await exchange->context.store.readNewest(entriesTopic, storeTimeout, reason);
-        } else {
-            page = co_await exchange->context.store.read(entriesTopic, next, milliseconds(0), storeTimeout, reason);
+        if (store.era() != registeredIn) {
+            co_await pauseFor(randomPart(registrationSpread));
+            registeredIn = co_await registerSelf(*exchange);
         }
+        Reason reason;
+        const auto page = co_await readNextPage(reader, store, milliseconds(0), storeTimeout, reason);
         if (page) {
-            next = page->offsetDeleted ? noOffset : page->next;
-            for (const platform::StoreRecord &record : page->records) {
-                updatePeer(*exchange, record);
+            if (page->afterOlderCopy) {
+                logReaderRestart("registrations", *page, {{"entries", page->page.records.size()}, {"kept", exchange->peers.size()}});
+            }
+            for (const platform::StoreRecord &record : page->page.records) {
+                updatePeer(*exchange, record, Clock::now());
             }
         }
-        co_await pauseFor(lookups < firstLookups ? firstLookupInterval : lookupInterval);
+        const milliseconds laterInterval = isBehindEra(reader, store) ? registrationSpread : lookupInterval;
+        co_await pauseWithinEra(*exchange, registeredIn, lookups < firstLookups ? firstLookupInterval : laterInterval);
     }
 }
 
