Show when the project's own log service has lost records

Nothing told that a stream ends before a reader's next record, which docs/SERVICES.md says must not happen: readers wait there and miss what is written below. One line and a counter now do.

--- a/src/process/src/logclient.cpp
+++ b/src/process/src/logclient.cpp
@@ -1,6 +1,7 @@
 #include <process/logclient.h>
 
 #include <connection/httpclient.h>
+#include <process/log.h>
 #include <process/metrics.h>
 
 #include <json/reader.h>
@@ -46,6 +47,15 @@
     LogPage page;
     page.firstRetained = (*result)["first"].asInt64();
     page.next = (*result)["next"].asInt64();
+    if (page.next < from) {
+        // Readers can't recover from this: the log's offsets must never fall.
+        processMetrics().count(Counter::LogEraEvents, {"records_lost"});
+        logEvent(LogComponent::Process,
+                 LogLevel::Error,
+                 "log has lost records",
+                 {Step::LogRead, toString(log), "the stream " + stream + " ends before the next record"},
+                 {{"next", page.next}, {"from", from}});
+    }
     for (const Json::Value &entry : (*result)["records"]) {
         page.records.push_back({entry["offset"].asInt64(), entry["record"]});
     }
