--- a/tests/proofs/soaktest.cpp
+++ b/tests/proofs/soaktest.cpp
@@ -17,7 +17,7 @@
         INFO("seed " << seed);
         const auto faults = planFaults(seed, size);
         const auto again = planFaults(seed, size);
-        REQUIRE(faults.size() == size.faults + size.plannedWork);
+        REQUIRE(faults.size() == size.faults + size.plannedWork + size.copies);
         bool overlap = false;
         for (std::size_t i = 0; i < faults.size(); ++i) {
             CHECK(faults[i].start <= faults[i].end);
@@ -28,13 +28,15 @@
             kinds.insert(faults[i].kind);
         }
         CHECK(overlap);
-        // Planned work is added without a change to the plans of regression seeds.
-        const auto unplanned = planFaults(seed, {.plannedWork = 0});
-        CHECK(std::all_of(unplanned.begin(), unplanned.end(), [&faults](const Fault &fault) {
-            return std::any_of(faults.begin(), faults.end(), [&fault](const Fault &other) {
-                return other.kind == fault.kind && other.start == fault.start && other.end == fault.end && other.index == fault.index;
-            });
-        }));
+        // Planned work and older copies are added without a change to the plans of regression seeds.
+        for (const SoakSize &less : {SoakSize{.plannedWork = 0}, SoakSize{.copies = 0}, SoakSize{.plannedWork = 0, .copies = 0}}) {
+            const auto fewer = planFaults(seed, less);
+            CHECK(std::all_of(fewer.begin(), fewer.end(), [&faults](const Fault &fault) {
+                return std::any_of(faults.begin(), faults.end(), [&fault](const Fault &other) {
+                    return other.kind == fault.kind && other.start == fault.start && other.end == fault.end && other.index == fault.index;
+                });
+            }));
+        }
     }
     CHECK(kinds.size() == static_cast<std::size_t>(faultKindCount));
 }
@@ -48,12 +50,12 @@
         const char *why;
     };
     // Regression seeds: each seed that ever failed stays, with its cause and the size it failed at.
-    const std::vector<Case> cases{{1, {.plannedWork = 0}, "the stand-in counted orders to engines as requests"},
-                                  {7, {.plannedWork = 0}, "short run for every build"},
-                                  {1003, {}, "streams were cut because all engines of their group were silent for a while"},
-                                  {1019, {}, "the end of a draining process cut a request that it had taken too late to finish"},
-                                  {1023, {}, "as seed 1019"},
-                                  {1043, {}, "as seed 1019"}};
+    const std::vector<Case> cases{{1, {.plannedWork = 0, .copies = 0}, "the stand-in counted orders to engines as requests"},
+                                  {7, {.plannedWork = 0, .copies = 0}, "short run for every build"},
+                                  {1003, {.copies = 0}, "streams were cut because all engines of their group were silent for a while"},
+                                  {1019, {.copies = 0}, "the end of a draining process cut a request that it had taken too late to finish"},
+                                  {1023, {.copies = 0}, "as seed 1019"},
+                                  {1043, {.copies = 0}, "as seed 1019"}};
     for (const Case &c : cases) {
         INFO("seed " << c.seed << ": " << c.why);
         const SoakOutcome outcome = runSoak(c.seed, c.size);
--- a/tests/soak/soakcheck.cpp
+++ b/tests/soak/soakcheck.cpp
@@ -31,21 +31,6 @@
     return runs;
 }
 
-/** Calls made under one lease scope, recorded in order of arrival. */
-struct HolderCalls
-{
-    std::int64_t highestToken = -1;
-    std::map<std::int64_t, std::string> holdersByToken; //!< by fencing token
-};
-
-/** Records a call. Returns false if its token is lower than an earlier one or was used by another holder. */
-bool recordCall(HolderCalls &holderCalls, std::int64_t fencingToken, const std::string &holder)
-{
-    const bool inOrder = fencingToken >= holderCalls.highestToken && holderCalls.holdersByToken.try_emplace(fencingToken, holder).first->second == holder;
-    holderCalls.highestToken = std::max(holderCalls.highestToken, fencingToken);
-    return inOrder;
-}
-
 bool isStream(const std::string &path)
 {
     return path.starts_with("/ask/") || path.starts_with("/review/");
@@ -138,39 +123,6 @@
     return violations;
 }
 
-Violations usageReportedOnce(const Journal &journal)
-{
-    std::map<std::int64_t, std::string> reportedCounts;
-    HolderCalls holderCalls;
-    Violations violations;
-    for (const Json::Value &event : eventsOf(journal, "usage")) {
-        const auto window = event["report"]["window_id"].asInt64();
-        const std::string counts = writeJson(event["report"]["counts"]);
-        if (reportedCounts.try_emplace(window, counts).first->second != counts) {
-            violations.push_back("window " + std::to_string(window) + " reported as " + reportedCounts[window] + " and " + counts);
-        }
-        const Json::Value &headers = event["headers"];
-        if (!recordCall(holderCalls, std::stoll(headers["fencing-token"].asString()), headers["duty-holder"].asString())) {
-            violations.push_back("window " + std::to_string(window) + " reported with a superseded or reused fencing token: " + writeJson(headers));
-        }
-    }
-    return violations;
-}
-
-Violations ordersFromOneHolder(const Journal &journal)
-{
-    std::map<std::string, HolderCalls> byEngine;
-    Violations violations;
-    for (const Json::Value &event : eventsOf(journal, "order")) {
-        const auto order = parseJson(event["body"].asString());
-        const std::string engine = event["standIn"].asString();
-        if (!order || !recordCall(byEngine[engine], (*order)["fence"].asInt64(), (*order)["holder"].asString())) {
-            violations.push_back("order to " + engine + " with a superseded or reused fencing token: " + event["body"].asString());
-        }
-    }
-    return violations;
-}
-
 Violations versionsIncrease(const std::string &entryLog)
 {
     Violations violations;
--- a/tests/soak/soakcheck.h
+++ b/tests/soak/soakcheck.h
@@ -33,12 +33,6 @@
 /** Finds requests that took longer than the timeout. */
 Violations requestsEndInTime(const std::vector<CallerRecord> &records, milliseconds timeout);
 
-/** Finds usage windows reported with different counts, and reports whose fencing token is lower than before or of another holder. */
-Violations usageReportedOnce(const Journal &journal);
-
-/** Finds engine orders whose fencing token is lower than that of an earlier order, or was used by another holder. */
-Violations ordersFromOneHolder(const Journal &journal);
-
 /** Finds configuration versions that an entry process activated after an equal or higher one; a restart begins anew. */
 Violations versionsIncrease(const std::string &entryLog);
 
--- a/tests/soak/soakplan.cpp
+++ b/tests/soak/soakplan.cpp
@@ -11,10 +11,10 @@
 const char *toString(FaultKind kind) noexcept
 {
     static constexpr const char *names[faultKindCount] = {
-        "kill entry",   "stop entry",         "pause entry",     "reload entry", "kill all entries", "kill target", "pause target",
-        "leave target", "drop target",        "silence target",  "cut target",   "delay target",     "refuse work", "fail work",
-        "break stream", "extra answers",      "slow target",     "drop store",   "silence store",    "cut store",   "delay store",
-        "store down",   "lose store answers", "publish version", "withdraw key", "silent target",
+        "kill entry",   "stop entry",         "pause entry",     "reload entry", "kill all entries", "kill target",      "pause target",
+        "leave target", "drop target",        "silence target",  "cut target",   "delay target",     "refuse work",      "fail work",
+        "break stream", "extra answers",      "slow target",     "drop store",   "silence store",    "cut store",        "delay store",
+        "store down",   "lose store answers", "publish version", "withdraw key", "silent target",    "older store copy",
     };
     return names[static_cast<int>(kind)];
 }
@@ -29,6 +29,13 @@
                              FaultKind::SilentTarget,
                              FaultKind::SilentTarget,
                              FaultKind::SilentTarget};
+constexpr std::array copied{FaultKind::OlderStoreCopy,
+                            FaultKind::OlderStoreCopy,
+                            FaultKind::OlderStoreCopy,
+                            FaultKind::KillEntry,
+                            FaultKind::KillAllEntries,
+                            FaultKind::StopEntry,
+                            FaultKind::PublishVersion};
 
 /** Adds the given number of faults, whose kinds the function draws from a random number below its bound. */
 void addFaults(std::vector<Fault> &faults, std::mt19937_64 &random, std::size_t count, milliseconds duration, int kinds, FaultKind (*kindOf)(std::int64_t))
@@ -59,6 +66,7 @@
 std::vector<Fault> planFaults(std::uint64_t seed, const SoakSize &size)
 {
     constexpr std::uint64_t plannedSalt = 0x706c616e;
+    constexpr std::uint64_t copySalt = 0x636f7079;
     std::vector<Fault> faults;
     std::mt19937_64 random(seed);
     addFaults(faults, random, size.faults, size.duration, static_cast<int>(FaultKind::SilentTarget), [](std::int64_t kind) {
@@ -68,6 +76,15 @@
     addFaults(faults, plannedRandom, size.plannedWork, size.duration, static_cast<int>(planned.size()), [](std::int64_t kind) {
         return planned.at(static_cast<std::size_t>(kind));
     });
+    std::mt19937_64 copyRandom(seed ^ copySalt);
+    if (size.copies > 0) {
+        addFaults(faults, copyRandom, 1, size.duration, 1, [](std::int64_t) {
+            return FaultKind::OlderStoreCopy;
+        });
+        addFaults(faults, copyRandom, size.copies - 1, size.duration, static_cast<int>(copied.size()), [](std::int64_t kind) {
+            return copied.at(static_cast<std::size_t>(kind));
+        });
+    }
     std::stable_sort(faults.begin(), faults.end(), [](const Fault &left, const Fault &right) {
         return left.start < right.start;
     });
--- a/tests/soak/soakplan.h
+++ b/tests/soak/soakplan.h
@@ -36,9 +36,10 @@
     PublishVersion,
     WithdrawKey, //!< withdraws the second API key; published again at the end
     SilentTarget, //!< each run that starts at the target, or at any of its group, sends nothing for a while and then goes on
+    OlderStoreCopy, //!< the store comes back from a copy up to some seconds old, half of the times after it was away; written again at the end
 };
 
-constexpr int faultKindCount = static_cast<int>(FaultKind::SilentTarget) + 1;
+constexpr int faultKindCount = static_cast<int>(FaultKind::OlderStoreCopy) + 1;
 
 const char *toString(FaultKind kind) noexcept;
 
@@ -57,13 +58,14 @@
     std::size_t entries = 3;
     std::size_t callers = 12;
     milliseconds duration{10000}; //!< period within which faults start and end
-    std::size_t faults = 12; //!< of any kind but SilentTarget
+    std::size_t faults = 12; //!< of any kind but SilentTarget and OlderStoreCopy
     std::size_t plannedWork = 10; //!< in addition: planned work and silent targets, after which every request must be answered
+    std::size_t copies = 4; //!< in addition: older copies of the store, and kills and restarts of entries beside them
 };
 
 /**
- * Returns the faults for a seed, sorted by start. Some are repeated: the same kind occurs again shortly after. The faults
- * of planned work do not change the others of the same seed.
+ * Returns the faults for a seed, sorted by start. Some are repeated: the same kind occurs again shortly after. Neither the
+ * faults of planned work nor those of older copies change the others of the same seed.
  */
 std::vector<Fault> planFaults(std::uint64_t seed, const SoakSize &size);
 
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -5,6 +5,7 @@
 
 #include "support/callers.h"
 #include "support/directcluster.h"
+#include "support/onechecker.h"
 #include "support/wait.h"
 
 #include <algorithm>
@@ -28,6 +29,20 @@
 constexpr milliseconds journalTolerance{50}; // between the times of a target's journal and the clock of this process, on the same machine
 constexpr milliseconds logDelay{5000}; // longest time from a response until its lines are in the log of a busy entry
 
+/** Whether the store is away from the start of the fault to its end, and only then comes back; else it comes back at the start. */
+bool comesBackAtEnd(const Fault &fault)
+{
+    return fault.index % 2 == 1;
+}
+
+milliseconds copyAge(const Fault &fault)
+{
+    constexpr milliseconds youngest{50};
+    constexpr milliseconds step{250};
+    constexpr std::size_t steps = 17;
+    return youngest + fault.index / 2 % steps * step;
+}
+
 /** One soak run: the deployment, its traffic and the injected faults. Used by the main thread. */
 class SoakRun
 {
@@ -193,6 +208,7 @@
 
     void checkRecovery()
     {
+        m_host.writeAgain();
         for (const DirectTarget &target : soakTargets()) {
             m_host.registerTarget(target, "ready");
         }
@@ -230,8 +246,7 @@
         });
         addViolations(keysAreNotForwarded(records, trafficJournal));
         addViolations(requestsEndInTime(records, responseTimeout + m_totalPause));
-        addViolations(usageReportedOnce(journal));
-        addViolations(ordersFromOneHolder(journal));
+        addViolations(oneHolder(journal, leaseTimeout));
         addViolations(drainingTargetsGetNoWork(m_drainIntervals, journal));
         addViolations(withdrawnKeysRunNothing(m_withdrawnKeyIntervals, records, journal));
     }
@@ -347,6 +362,13 @@
             m_withdrawnKeyIntervals.push_back(checkInterval("key-2"));
         }
         break;
+    case FaultKind::OlderStoreCopy:
+        if (comesBackAtEnd(fault)) {
+            m_host.setFaults("store", R"({"down": true})");
+        } else {
+            m_host.bringBackCopy(copyAge(fault));
+        }
+        break;
     default:
         startTargetFault(m_host, fault, m_endingFaults.brokenTargets);
         break;
@@ -382,6 +404,13 @@
         --m_withdrawals;
         publishConfiguration();
         break;
+    case FaultKind::OlderStoreCopy:
+        if (comesBackAtEnd(fault)) {
+            m_host.bringBackCopy(copyAge(fault));
+            m_host.setFaults("store", R"({"down": null})");
+        }
+        m_host.writeAgain();
+        break;
     default:
         endTargetFault(m_host, fault);
         break;
--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -50,8 +50,10 @@
 /**
  * The platform's store and usage interface. Store calls: append at an expected offset, read with long poll, latest record of
  * each key, trim. Faults: down (503), silent (no response for 10 minutes), loseAnswers (the next N appends take effect, then
- * the connection closes), eraBehind (responses name the era that was N earlier). POST /copy on the control port brings the store back from an older copy: {"ms": N} drops what was
- * appended within the last N ms, to all topics or to those in the array "topics", and raises the era.
+ * the connection closes), lateMs (appends to any topic, or with the topic as scope to that one, get no response and take
+ * effect this much later, in whatever life the store then is), eraBehind (responses name the era that was N earlier).
+ * POST /copy on the control port brings the store back from an older copy: {"ms": N} drops what was appended within the last
+ * N ms, to all topics or to those in the array "topics", and raises the era.
  */
 class PlatformStore : public StandIn
 {
@@ -142,7 +144,13 @@
     asio::awaitable<void> append(HttpExchange &exchange, const Target &target, Topic &topic)
     {
         Json::Value response;
+        const milliseconds late = faults.delay(queryText(target, "topic"), "lateMs");
+        co_await pause(late);
         const std::int64_t at = queryNumber(target, "at", -1);
+        if (late > milliseconds(0) && at >= 0 && at != static_cast<std::int64_t>(topic.records.size())) {
+            exchange.abort();
+            co_return;
+        }
         if (at >= 0 && at != static_cast<std::int64_t>(topic.records.size())) {
             response["end_offset"] = Json::UInt64(topic.records.size());
             co_await respondWithEra(exchange, 412, std::move(response));
@@ -159,7 +167,7 @@
             start += 4 + size;
         }
         response["end_offset"] = Json::UInt64(topic.records.size());
-        if (faults.consume("", "loseAnswers")) {
+        if (late > milliseconds(0) || faults.consume("", "loseAnswers")) {
             exchange.abort();
             co_return;
         }
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
+#include <mutex>
 #include <stdexcept>
 #include <utility>
 
@@ -35,8 +36,16 @@
 
 } // namespace
 
-ChildProcess::ChildProcess(std::string program, std::vector<std::string> arguments, const std::string &outputFile)
+ChildProcess::ChildProcess(std::string program, std::vector<std::string> arguments, const std::string &outputFile, std::vector<std::string> variables)
 {
+    std::vector<char *> environment;
+    for (std::string &variable : variables) {
+        environment.push_back(variable.data());
+    }
+    for (char **variable = environ; *variable != nullptr; ++variable) {
+        environment.push_back(*variable);
+    }
+    environment.push_back(nullptr);
     std::vector<char *> argv{program.data()};
     for (std::string &argument : arguments) {
         argv.push_back(argument.data());
@@ -60,7 +69,7 @@
     dup2(output, STDERR_FILENO);
     // The child must not inherit sockets of the test, such as those of its relays.
     close_range(STDERR_FILENO + 1, ~0U, 0);
-    execv(program.c_str(), argv.data());
+    execve(program.c_str(), argv.data(), environment.data());
     _exit(127);
 }
 
@@ -159,6 +168,8 @@
     constexpr int firstPort = 20000;
     constexpr int ports = 12000;
     constexpr int spread = 997; // concurrent test programs start further apart than the number of ports one of them uses
+    static std::mutex lock;
+    const std::lock_guard guard(lock);
     static int next = getpid() * spread % ports;
     for (int tried = 0; tried < ports; ++tried) {
         const auto port = static_cast<std::uint16_t>(firstPort + next);
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -12,14 +12,18 @@
 {
 
 /**
- * Child process, signalled by its process id only; the destructor kills and reaps it. Must be started by the main
- * thread, because the child is killed when the thread that started it ends. Not thread-safe.
+ * Child process, signalled by its process id only; the destructor kills and reaps it. The child is killed when the thread
+ * that started it ends. Not thread-safe.
  */
 class ChildProcess
 {
 public:
-    /** Starts a program with its output appended to the file. Throws std::runtime_error if fork fails. */
-    ChildProcess(std::string program, std::vector<std::string> arguments, const std::string &outputFile);
+    /**
+     * Starts a program with its output appended to the file. Throws std::runtime_error if fork fails.
+     *
+     * @param variables NAME=VALUE, in addition to the environment of this process
+     */
+    ChildProcess(std::string program, std::vector<std::string> arguments, const std::string &outputFile, std::vector<std::string> variables = {});
     ~ChildProcess();
     ChildProcess(ChildProcess &&other) noexcept;
     ChildProcess &operator=(ChildProcess &&other) noexcept;
@@ -48,7 +52,7 @@
     bool m_paused = false;
 };
 
-/** A currently free port of 127.0.0.1. One process gets each port at most once, until the range is used up. */
+/** A currently free port of 127.0.0.1. One process gets each port at most once, until the range is used up. Thread-safe. */
 std::uint16_t freePort();
 
 /** New folder in the system's temporary directory; the destructor removes it with its contents. */
--- a/tests/support/directcluster.cpp
+++ b/tests/support/directcluster.cpp
@@ -16,6 +16,8 @@
 {
 
 const std::string daemonProgram = std::string(SNIPEHILL_BIN_DIR) + "/src/snipehilld";
+constexpr const char *configTopic = "keyed.op";
+constexpr const char *targetsTopic = "keyed.servers";
 const std::string standInProgram = std::string(SNIPEHILL_BIN_DIR) + "/tests/snipehill_standins";
 
 Endpoint loopback()
@@ -136,16 +138,16 @@
     std::string file = m_folder.file(name + ".toml");
     std::ofstream(file) << "node_name = \"" << name << "\"\nzone = \"fd-a\"\nregion = \"r1\"\nport_range = [" << m_peerPorts[entry] << "," << m_peerPorts[entry]
                         << "]\n[listen]\nfront = " << quoted(m_callers[entry]) << "\nready = " << quoted(m_readiness[entry])
-                        << "\n[bounds]\ngrace_s = 8\nbudget_ratio = 0.2\nbudget_slack = " << m_retrySlack
-                        << "\nlease_ms = 1000\nreport_window_s = 2\nusage_late_s = 6\n"
+                        << "\n[bounds]\ngrace_s = 8\nbudget_ratio = 0.2\nbudget_slack = " << m_retrySlack << "\nlease_ms = " << leaseTimeout.count()
+                        << "\nreport_window_s = " << usageWindow.count() << "\nusage_late_s = " << usageDelay.count() << "\n"
                         << "[platform]\naddress = " << quoted(store) << "\n[cloud]\naddress = " << quoted(m_store) << "\nduties = [\"usage_report\"]\n";
     return file;
 }
 
 void DirectCluster::startEntry(std::size_t entry)
 {
-    ::setenv("SNIPEHILL_SETTINGS", writeSettings(entry).c_str(), 1);
-    ChildProcess process(daemonProgram, std::vector<std::string>{"--platform-entry"}, m_folder.file("entry-" + std::to_string(entry + 1) + ".out"));
+    ChildProcess process(
+        daemonProgram, {"--platform-entry"}, m_folder.file("entry-" + std::to_string(entry + 1) + ".out"), {"SNIPEHILL_SETTINGS=" + writeSettings(entry)});
     if (entry < entries.size()) {
         entries[entry] = std::move(process);
     } else {
@@ -214,9 +216,54 @@
     callOnce(m_store, call);
 }
 
+std::size_t DirectCluster::endOfTopic(const std::string &topic) const
+{
+    const auto newest = parseJson(callOnce(m_store, {.target = "/api/log-newest?topic=" + topic + "&part=0"}).body);
+    return newest ? (*newest)["end_offset"].asUInt64() : 0;
+}
+
+void DirectCluster::trimTopic(const std::string &topic)
+{
+    callOnce(m_store, {.method = "POST", .target = "/api/log-trim?topic=" + topic + "&part=0&before_offset=" + std::to_string(endOfTopic(topic))});
+}
+
+void DirectCluster::bringBackCopy(milliseconds age)
+{
+    callOnce(m_controls.at("store"), {.method = "POST", .target = "/copy", .body = R"({"ms": )" + std::to_string(age.count()) + "}"});
+}
+
+void DirectCluster::bringBackCopy(const OlderCopy &copy)
+{
+    if (copy.away > milliseconds(0)) {
+        setFaults("store", R"({"down": true})");
+        sleepFor(copy.away / 2);
+    }
+    bringBackCopy(copy.age);
+    if (copy.away > milliseconds(0)) {
+        sleepFor(copy.away / 2);
+        setFaults("store", R"({"down": null})");
+    }
+    sleepFor(copy.writtenAgainAfter);
+    writeAgain();
+}
+
+void DirectCluster::writeAgain()
+{
+    if (!m_configuration.empty()) {
+        append(configTopic, "config", m_configuration);
+    }
+    for (const DirectTarget &target : m_targets) {
+        const auto entry = m_targetEntries.find(target.id);
+        if (entry != m_targetEntries.end()) {
+            append(targetsTopic, target.id, entry->second);
+        }
+    }
+}
+
 void DirectCluster::publish(const std::string &configuration)
 {
-    append("keyed.op", "config", configuration);
+    m_configuration = configuration;
+    append(configTopic, "config", configuration);
 }
 
 void DirectCluster::registerTarget(const DirectTarget &target, const std::string &state)
@@ -225,7 +272,8 @@
     const std::string entry = R"({"service":")" + target.group + R"(","address":")"
         + toString(m_targetRelays.empty() ? m_addresses[target.id] : targetRelay(target.id).endpoint()) + R"(","zone":"fd-a","slots":8,"born":)"
         + std::to_string(1 + m_runs[target.id]) + R"(,"state":")" + state + "\"" + role + "}";
-    append("keyed.servers", target.id, state.empty() ? "" : entry);
+    m_targetEntries[target.id] = state.empty() ? "" : entry;
+    append(targetsTopic, target.id, m_targetEntries[target.id]);
 }
 
 bool DirectCluster::waitUntilReady(std::size_t entry, bool ready)
--- a/tests/support/directcluster.h
+++ b/tests/support/directcluster.h
@@ -16,6 +16,19 @@
 namespace snipehill::support
 {
 
+/** Settings of the entries: least time in which the duties may not change hands and back, length of a usage window, delay until its report is due. */
+constexpr milliseconds leaseTimeout{1000};
+constexpr seconds usageWindow{2};
+constexpr seconds usageDelay{6};
+
+/** How the store comes back from an older copy. */
+struct OlderCopy
+{
+    milliseconds age{0}; //!< what was appended within this time is gone
+    milliseconds away{0}; //!< the store refuses all calls for this time, half of it before and half after
+    milliseconds writtenAgainAfter{300}; //!< until the operator and the targets write their records again
+};
+
 /** A target registered in the store. */
 struct DirectTarget
 {
@@ -36,7 +49,7 @@
 
 /**
  * Deployment on the users' platform: the store, targets and entries as processes on loopback ports, with settings files
- * in the format of the platform. Used by the main thread of the test.
+ * in the format of the platform. Used by one thread, which outlives it.
  */
 class DirectCluster
 {
@@ -48,6 +61,16 @@
     void publish(const std::string &configuration);
     /** Writes the entry of a target to the store; an empty state removes it. */
     void registerTarget(const DirectTarget &target, const std::string &state);
+    /** Number of records appended to a topic of the store, those trimmed included. */
+    std::size_t endOfTopic(const std::string &topic) const;
+    /** Removes all records of a topic from its head. */
+    void trimTopic(const std::string &topic);
+    /** Brings the store back from a copy of the given age; nothing is written again. */
+    void bringBackCopy(milliseconds age);
+    /** Brings the store back from an older copy. Returns after the records were written again. */
+    void bringBackCopy(const OlderCopy &copy);
+    /** The operator and the targets write their latest records again. */
+    void writeAgain();
     /** Waits until the readiness check of an entry succeeds, or, with ready = false, returns 503. */
     bool waitUntilReady(std::size_t entry, bool ready = true);
     /** Sets faults of a stand-in, given as "store" or the id of a target. */
@@ -93,6 +116,8 @@
     int m_retrySlack;
     Endpoint m_store;
     std::map<std::string, Endpoint> m_addresses; //!< of targets
+    std::string m_configuration; //!< published last
+    std::map<std::string, std::string> m_targetEntries; //!< written last, by target; empty if removed
     std::map<std::string, int> m_runs; //!< restarts of targets
     std::map<std::string, Endpoint> m_controls; //!< of stand-ins
     std::vector<Endpoint> m_callers;
