--- a/tests/support/directcluster.h
+++ b/tests/support/directcluster.h
@@ -10,12 +10,34 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace snipehill::support
 {
 
+/** Settings of the entries: least time in which the duties may not change hands and back, length of a usage window, delay until its report is due. */
+constexpr milliseconds leaseTimeout{1000};
+constexpr seconds usageWindow{2};
+constexpr seconds usageDelay{6};
+
+/** Time within which a window that ends after the last fault is reported: a lease is due to a process that has just heard of a new era, the report as late as allowed. */
+constexpr milliseconds leaseDuration = leaseTimeout + seconds(1); // of the entries, as the margin
+constexpr milliseconds leaseMargin{700};
+constexpr milliseconds reportRecoveryTime = leaseDuration + 2 * leaseMargin + usageWindow + usageDelay + milliseconds(1500); // last: polling, calls, scheduling
+
+/** Number of the usage window that is open now. */
+std::int64_t openUsageWindow();
+
+/** How the store comes back from an older copy. */
+struct OlderCopy
+{
+    milliseconds age{0}; //!< what was appended within this time is gone
+    milliseconds away{0}; //!< the store refuses all calls for this time, half of it before and half after
+    milliseconds writtenAgainAfter{300}; //!< until the operator and the targets write their records again
+};
+
 /** A target registered in the store. */
 struct DirectTarget
 {
@@ -36,7 +58,7 @@
 
 /**
  * Deployment on the users' platform: the store, targets and entries as processes on loopback ports, with settings files
- * in the format of the platform. Used by the main thread of the test.
+ * in the format of the platform. Used by one thread, which outlives it.
  */
 class DirectCluster
 {
@@ -48,6 +70,16 @@
     void publish(const std::string &configuration);
     /** Writes the entry of a target to the store; an empty state removes it. */
     void registerTarget(const DirectTarget &target, const std::string &state);
+    /** Number of records appended to a topic of the store, those trimmed included. */
+    std::size_t endOfTopic(const std::string &topic) const;
+    /** Removes the records of a topic from its head on but for the newest ones. */
+    void trimTopic(const std::string &topic, std::size_t kept = 0);
+    /** Brings the store back from a copy of the given age; nothing is written again. */
+    void bringBackCopy(milliseconds age);
+    /** Brings the store back from an older copy. Returns after the records were written again. */
+    void bringBackCopy(const OlderCopy &copy);
+    /** The operator and the targets write their latest records again. */
+    void writeAgain();
     /** Waits until the readiness check of an entry succeeds, or, with ready = false, returns 503. */
     bool waitUntilReady(std::size_t entry, bool ready = true);
     /** Sets faults of a stand-in, given as "store" or the id of a target. */
@@ -68,8 +100,12 @@
     Relay &targetRelay(const std::string &id);
     /** Relay between one entry and the store; with relays only. */
     Relay &storeRelay(std::size_t entry);
+    /** Waits until a report of a window with this number or a later one has arrived; with a process per stand-in only. */
+    bool waitForReport(std::int64_t firstWindow, milliseconds timeout) const;
     /** Merged journals of the stand-ins, over all their restarts; with a process per stand-in only. */
     Journal journal() const;
+    /** As above, of these stand-ins only. */
+    Journal journal(const std::set<std::string> &names) const;
     const Endpoint &callers(std::size_t entry) const;
     /** Keeps logs and journals after destruction and returns their folder. */
     std::string keepFiles();
@@ -93,6 +129,8 @@
     int m_retrySlack;
     Endpoint m_store;
     std::map<std::string, Endpoint> m_addresses; //!< of targets
+    std::string m_configuration; //!< published last
+    std::map<std::string, std::string> m_targetEntries; //!< written last, by target; empty if removed
     std::map<std::string, int> m_runs; //!< restarts of targets
     std::map<std::string, Endpoint> m_controls; //!< of stand-ins
     std::vector<Endpoint> m_callers;
