Count removed targets among those that had an address later

An entry of an older copy was applied if a later run had used its address and was removed since. It left before that run.

--- a/src/process/src/targetentrytable.cpp
+++ b/src/process/src/targetentrytable.cpp
@@ -10,17 +10,15 @@
 
 constexpr std::chrono::minutes removedTargetMemory{10}; // far longer than the age of any copy that the log comes back from
 
-/** Start time of the newest registered target at each address; targets without a start time are left out. */
-using AddressOwners = std::map<std::string, std::pair<std::int64_t, std::string>, std::less<>>;
+/** Latest start time of the targets known at each address. */
+using AddressOwners = std::map<std::string, std::int64_t, std::less<>>;
 
 AddressOwners findAddressOwners(const TargetEntryTable &table)
 {
     AddressOwners owners;
     for (const auto &[id, known] : table.targets) {
-        if (!known.removed && known.entry.startTimeMs > 0) {
-            auto &owner = owners[known.entry.address];
-            owner = std::max(owner, {known.entry.startTimeMs, id});
-        }
+        auto &latest = owners[known.entry.address];
+        latest = std::max(latest, known.entry.startTimeMs);
     }
     return owners;
 }
@@ -28,9 +26,6 @@
 /** Whether an entry of a target in an older copy says less than what is known of the same target. */
 bool isOlderThanKnown(const KnownTarget &known, const TargetEntry &entry)
 {
-    if (known.entry.startTimeMs == 0) {
-        return false;
-    }
     if (entry.startTimeMs != known.entry.startTimeMs) {
         return entry.startTimeMs < known.entry.startTimeMs;
     }
@@ -44,14 +39,14 @@
 bool isOutdated(const TargetEntryTable &table, const AddressOwners &owners, const TargetEntry &entry)
 {
     if (entry.startTimeMs == 0) {
-        return false;
+        return false; // nothing tells which of two entries is the later one
     }
     const auto known = table.targets.find(entry.id);
     if (known != table.targets.end() && isOlderThanKnown(known->second, entry)) {
         return true;
     }
     const auto owner = owners.find(entry.address);
-    return owner != owners.end() && owner->second.second != entry.id && owner->second.first > entry.startTimeMs;
+    return owner != owners.end() && owner->second > entry.startTimeMs;
 }
 
 TargetChange removeTarget(const std::string &id, KnownTarget &known, TimePoint now)
--- a/tests/process/targetentrytabletest.cpp
+++ b/tests/process/targetentrytabletest.cpp
@@ -77,7 +77,7 @@
 {
     const char *what;
     std::vector<TargetEntry> known; //!< records read before, in sequence
-    bool removed; //!< whether a removal of "t" was read after them
+    const char *removed; //!< id whose removal was read after them; empty if none
     std::vector<TargetEntry> copy; //!< entries in the copy
     const char *afterSnapshot;
     const char *afterGrace;
@@ -97,37 +97,41 @@
 TEST_CASE("Entries of an older copy don't undo what is known of a target", "[era][targets]")
 {
     const std::vector<RecoveryCase> cases{
-        {"unchanged", {entry(5, 3)}, false, {entry(5, 3)}, "ready 5", "ready 5", {}, "ready 5"},
-        {"not known before", {}, false, {entry(5, 3)}, "ready 5", "ready 5", {}, "ready 5"},
-        {"missing, written again", {entry(5, 3)}, false, {}, "ready 5", "none", entry(5, 4), "ready 5"},
-        {"missing, never written again", {entry(5, 3)}, false, {}, "ready 5", "none", {}, "none"},
-        {"missing while draining", {entry(5, 3, "draining")}, false, {}, "draining 5", "none", {}, "none"},
-        {"removed", {entry(5, 3)}, true, {entry(5, 3)}, "none", "none", {}, "none"},
-        {"removed, earlier entry", {entry(5, 3)}, true, {entry(5, 2)}, "none", "none", {}, "none"},
-        {"removed, without sequence", {entry(5, 0)}, true, {entry(5, 0)}, "none", "none", {}, "none"},
-        {"removed, writes again", {entry(5, 3)}, true, {entry(5, 3)}, "none", "none", entry(5, 3), "ready 5"},
-        {"removed, wrote before the snapshot", {entry(5, 3)}, true, {entry(5, 4)}, "ready 5", "ready 5", {}, "ready 5"},
-        {"removed, new run before the snapshot", {entry(5, 3)}, true, {entry(6, 1)}, "ready 6", "ready 6", {}, "ready 6"},
-        {"removed, earlier run", {entry(4, 9), entry(5, 3)}, true, {entry(4, 9)}, "none", "none", {}, "none"},
-        {"draining", {entry(5, 2), entry(5, 3, "draining")}, false, {entry(5, 2)}, "draining 5", "draining 5", {}, "draining 5"},
-        {"draining, same sequence", {entry(5, 3, "draining")}, false, {entry(5, 3)}, "draining 5", "draining 5", {}, "draining 5"},
-        {"draining, without sequence", {entry(5, 0, "draining")}, false, {entry(5, 0)}, "draining 5", "draining 5", {}, "draining 5"},
-        {"draining, ready again later", {entry(5, 3, "draining")}, false, {entry(5, 2)}, "draining 5", "draining 5", entry(5, 4), "ready 5"},
-        {"draining, ready again before the snapshot", {entry(5, 3, "draining")}, false, {entry(5, 4)}, "ready 5", "ready 5", {}, "ready 5"},
-        {"draining, new run", {entry(5, 3, "draining")}, false, {entry(6, 1)}, "ready 6", "ready 6", {}, "ready 6"},
-        {"drained before the snapshot", {entry(5, 3)}, false, {entry(5, 4, "draining")}, "draining 5", "draining 5", {}, "draining 5"},
-        {"drained, without sequence", {entry(5, 0)}, false, {entry(5, 0, "draining")}, "draining 5", "draining 5", {}, "draining 5"},
-        {"restarted", {entry(4, 9), entry(5, 1)}, false, {entry(4, 9)}, "ready 5", "ready 5", {}, "ready 5"},
-        {"role changed", {entry(5, 2), prefill(entry(5, 3))}, false, {entry(5, 2)}, "ready 5 prefill", "ready 5 prefill", {}, "ready 5 prefill"},
-        {"role changed, without sequence", {prefill(entry(5, 0))}, false, {entry(5, 0)}, "ready 5", "ready 5", {}, "ready 5"},
-        {"removed, without start time", {entry(0, 3)}, true, {entry(0, 3)}, "ready 0", "ready 0", {}, "ready 0"},
-        {"known without start time", {entry(0, 3)}, true, {entry(5, 3)}, "ready 5", "ready 5", {}, "ready 5"},
-        {"address of a newer target", {other(9, "x")}, false, {entry(5, 3), other(9, "x")}, "none", "none", {}, "none"},
-        {"address of a newer target that is missing", {other(9, "x")}, false, {entry(5, 3)}, "none", "none", {}, "none"},
-        {"address of a newer target, new run", {other(9, "x")}, false, {entry(10, 1), other(9, "x")}, "ready 10", "ready 10", {}, "ready 10"},
-        {"address of a newer target, writes again", {other(9, "x")}, false, {entry(5, 3)}, "none", "none", entry(5, 4), "ready 5"},
-        {"address of an older target", {other(3, "x")}, false, {entry(5, 3)}, "ready 5", "ready 5", {}, "ready 5"},
-        {"other address", {other(9, "y")}, false, {entry(5, 3)}, "ready 5", "ready 5", {}, "ready 5"},
+        {"unchanged", {entry(5, 3)}, "", {entry(5, 3)}, "ready 5", "ready 5", {}, "ready 5"},
+        {"not known before", {}, "", {entry(5, 3)}, "ready 5", "ready 5", {}, "ready 5"},
+        {"missing, written again", {entry(5, 3)}, "", {}, "ready 5", "none", entry(5, 4), "ready 5"},
+        {"missing, never written again", {entry(5, 3)}, "", {}, "ready 5", "none", {}, "none"},
+        {"missing while draining", {entry(5, 3, "draining")}, "", {}, "draining 5", "none", {}, "none"},
+        {"removed", {entry(5, 3)}, "t", {entry(5, 3)}, "none", "none", {}, "none"},
+        {"removed, earlier entry", {entry(5, 3)}, "t", {entry(5, 2)}, "none", "none", {}, "none"},
+        {"removed, without sequence", {entry(5, 0)}, "t", {entry(5, 0)}, "none", "none", {}, "none"},
+        {"removed, writes again", {entry(5, 3)}, "t", {entry(5, 3)}, "none", "none", entry(5, 3), "ready 5"},
+        {"removed, wrote before the snapshot", {entry(5, 3)}, "t", {entry(5, 4)}, "ready 5", "ready 5", {}, "ready 5"},
+        {"removed, new run before the snapshot", {entry(5, 3)}, "t", {entry(6, 1)}, "ready 6", "ready 6", {}, "ready 6"},
+        {"removed, earlier run", {entry(4, 9), entry(5, 3)}, "t", {entry(4, 9)}, "none", "none", {}, "none"},
+        {"draining", {entry(5, 2), entry(5, 3, "draining")}, "", {entry(5, 2)}, "draining 5", "draining 5", {}, "draining 5"},
+        {"draining, same sequence", {entry(5, 3, "draining")}, "", {entry(5, 3)}, "draining 5", "draining 5", {}, "draining 5"},
+        {"draining, without sequence", {entry(5, 0, "draining")}, "", {entry(5, 0)}, "draining 5", "draining 5", {}, "draining 5"},
+        {"draining, ready again later", {entry(5, 3, "draining")}, "", {entry(5, 2)}, "draining 5", "draining 5", entry(5, 4), "ready 5"},
+        {"draining, ready again before the snapshot", {entry(5, 3, "draining")}, "", {entry(5, 4)}, "ready 5", "ready 5", {}, "ready 5"},
+        {"draining, new run", {entry(5, 3, "draining")}, "", {entry(6, 1)}, "ready 6", "ready 6", {}, "ready 6"},
+        {"drained before the snapshot", {entry(5, 3)}, "", {entry(5, 4, "draining")}, "draining 5", "draining 5", {}, "draining 5"},
+        {"drained, without sequence", {entry(5, 0)}, "", {entry(5, 0, "draining")}, "draining 5", "draining 5", {}, "draining 5"},
+        {"restarted", {entry(4, 9), entry(5, 1)}, "", {entry(4, 9)}, "ready 5", "ready 5", {}, "ready 5"},
+        {"role changed", {entry(5, 2), prefill(entry(5, 3))}, "", {entry(5, 2)}, "ready 5 prefill", "ready 5 prefill", {}, "ready 5 prefill"},
+        {"role changed, without sequence", {prefill(entry(5, 0))}, "", {entry(5, 0)}, "ready 5", "ready 5", {}, "ready 5"},
+        {"removed, without start time", {entry(0, 3)}, "t", {entry(0, 3)}, "ready 0", "ready 0", {}, "ready 0"},
+        {"known without start time", {entry(0, 3)}, "t", {entry(5, 3)}, "ready 5", "ready 5", {}, "ready 5"},
+        {"address of a newer target", {other(9, "x")}, "", {entry(5, 3), other(9, "x")}, "none", "none", {}, "none"},
+        {"address of a newer target that is missing", {other(9, "x")}, "", {entry(5, 3)}, "none", "none", {}, "none"},
+        {"address of a newer target, new run", {other(9, "x")}, "", {entry(10, 1), other(9, "x")}, "ready 10", "ready 10", {}, "ready 10"},
+        {"address of a newer target, writes again", {other(9, "x")}, "", {entry(5, 3)}, "none", "none", entry(5, 4), "ready 5"},
+        {"address of an older target", {other(3, "x")}, "", {entry(5, 3)}, "ready 5", "ready 5", {}, "ready 5"},
+        {"other address", {other(9, "y")}, "", {entry(5, 3)}, "ready 5", "ready 5", {}, "ready 5"},
+        {"removed, sequence known only in the copy", {entry(5, 0)}, "t", {entry(5, 3)}, "none", "none", {}, "none"},
+        {"removed, copy without start time", {entry(5, 3)}, "t", {entry(0, 3)}, "ready 0", "ready 0", {}, "ready 0"},
+        {"address of a newer target, without start time", {other(9, "x")}, "", {entry(0, 3)}, "ready 0", "ready 0", {}, "ready 0"},
+        {"address of a newer target that was removed", {other(9, "x")}, "other", {entry(5, 3)}, "none", "none", {}, "none"},
     };
     for (const RecoveryCase &c : cases) {
         INFO(c.what);
@@ -137,10 +141,8 @@
         for (const TargetEntry &known : c.known) {
             applied.apply(applyTargetRecord(table, {.id = known.id, .entry = known}, now));
         }
-        if (c.removed) {
-            applied.apply(applyTargetRecord(table, {.id = "t"}, now));
-            CHECK(applied.state("t") == "none");
-        }
+        applied.apply(applyTargetRecord(table, {.id = c.removed}, now));
+        CHECK((c.removed[0] == 0 || applied.state(c.removed) == "none"));
         now += seconds(3);
         startTargetGrace(table, now + grace);
         const TargetSnapshotResult result = applyTargetSnapshot(table, recordsOf(c.copy), SnapshotSource::OlderCopy, now);
@@ -179,6 +181,21 @@
     }
 }
 
+// Guards against removing a target because one of several copies lacks its entry.
+TEST_CASE("A target that a copy lacks and the next one shows stays", "[era][targets]")
+{
+    TargetEntryTable table;
+    Applied applied;
+    applied.apply(applyTargetRecord(table, {.id = "t", .entry = entry(5, 3, "draining")}, start));
+    startTargetGrace(table, start + grace);
+    applied.apply(applyTargetSnapshot(table, {}, SnapshotSource::OlderCopy, start).changes);
+    const TimePoint again = start + grace / 2;
+    startTargetGrace(table, again + grace);
+    applied.apply(applyTargetSnapshot(table, recordsOf({entry(5, 2)}), SnapshotSource::OlderCopy, again).changes);
+    applied.apply(expireTargets(table, again + grace));
+    CHECK(applied.state("t") == "draining 5");
+}
+
 TEST_CASE("A snapshot of the same log is taken as it is", "[targets]")
 {
     struct Case
