Never close a window anew that the log forgot at its tail

Callers of the platform saw one window of usage reported twice, with other counts.

Cause: the ledger was taken for complete whatever the log had lost. After it came back from an older copy, a window whose closed record was gone was closed again with the counts known by then.

Change: records name the log's era. A reader starts anew when the era rises, and the first holder in an era appends an opening record before it closes anything: windows that anyone can have closed before are never closed again, and those whose figures a live entry has read back are reported with these figures. A holder that kept its lease across the rise goes on after what it last read. Windows are closed and reported only from a ledger read to its end in the era of the lease, with the same lease before, after and right before sending. Figures are told only once they were read back so.

--- a/src/process/src/windowclosing.cpp
+++ b/src/process/src/windowclosing.cpp
@@ -6,6 +6,25 @@
 namespace snipehill
 {
 
+namespace
+{
+
+constexpr milliseconds clockError{4000}; // two clocks that differ from the true time by two seconds each
+
+/** Newest window that any holder can have closed by a time of this entry's clock. */
+WindowNumber newestClosedBy(std::chrono::system_clock::time_point time, const WindowTimes &windows)
+{
+    return newestEndedWindow(time + clockError, windows.closeDelay, windows.window);
+}
+
+/** Whether the complete ledger was read to its end in the era of the lease and while it was held. */
+bool isConfirmed(const WindowClosing &closing, const LeaseHold &hold)
+{
+    return closing.complete && closing.position.era == hold.era && closing.confirmed && isSameLease(*closing.confirmed, hold);
+}
+
+} // namespace
+
 bool isSameLease(const LeaseHold &left, const LeaseHold &right) noexcept
 {
     return left.token == right.token && left.era == right.era && left.tenure == right.tenure;
@@ -13,13 +32,29 @@
 
 LogRestart advancePosition(LogPosition &position, const LogPage &page)
 {
-    position = {.started = true, .era = page.era, .next = page.next};
+    LogRestart restart = LogRestart::None;
+    if (position.started && page.era != position.era) {
+        restart = LogRestart::Era;
+    }
+    if (restart != LogRestart::None) {
+        position = {};
+        return restart;
+    }
+    if (!position.started) {
+        position = {.started = true, .era = page.era, .trimmed = page.firstRetained > 0};
+    }
+    position.next = page.next;
     return LogRestart::None;
 }
 
 LogRestart applyLedgerPage(WindowClosing &closing, const LogPage &page)
 {
     const LogRestart restart = advancePosition(closing.position, page);
+    if (restart != LogRestart::None) {
+        closing.ledger = {};
+        closing.complete = false;
+        return restart;
+    }
     for (const LogRecord &record : page.records) {
         Reason ignored;
         if (const auto parsed = parseUsageRecord(record.value, ignored)) {
@@ -30,24 +65,49 @@
 }
 
 bool confirmLedger(WindowClosing &closing,
-                   const LeaseHold & /*before*/,
+                   const LeaseHold &before,
                    const std::optional<LeaseHold> &after,
-                   FinalFigures & /*figures*/,
+                   FinalFigures &figures,
                    const WindowTimes & /*windows*/,
-                   TimePoint /*now*/)
+                   TimePoint now)
 {
-    closing.complete = true;
-    closing.confirmed = after;
-    return after.has_value();
+    if (!after || !isSameLease(before, *after) || closing.position.era != after->era || closing.ledger.era > after->era) {
+        return false;
+    }
+    const bool known = closing.ledger.era == after->era;
+    closing.complete = closing.complete || known || (after->token != noOffset && closing.ledger.openedBy == after->token);
+    if (closing.complete) {
+        closing.confirmed = after;
+        closing.confirmedThrough = closing.ledger.lastClosed;
+        addFinalFigures(figures, closing.ledger.recent, now);
+    }
+    return true;
 }
 
-std::optional<OpenedLedger> dueOpening(const WindowClosing & /*closing*/,
-                                       const LeaseHold & /*hold*/,
-                                       const HoldTimes & /*times*/,
-                                       const FinalFigures & /*figures*/,
-                                       const WindowTimes & /*windows*/)
+std::optional<OpenedLedger>
+dueOpening(const WindowClosing &closing, const LeaseHold &hold, const HoldTimes &times, const FinalFigures &figures, const WindowTimes &windows)
 {
-    return std::nullopt;
+    if (closing.complete || !closing.position.started || closing.position.era != hold.era || closing.ledger.era > hold.era) {
+        return std::nullopt;
+    }
+    const WindowNumber closedBeforeEra = newestClosedBy(times.eraKnownSince, windows);
+    OpenedLedger opened{.era = hold.era, .token = hold.token};
+    if (closing.confirmed && closing.confirmed->tenure == hold.tenure) {
+        opened.through = closing.confirmedThrough.value_or(0);
+    } else {
+        opened.through = closedBeforeEra;
+    }
+    if (!figures.empty()) {
+        opened.through = std::max(opened.through, figures.rbegin()->first);
+    }
+    for (auto known = figures.upper_bound(opened.through - recentWindows); known != figures.end(); ++known) {
+        if (!known->second.contradicted) {
+            opened.windows[known->first] = known->second.totals;
+        }
+    }
+    // Records of later windows were made in this era, by holders that wrote no opening record.
+    opened.windows.insert(closing.ledger.unreported.upper_bound(std::max(closedBeforeEra, opened.through)), closing.ledger.unreported.end());
+    return opened;
 }
 
 WindowNumber closableThrough(const MergedUsage &counts, std::chrono::system_clock::time_point now, TimePoint heardSince, const WindowTimes &windows)
@@ -60,16 +120,24 @@
     return through;
 }
 
-std::vector<ClosedWindow> dueClosings(WindowClosing &closing, const LeaseHold & /*hold*/, WindowNumber through, const UsageRows &counts)
+std::vector<ClosedWindow> dueClosings(WindowClosing &closing, const LeaseHold &hold, WindowNumber through, const UsageRows &counts)
 {
+    if (!isConfirmed(closing, hold)) {
+        return {};
+    }
+    const UsageLedger &ledger = closing.ledger;
     CollectedUsage collected;
     collected.sidecars = counts;
-    return closeWindows(closing.ledger, through, collected);
+    std::vector<ClosedWindow> records = closeWindows(ledger, through, collected);
+    for (ClosedWindow &record : records) {
+        record.era = hold.era;
+    }
+    return records;
 }
 
-std::map<WindowNumber, UsageByWorkspace> dueReports(const WindowClosing &closing, const LeaseHold & /*hold*/)
+std::map<WindowNumber, UsageByWorkspace> dueReports(const WindowClosing &closing, const LeaseHold &hold)
 {
-    return closing.ledger.unreported;
+    return isConfirmed(closing, hold) ? closing.ledger.unreported : std::map<WindowNumber, UsageByWorkspace>{};
 }
 
 } // namespace snipehill
