Never close a window anew whose record the log removed

Callers of the platform could see one window reported twice after compaction, without any copy.

Cause: a reader that finds the stream emptied, or its head removed before it got there, took what was left for all: with no closed record every window whose counts it had was open. A late append into an emptied stream looked like a whole ledger.

Change: a gap starts the ledger anew. A trimmed stream counts as whole only if its records span a minute, longer than a late append takes; else a new holder opens the ledger up to what anyone can have closed by the start of its tenure.

--- a/src/process/src/windowclosing.cpp
+++ b/src/process/src/windowclosing.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr milliseconds clockError{4000}; // two clocks that differ from the true time by two seconds each
+constexpr milliseconds lateAppend{60000}; // longer than a record can take from the end of its window until it is appended
 
 /** Newest window that any holder can have closed by a time of this entry's clock. */
 WindowNumber newestClosedBy(std::chrono::system_clock::time_point time, const WindowTimes &windows)
@@ -17,6 +18,16 @@
     return newestEndedWindow(time + clockError, windows.closeDelay, windows.window);
 }
 
+/**
+ * Whether no record between the ledger's first and last one was removed. Not certain if the stream was emptied a short time
+ * ago: what was read may then be a late record, with later ones before it that are gone.
+ */
+bool isContiguous(const WindowClosing &closing, const WindowTimes &windows)
+{
+    const UsageLedger &ledger = closing.ledger;
+    return !closing.position.trimmed || (ledger.firstWindow && (*ledger.lastClosed - *ledger.firstWindow) * windows.window >= lateAppend);
+}
+
 /** Whether the complete ledger was read to its end in the era of the lease and while it was held. */
 bool isConfirmed(const WindowClosing &closing, const LeaseHold &hold)
 {
@@ -35,6 +46,8 @@
     LogRestart restart = LogRestart::None;
     if (position.started && page.era != position.era) {
         restart = LogRestart::Era;
+    } else if (position.started && page.firstRetained > position.next) {
+        restart = LogRestart::Gap;
     }
     if (restart != LogRestart::None) {
         position = {};
@@ -68,13 +81,13 @@
                    const LeaseHold &before,
                    const std::optional<LeaseHold> &after,
                    FinalFigures &figures,
-                   const WindowTimes & /*windows*/,
+                   const WindowTimes &windows,
                    TimePoint now)
 {
     if (!after || !isSameLease(before, *after) || closing.position.era != after->era || closing.ledger.era > after->era) {
         return false;
     }
-    const bool known = closing.ledger.era == after->era;
+    const bool known = closing.ledger.era == after->era && isContiguous(closing, windows);
     closing.complete = closing.complete || known || (after->token != noOffset && closing.ledger.openedBy == after->token);
     if (closing.complete) {
         closing.confirmed = after;
@@ -90,12 +103,13 @@
     if (closing.complete || !closing.position.started || closing.position.era != hold.era || closing.ledger.era > hold.era) {
         return std::nullopt;
     }
+    const bool contiguous = isContiguous(closing, windows);
     const WindowNumber closedBeforeEra = newestClosedBy(times.eraKnownSince, windows);
     OpenedLedger opened{.era = hold.era, .token = hold.token};
     if (closing.confirmed && closing.confirmed->tenure == hold.tenure) {
         opened.through = closing.confirmedThrough.value_or(0);
     } else {
-        opened.through = closedBeforeEra;
+        opened.through = contiguous ? closedBeforeEra : newestClosedBy(times.since, windows);
     }
     if (!figures.empty()) {
         opened.through = std::max(opened.through, figures.rbegin()->first);
@@ -106,7 +120,9 @@
         }
     }
     // Records of later windows were made in this era, by holders that wrote no opening record.
-    opened.windows.insert(closing.ledger.unreported.upper_bound(std::max(closedBeforeEra, opened.through)), closing.ledger.unreported.end());
+    if (contiguous) {
+        opened.windows.insert(closing.ledger.unreported.upper_bound(std::max(closedBeforeEra, opened.through)), closing.ledger.unreported.end());
+    }
     return opened;
 }
 
