Append a window with the same figures at each retry

Cause: a holder whose append had no answer closed the window again with the counts known by then, so that two records with other figures could land, the second seconds later.

Change: what a holder has decided for a window stays, unless the log shows that a row of it went into another window.

--- a/src/process/src/windowclosing.cpp
+++ b/src/process/src/windowclosing.cpp
@@ -146,8 +146,18 @@
     collected.sidecars = counts;
     std::vector<ClosedWindow> records = closeWindows(ledger, through, collected);
     for (ClosedWindow &record : records) {
+        const auto earlier = closing.decided.find(record.window);
+        const bool valid = earlier != closing.decided.end()
+            && std::none_of(earlier->second.sources.begin(), earlier->second.sources.end(), [&ledger](const UsageSource &source) {
+                               return ledger.closedSources.contains(source) || (ledger.floor && source.window <= *ledger.floor);
+                           });
+        if (valid) {
+            record = earlier->second;
+        }
         record.era = hold.era;
+        closing.decided[record.window] = record;
     }
+    closing.decided.erase(closing.decided.begin(), closing.decided.lower_bound(through - retainedWindows));
     return records;
 }
 
--- a/tests/process/closingsimulation.cpp
+++ b/tests/process/closingsimulation.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <utility>
 
 namespace snipehill::test
 {
@@ -49,7 +50,7 @@
 class ClosingSimulation
 {
 public:
-    ClosingSimulation(std::uint64_t seed, LogLoss loss, ClosingMutation mutation) : m_choices(seed), m_loss(loss), m_mutation(mutation)
+    ClosingSimulation(std::uint64_t seed, LogLoss loss, std::set<ClosingMutation> leftOut) : m_choices(seed), m_loss(loss), m_leftOut(std::move(leftOut))
     {
         m_lossPercent = static_cast<int>(m_choices.between(0, 4));
         m_latePercent = static_cast<int>(m_choices.between(0, 8));
@@ -74,6 +75,11 @@
     }
 
 private:
+    bool leftOut(ClosingMutation rule) const
+    {
+        return m_leftOut.contains(rule);
+    }
+
     std::chrono::system_clock::time_point wallTime(const Entry &entry, Duration time) const
     {
         return std::chrono::system_clock::time_point(std::chrono::duration_cast<std::chrono::system_clock::duration>(time))
@@ -116,7 +122,8 @@
     void start(std::size_t index)
     {
         Entry &entry = m_entries[index];
-        entry = {.index = index, .alive = true, .clockOffsetMs = m_choices.between(-2000, 2000)};
+        entry = {
+            .index = index, .alive = true, .clockOffsetMs = m_choices.percent(50) ? m_choices.between(-2000, 2000) : 2000 * (2 * m_choices.between(0, 1) - 1)};
         entry.candidate.self = {"entry-" + std::to_string(index), ++m_runs};
         repeat(entry, milliseconds(400), [this, &entry] {
             followLease(entry);
@@ -205,7 +212,7 @@
 
     void append(Entry &entry, const std::string &stream, std::vector<Json::Value> records, const std::function<void(bool)> &onAnswer)
     {
-        if (m_mutation == ClosingMutation::RecordsWithoutEra) {
+        if (leftOut(ClosingMutation::RecordsWithoutEra)) {
             for (Json::Value &record : records) {
                 if (record["kind"].asString() == "closed") {
                     record.removeMember("era");
@@ -248,7 +255,7 @@
     void publish(Entry &entry)
     {
         const LogEra era = entry.candidate.era;
-        if (entry.publishedEra != era && m_mutation != ClosingMutation::CountsNotRepublished) {
+        if (entry.publishedEra != era && !leftOut(ClosingMutation::CountsNotRepublished)) {
             entry.publishedEra = era;
             entry.published.clear();
             entry.publishedOpen = 0;
@@ -284,7 +291,7 @@
     void tellPeers(Entry &entry)
     {
         auto figures = takeFinalFigures(entry.merged.finalFigures, now());
-        if (m_mutation == ClosingMutation::FiguresNotTold) {
+        if (leftOut(ClosingMutation::FiguresNotTold)) {
             figures.clear();
         }
         const PublishedUsage usage = unpublished(entry);
@@ -359,24 +366,24 @@
     {
         const auto onPage = [this, &entry](LogPage page) {
             LogPosition &position = entry.closing.position;
-            if (m_mutation == ClosingMutation::NoRestart && position.started) {
+            if (leftOut(ClosingMutation::NoRestart) && position.started) {
                 position.era = page.era;
             }
-            if (m_mutation == ClosingMutation::GapIgnored && position.started) {
+            if (leftOut(ClosingMutation::GapIgnored) && position.started) {
                 page.firstRetained = std::min(page.firstRetained, position.next);
             }
             const LogRestart restart = applyLedgerPage(entry.closing, page);
-            if (m_mutation == ClosingMutation::TrimmedTaken) {
+            if (leftOut(ClosingMutation::TrimmedTaken)) {
                 position.trimmed = false;
             }
             return restart;
         };
         read(entry, streams::usage, entry.closing.position, onPage, [this, &entry, held, atEnd] {
-            const auto after = m_mutation == ClosingMutation::FiguresWithoutLease ? std::optional(held) : hold(entry);
-            if (m_mutation == ClosingMutation::NoOpening) {
+            const auto after = leftOut(ClosingMutation::FiguresWithoutLease) ? std::optional(held) : hold(entry);
+            if (leftOut(ClosingMutation::NoOpening)) {
                 entry.closing.complete = true;
             }
-            if (confirmLedger(entry.closing, held, after, entry.merged.finalFigures, windows, now()) || m_mutation == ClosingMutation::ReportUnconfirmed) {
+            if (confirmLedger(entry.closing, held, after, entry.merged.finalFigures, windows, now()) || leftOut(ClosingMutation::ReportUnconfirmed)) {
                 atEnd();
             } else {
                 nextStep(entry);
@@ -394,17 +401,17 @@
             return;
         }
         const WindowNumber through = closableThrough(entry.merged, wallTime(entry, m_time.now()), now() - peerTimeout, windows);
-        if (m_mutation == ClosingMutation::FloorIgnored) {
+        if (leftOut(ClosingMutation::FloorIgnored)) {
             entry.closing.ledger.floor.reset();
         }
-        if (m_mutation == ClosingMutation::DecidedAnew) {
+        if (leftOut(ClosingMutation::DecidedAnew)) {
             entry.closing.decided.clear();
         }
         std::vector<Json::Value> records;
         for (ClosedWindow &closed : dueClosings(entry.closing, held, through, entry.merged.rows)) {
             markDecision(entry, closed);
             records.push_back(toJson(closed));
-            if (m_mutation == ClosingMutation::FiguresUnread) {
+            if (leftOut(ClosingMutation::FiguresUnread)) {
                 addFinalFigures(entry.merged.finalFigures, {{closed.window, closed.totals}}, now());
             }
         }
@@ -433,18 +440,18 @@
     std::optional<OpenedLedger> opening(Entry &entry, const LeaseHold &held)
     {
         HoldTimes times{.since = wallTime(entry, held.since.time_since_epoch()), .eraKnownSince = wallTime(entry, held.eraKnownSince.time_since_epoch())};
-        if (m_mutation == ClosingMutation::OpeningOfOwnLedger && entry.closing.confirmed) {
+        if (leftOut(ClosingMutation::OpeningOfOwnLedger) && entry.closing.confirmed) {
             entry.closing.confirmed->tenure = held.tenure;
         }
-        if (m_mutation == ClosingMutation::OpeningWithoutClockError) {
+        if (leftOut(ClosingMutation::OpeningWithoutClockError)) {
             times.since -= seconds(4);
             times.eraKnownSince -= seconds(4);
         }
-        if (m_mutation == ClosingMutation::EraBoundAfterTrimming) {
+        if (leftOut(ClosingMutation::EraBoundAfterTrimming)) {
             times.since = times.eraKnownSince;
         }
         auto opened = dueOpening(entry.closing, held, times, entry.merged.finalFigures, windows);
-        if (opened && m_mutation == ClosingMutation::UnreportedKept) {
+        if (opened && leftOut(ClosingMutation::UnreportedKept)) {
             opened->windows.insert(entry.closing.ledger.unreported.begin(), entry.closing.ledger.unreported.end());
         }
         return opened;
@@ -460,7 +467,7 @@
     void reportDue(Entry &entry, const LeaseHold &held)
     {
         std::vector<ReceivedReport> due;
-        const bool unconfirmed = m_mutation == ClosingMutation::ReportUnconfirmed;
+        const bool unconfirmed = leftOut(ClosingMutation::ReportUnconfirmed);
         for (const auto &[window, totals] : unconfirmed ? entry.closing.ledger.unreported : dueReports(entry.closing, held)) {
             if (isTold(entry.merged.finalFigures, window, now())) {
                 due.push_back({window, totals});
@@ -472,7 +479,7 @@
     void report(Entry &entry, const LeaseHold &held, std::vector<ReceivedReport> due)
     {
         const auto current = hold(entry);
-        const bool allowed = current && (m_mutation == ClosingMutation::ReportUnconfirmed || isSameLease(*current, held));
+        const bool allowed = current && (leftOut(ClosingMutation::ReportUnconfirmed) || isSameLease(*current, held));
         if (due.empty() || !allowed) {
             nextStep(entry);
             return;
@@ -595,7 +602,7 @@
     VirtualTime m_time;
     SeededRandom m_choices;
     LogLoss m_loss;
-    ClosingMutation m_mutation;
+    std::set<ClosingMutation> m_leftOut;
     int m_lossPercent = 0;
     int m_latePercent = 0;
     int m_peerLossPercent = 0;
@@ -610,9 +617,9 @@
 
 } // namespace
 
-ClosingResult simulateClosing(std::uint64_t seed, LogLoss loss, ClosingMutation mutation)
+ClosingResult simulateClosing(std::uint64_t seed, LogLoss loss, std::set<ClosingMutation> leftOut)
 {
-    return ClosingSimulation(seed, loss, mutation).run();
+    return ClosingSimulation(seed, loss, std::move(leftOut)).run();
 }
 
 std::vector<std::string> checkClosing(const ClosingResult &result)
--- a/tests/process/closingsimulation.h
+++ b/tests/process/closingsimulation.h
@@ -21,7 +21,6 @@
 
 /** Rule of the protocol to violate, to show that the checker detects the violation. */
 enum class ClosingMutation {
-    None,
     NoRestart, //!< readers go on at their position after the log came back from a copy
     NoOpening, //!< whoever holds the lease takes what the log still shows for the whole ledger
     OpeningOfOwnLedger, //!< after a change of the holder, the opening record goes by the holder's own last reading
@@ -58,7 +57,7 @@
 };
 
 /** Simulates four entries that count, publish, and close windows under one lease with one holder at a time, and the log. */
-ClosingResult simulateClosing(std::uint64_t seed, LogLoss loss, ClosingMutation mutation = ClosingMutation::None);
+ClosingResult simulateClosing(std::uint64_t seed, LogLoss loss, std::set<ClosingMutation> leftOut = {});
 
 /** Describes each violation: a window reported with two sets of figures, or more reported than ran. */
 std::vector<std::string> checkClosing(const ClosingResult &result);
