Tell other entries the figures of closed windows

A window whose closed record the log loses together with its holder was missed, since nobody else knew its figures.

Change: peer updates carry the final counts of windows that the holder read back, twice, a second apart, before they are reported. At most 16 KB an update. Entries of earlier versions skip the field.

--- a/src/process/include/process/peerupdate.h
+++ b/src/process/include/process/peerupdate.h
@@ -53,6 +53,7 @@
     std::vector<RoutedBlocks> routedBlocks; //!< since the previous update
     std::vector<CrashReport> crashes; //!< crashes of targets, see takeCrashReports()
     std::map<WindowNumber, UsageByWorkspace> usage; //!< request counts that the sender has not published to the store yet
+    std::map<WindowNumber, UsageByWorkspace> finalUsage; //!< request counts of windows that the sender has read back as closed
     std::map<TargetHash, PendingRoleChange> roleChanges; //!< changes that the sender has ordered
     WindowNumber openWindow = 0; //!< all counts of earlier windows are published or in this update; 0: no statement
 };
--- a/src/process/include/process/usagecounter.h
+++ b/src/process/include/process/usagecounter.h
@@ -54,7 +54,7 @@
 /** Adds figures that another entry has read back from the ledger. */
 void mergeFinalFigures(FinalFigures &figures, const std::map<WindowNumber, UsageByWorkspace> &windows);
 
-/** Figures to include in the next peer update: each twice, a second apart. */
+/** Figures to include in the next peer update: each twice, a second apart. Windows with too many workspaces for a datagram are left out. */
 std::map<WindowNumber, UsageByWorkspace> takeFinalFigures(FinalFigures &figures, TimePoint now);
 
 /** Whether the figures of a window may be reported: the other entries were told, or telling them takes too long. */
--- a/src/process/src/usagecounter.cpp
+++ b/src/process/src/usagecounter.cpp
@@ -14,6 +14,8 @@
 constexpr int updatesOfFinalFigures = 2; // one datagram may be lost
 constexpr milliseconds finalFiguresInterval{1000}; // longer than most bursts of loss, shorter than a window
 constexpr milliseconds longestTelling{1000}; // an entry with 250 peers sends an update each second
+constexpr std::size_t maxTellingBytes = 16384; // a quarter of a datagram; some hundred workspaces
+constexpr std::size_t bytesPerWorkspace = 16; // beside its name
 constexpr WindowNumber finalWindows = 12; // reports for older windows are overdue
 
 void removeOldFigures(FinalFigures &figures)
@@ -23,6 +25,15 @@
     }
 }
 
+std::size_t bytesOf(const UsageByWorkspace &totals)
+{
+    std::size_t bytes = 0;
+    for (const auto &[workspace, used] : totals) {
+        bytes += workspace.size() + bytesPerWorkspace;
+    }
+    return bytes;
+}
+
 } // namespace
 
 void addFinalFigures(FinalFigures &figures, const std::map<WindowNumber, UsageByWorkspace> &windows, TimePoint now)
@@ -46,8 +57,14 @@
 std::map<WindowNumber, UsageByWorkspace> takeFinalFigures(FinalFigures &figures, TimePoint now)
 {
     std::map<WindowNumber, UsageByWorkspace> due;
+    std::size_t bytes = 0;
     for (auto &[window, known] : figures) {
-        if (known.updatesLeft > 0 && known.nextUpdate <= now) {
+        const std::size_t size = bytesOf(known.totals);
+        if (size > maxTellingBytes) {
+            known.updatesLeft = 0;
+        }
+        if (known.updatesLeft > 0 && known.nextUpdate <= now && bytes + size <= maxTellingBytes) {
+            bytes += size;
             --known.updatesLeft;
             known.nextUpdate = now + finalFiguresInterval;
             due[window] = known.totals;
--- a/src/serving/src/directpeers.cpp
+++ b/src/serving/src/directpeers.cpp
@@ -145,6 +145,7 @@
 void applyPeerUsage(MergedUsage &counts, const PeerUpdate &update, TimePoint now)
 {
     counts.lastHeard[update.sender.instance] = {update.sender, now};
+    mergeFinalFigures(counts.finalFigures, update.finalUsage);
     if (update.openWindow == 0) {
         return;
     }
@@ -195,6 +196,7 @@
         exchange.lastUsageSent = now;
         addUnpublishedUsage(exchange.context.usage, update);
     }
+    update.finalUsage = takeFinalFigures(exchange.context.counts.finalFigures, now);
     const std::string bytes = encodePeerUpdate(update);
     const bool probe = ++exchange.rounds % silentPeerProbeRounds == 0;
     std::size_t activePeers = 0;
--- a/tests/process/usagecountertest.cpp
+++ b/tests/process/usagecountertest.cpp
@@ -77,6 +77,8 @@
     update.crashes.push_back({.run = 5, .age = milliseconds(40), .unneeded = milliseconds(30), .suspects = {{{7, 9}, milliseconds(20)}}, .cleared = {9}});
     update.usage[4]["w"].requests = 9;
     update.openWindow = 5;
+    update.finalUsage[2]["w"].requests = 70000;
+    update.finalUsage[3] = {};
     const auto decoded = decodePeerUpdate(encodePeerUpdate(update), reason);
     REQUIRE(decoded);
     CHECK(decoded->sender == second);
@@ -94,5 +96,64 @@
     CHECK(decoded->crashes[0].cleared == std::vector<CrashCause>{9});
     CHECK(decoded->usage.at(4).at("w").requests == 9);
     CHECK(decoded->openWindow == 5);
+    CHECK(decoded->finalUsage == update.finalUsage);
     CHECK(!decodePeerUpdate("no news", reason));
 }
+
+// Guards against entries of earlier versions that can't read the updates of this one, and against figures taken from theirs.
+TEST_CASE("Entries of earlier versions skip the final figures in a peer update", "[usage]")
+{
+    Reason reason;
+    PeerUpdate update{.sender = second};
+    update.usage[4]["w"].requests = 9;
+    update.openWindow = 5;
+    const std::string earlier = encodePeerUpdate(update);
+    const auto fromEarlier = decodePeerUpdate(earlier, reason);
+    REQUIRE(fromEarlier);
+    CHECK(fromEarlier->finalUsage.empty());
+    update.finalUsage[3]["w"].requests = 7;
+    const std::string bytes = encodePeerUpdate(update);
+    CHECK(bytes.starts_with(earlier));
+    // A truncated update may lack figures, but never names others.
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        const auto cut = decodePeerUpdate(std::string_view(bytes).substr(0, size), reason);
+        CHECK((!cut || cut->finalUsage.empty()));
+    }
+}
+
+// Guards against updates that no datagram can hold, which would end all news between entries.
+TEST_CASE("Final figures in one peer update are bounded", "[usage]")
+{
+    FinalFigures figures;
+    std::map<WindowNumber, UsageByWorkspace> windows;
+    for (WindowNumber window = 1; window <= 4; ++window) {
+        const int workspaces = window == 4 ? 5000 : 400;
+        for (int i = 0; i < workspaces; ++i) {
+            windows[window]["workspace-" + std::to_string(i)].requests = 1;
+        }
+    }
+    addFinalFigures(figures, windows, start);
+    std::size_t told = 0;
+    for (int update = 0; update < 5; ++update) {
+        const auto due = takeFinalFigures(figures, start);
+        CHECK(encodePeerUpdate({.sender = first, .finalUsage = due}).size() < 20000);
+        CHECK(!due.contains(4));
+        told += due.size();
+    }
+    CHECK(told == 3);
+}
+
+// Guards against counts that a log lost when it came back from an older copy, and that no entry would send again.
+TEST_CASE("Counts are published again after a rise of the era", "[usage]")
+{
+    UsageCounter counter(first, milliseconds(3600000));
+    counter.count("w");
+    const auto published = counter.unpublished();
+    REQUIRE(published);
+    counter.markPublished(*published);
+    REQUIRE(!counter.unpublished());
+    counter.republish();
+    const auto again = counter.unpublished();
+    REQUIRE(again);
+    CHECK(again->rows == published->rows);
+}
