Neither close rows twice nor give windows up while ledger records expire

A holder that starts when the ledger's head has expired, which is the usual case with 20 s of history, gave up all windows up to its claim, and the rows of windows before the first retained record, which entries keep for a minute, could go into a later window once more.

Change: a trimmed ledger is taken as reaching to its end if its last window is not older than the newest one that other entries tell; rows of windows before its first record are never closed. The simulation plays records that expire after 20 s all the time.

--- a/src/process/src/windowclosing.cpp
+++ b/src/process/src/windowclosing.cpp
@@ -19,13 +19,18 @@
 }
 
 /**
- * Whether no record between the ledger's first and last one was removed. Not certain if the stream was emptied a short time
- * ago: what was read may then be a late record, with later ones before it that are gone.
+ * Whether the ledger's last record is that of the newest closed window. Not certain if the stream was emptied a short time
+ * ago: what was read may then be a late record, with later ones before it that are gone. Other entries tell the newest
+ * window that they know to be closed; if the ledger reaches it, it was not emptied since.
  */
-bool isContiguous(const WindowClosing &closing, const WindowTimes &windows)
+bool isContiguous(const WindowClosing &closing, const FinalFigures &figures, const WindowTimes &windows)
 {
     const UsageLedger &ledger = closing.ledger;
-    return !closing.position.trimmed || (ledger.firstWindow && (*ledger.lastClosed - *ledger.firstWindow) * windows.window >= lateAppend);
+    if (!closing.position.trimmed || !ledger.lastClosed) {
+        return !closing.position.trimmed;
+    }
+    const bool reachesFigures = !figures.empty() && *ledger.lastClosed >= figures.rbegin()->first;
+    return reachesFigures || (*ledger.lastClosed - ledger.firstWindow.value_or(*ledger.lastClosed)) * windows.window >= lateAppend;
 }
 
 /** Whether the complete ledger was read to its end in the era of the lease and while it was held. */
@@ -74,6 +79,10 @@
             applyUsageRecord(closing.ledger, *parsed);
         }
     }
+    if (closing.position.trimmed && closing.ledger.firstWindow) {
+        // Removed records may have included any row of the windows before.
+        closing.ledger.floor = std::max(closing.ledger.floor.value_or(*closing.ledger.firstWindow - 1), *closing.ledger.firstWindow - 1);
+    }
     return restart;
 }
 
@@ -87,7 +96,7 @@
     if (!after || !isSameLease(before, *after) || closing.position.era != after->era || closing.ledger.era > after->era) {
         return false;
     }
-    const bool known = closing.ledger.era == after->era && isContiguous(closing, windows);
+    const bool known = closing.ledger.era == after->era && isContiguous(closing, figures, windows);
     closing.complete = closing.complete || known || (after->token != noOffset && closing.ledger.openedBy == after->token);
     if (closing.complete) {
         closing.confirmed = after;
@@ -103,7 +112,7 @@
     if (closing.complete || !closing.position.started || closing.position.era != hold.era || closing.ledger.era > hold.era) {
         return std::nullopt;
     }
-    const bool contiguous = isContiguous(closing, windows);
+    const bool contiguous = isContiguous(closing, figures, windows);
     const WindowNumber closedBeforeEra = newestClosedBy(times.eraKnownSince, windows);
     OpenedLedger opened{.era = hold.era, .token = hold.token};
     if (closing.confirmed && closing.confirmed->tenure == hold.tenure) {
--- a/tests/process/closingsimulation.cpp
+++ b/tests/process/closingsimulation.cpp
@@ -26,6 +26,7 @@
 constexpr milliseconds peerTimeout{3000};
 constexpr const char *countsStream = "usage-counts";
 constexpr std::size_t maxLosses = 4;
+constexpr milliseconds retention{20000};
 
 struct Entry
 {
@@ -54,7 +55,8 @@
     {
         m_lossPercent = static_cast<int>(m_choices.between(0, 4));
         m_latePercent = static_cast<int>(m_choices.between(0, 8));
-        m_peerLossPercent = m_choices.percent(50) ? 100 : static_cast<int>(m_choices.between(0, 30));
+        const bool isolated = m_choices.percent(50) && loss != LogLoss::Expiry;
+        m_peerLossPercent = isolated ? 100 : static_cast<int>(m_choices.between(0, 30));
     }
 
     ClosingResult run()
@@ -65,7 +67,9 @@
         }
         serve();
         scheduleFault();
-        if (m_loss != LogLoss::None) {
+        if (m_loss == LogLoss::Expiry) {
+            expire();
+        } else if (m_loss != LogLoss::None) {
             m_time.after(m_choices.time(10000, 80000), [this] {
                 loseRecords();
             });
@@ -574,9 +578,17 @@
         }
     }
 
+    void expire()
+    {
+        m_log.expire(m_time.now() - retention);
+        m_time.after(milliseconds(500), [this] {
+            expire();
+        });
+    }
+
     void loseRecords()
     {
-        if (m_result.losses >= maxLosses || m_time.now() > servingTime) {
+        if (m_loss == LogLoss::Expiry || m_result.losses >= maxLosses || m_time.now() > servingTime) {
             return;
         }
         ++m_result.losses;
--- a/tests/process/closingsimulation.h
+++ b/tests/process/closingsimulation.h
@@ -15,6 +15,7 @@
 enum class LogLoss {
     None,
     Tail, //!< comes back from a copy 0.2 to 5 s old, once or twice in a row
+    Expiry, //!< removes records that are 20 s old, all the time
     Head, //!< removes its oldest records or all
     Both,
 };
--- a/tests/process/closingtest.cpp
+++ b/tests/process/closingtest.cpp
@@ -50,6 +50,12 @@
     playAll(LogLoss::Tail, 1);
 }
 
+// Guards against windows that are closed anew, or given up, by a holder that finds only the newest records of the ledger.
+TEST_CASE("a window has one set of figures while records expire", "[usage][closing]")
+{
+    playAll(LogLoss::Expiry, 0);
+}
+
 // Guards against a window that is closed anew by a reader that finds the stream emptied or its head expired.
 TEST_CASE("a window has one set of figures when the log removes its oldest records", "[usage][closing]")
 {
--- a/tests/process/simulatedlog.h
+++ b/tests/process/simulatedlog.h
@@ -53,6 +53,16 @@
             }
         }
     }
+    /** Removes the records of all streams that were appended before the given time. */
+    void expire(Duration time)
+    {
+        for (auto &[name, stream] : m_streams) {
+            const auto kept = std::find_if(stream.records.begin(), stream.records.end(), [time](const Record &record) {
+                return record.appended >= time;
+            });
+            trim(name, static_cast<std::size_t>(stream.records.end() - kept));
+        }
+    }
     /** Removes all but the newest records of a stream. */
     void trim(const std::string &name, std::size_t kept)
     {
