--- a/src/process/src/leasemanager.cpp
+++ b/src/process/src/leasemanager.cpp
@@ -1,19 +1,16 @@
 #include <process/leasemanager.h>
 
+#include "leasemanagerstate.h"
+
 #include <process/pause.h>
 
 #include <core/boottime.h>
-#include <process/log.h>
 #include <process/logclient.h>
-#include <process/metrics.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
-#include <atomic>
-#include <map>
-#include <mutex>
 #include <utility>
 
 namespace snipehill
@@ -43,147 +40,6 @@
     return "roles/" + targetGroup;
 }
 
-/** State shared by the coroutines, which keep it alive. */
-struct LeaseManager::State
-{
-    State(asio::any_io_executor ioExecutor, LogAccess logAccess, Incarnation own, LeaseSettings leaseSettings)
-        : executor(std::move(ioExecutor)), log(std::move(logAccess)), self(std::move(own)), settings(leaseSettings)
-    {
-    }
-
-    void applyPage(const LogPage &page, Offset readFrom, TimePoint received);
-    void applyEntry(const LogRecord &entry, TimePoint received);
-    std::vector<Json::Value> dueRecords(TimePoint now);
-    std::vector<Json::Value> releases(TimePoint now);
-    std::optional<Offset> readPosition();
-    bool isStopped();
-    /** True if the stream must be read without delay: before the first catch-up, or while a lease is held or claimed. */
-    bool isActive();
-
-    const asio::any_io_executor executor;
-    const LogAccess log;
-    const Incarnation self;
-    const LeaseSettings settings;
-    std::atomic<std::size_t> candidates{1};
-
-    std::mutex mutex;
-    std::map<std::string, LeaseStateMachine> holders;
-    LeaseTable table;
-    bool readOnce = false;
-    bool caughtUp = false;
-    bool stopping = false;
-    bool stopped = false;
-    TimePoint lastCallEnd{}; //!< latest end of a call that mayCall() allowed
-};
-
-namespace
-{
-
-void recordLeaseChange(Offset offset, const LeaseRecord &record)
-{
-    if (record.action == LeaseAction::Renew) {
-        processMetrics().count(Counter::LeaseChanges, {record.scope, "renewed"});
-        return;
-    }
-    const char *change = record.action == LeaseAction::Claim ? "claimed" : "released";
-    processMetrics().count(Counter::LeaseChanges, {record.scope, change});
-    logEvent(LogComponent::Lease, LogLevel::Info, change, {{"scope", record.scope}, {"holder", record.holder.instance}, {"offset", offset}});
-}
-
-} // namespace
-
-void LeaseManager::State::applyEntry(const LogRecord &entry, TimePoint received)
-{
-    Reason reason;
-    const auto record = parseLeaseRecord(entry.value, reason);
-    if (!record) {
-        return;
-    }
-    const LeaseEffect effect = applyLeaseRecord(table, entry.offset, *record);
-    // Records read during startup are not reported as changes.
-    if (caughtUp && effect == LeaseEffect::Effective) {
-        recordLeaseChange(entry.offset, *record);
-    }
-    const auto holder = holders.find(record->scope);
-    if (holder != holders.end()) {
-        holder->second.onRecord(table, effect, *record, received);
-    }
-}
-
-void LeaseManager::State::applyPage(const LogPage &page, Offset readFrom, TimePoint received)
-{
-    const std::lock_guard lock(mutex);
-    if (!readOnce || readFrom < page.firstRetained) {
-        table = startLeaseTable(page.firstRetained);
-        caughtUp = false;
-        readOnce = true;
-        for (auto &[scope, holder] : holders) {
-            holder.onGap();
-        }
-    }
-    for (const LogRecord &entry : page.records) {
-        applyEntry(entry, received);
-    }
-    const Offset next = page.records.empty() ? page.next : page.records.back().offset + 1;
-    advanceReadPosition(table, page.firstRetained, next);
-    caughtUp = caughtUp || page.records.empty();
-    if (caughtUp) {
-        for (auto &[scope, holder] : holders) {
-            holder.onCaughtUp(table, received);
-        }
-    }
-}
-
-std::vector<Json::Value> LeaseManager::State::dueRecords(TimePoint now)
-{
-    const std::lock_guard lock(mutex);
-    std::vector<Json::Value> due;
-    if (stopping) {
-        return due;
-    }
-    for (auto &[scope, holder] : holders) {
-        if (const auto record = holder.nextRecord(table, now, randomId())) {
-            due.push_back(toJson(*record));
-        }
-    }
-    return due;
-}
-
-std::vector<Json::Value> LeaseManager::State::releases(TimePoint now)
-{
-    const std::lock_guard lock(mutex);
-    std::vector<Json::Value> due;
-    for (auto &[scope, holder] : holders) {
-        if (const auto record = holder.release(table, now, randomId())) {
-            due.push_back(toJson(*record));
-        }
-    }
-    return due;
-}
-
-std::optional<Offset> LeaseManager::State::readPosition()
-{
-    const std::lock_guard lock(mutex);
-    if (!readOnce) {
-        return std::nullopt;
-    }
-    return table.next;
-}
-
-bool LeaseManager::State::isActive()
-{
-    const std::lock_guard lock(mutex);
-    return !caughtUp || std::any_of(holders.begin(), holders.end(), [](const auto &entry) {
-        return entry.second.phase() == LeasePhase::Holding || entry.second.phase() == LeasePhase::Claiming;
-    });
-}
-
-bool LeaseManager::State::isStopped()
-{
-    const std::lock_guard lock(mutex);
-    return stopped;
-}
-
 namespace
 {
 
@@ -192,16 +48,20 @@
 asio::awaitable<void> followStream(StatePointer state)
 {
     while (!state->isStopped()) {
-        const std::optional<Offset> position = state->readPosition();
-        const Offset from = position.value_or(0);
-        const milliseconds wait = position ? readWait : milliseconds(0);
+        const ReadPosition position = state->readPosition();
+        const milliseconds wait = state->hasCaughtUp() ? readWait : milliseconds(0);
+        const TimePoint sent = bootNow();
         Reason reason;
-        const auto page = co_await state->log.read(streams::leases, from, wait, reason);
+        const auto page = co_await state->log.read(streams::leases, position.from, wait, reason);
         if (!page) {
             co_await pauseFor(retryDelay);
             continue;
         }
-        state->applyPage(*page, from, bootNow());
+        state->applyPage(*page, position, bootNow());
+        // The log answers at once if it has no record at the position; the loop must not spin then.
+        if (page->records.empty() && bootNow() - sent < wait / 2) {
+            co_await pauseFor(retryDelay);
+        }
         const milliseconds pause = std::clamp(readIntervalPerCandidate * static_cast<std::int64_t>(state->candidates),
                                               minStandbyReadInterval,
                                               std::max(minStandbyReadInterval, state->settings.duration / minReadsPerLease));
@@ -221,6 +81,7 @@
 asio::awaitable<void> appendDueRecords(StatePointer state)
 {
     while (!state->isStopped()) {
+        state->checkEra(bootNow());
         std::vector<Json::Value> records = state->dueRecords(bootNow());
         if (!records.empty()) {
             // Not awaited, so that an append without a response does not delay the next renewal.
@@ -247,10 +108,10 @@
 void LeaseManager::addScope(const std::string &scope)
 {
     const std::lock_guard lock(m_state->mutex);
-    const auto [holder, added] = m_state->holders.try_emplace(scope, scope, m_state->self, m_state->settings);
-    if (!added) {
+    if (m_state->holders.contains(scope)) {
         return;
     }
+    const auto holder = m_state->holders.emplace(scope, m_state->startMachine(scope)).first;
     // The actual receive time of earlier records is unknown. Using the current time is safe: it only delays a claim.
     const auto lease = m_state->table.scopes.find(scope);
     if (lease != m_state->table.scopes.end()) {
@@ -258,6 +119,7 @@
         record.scope = scope;
         record.holder = lease->second.holder;
         record.action = lease->second.released ? LeaseAction::Release : LeaseAction::Renew;
+        record.era = lease->second.era;
         record.duration = lease->second.duration;
         holder->second.onRecord(m_state->table, lease->second.certain ? LeaseEffect::Effective : LeaseEffect::Unknown, record, bootNow());
     }
@@ -312,11 +174,17 @@
 
 std::optional<LeaseHold> LeaseManager::hold(const std::string &scope, milliseconds callTimeout) const
 {
-    const std::optional<Offset> token = mayCall(scope, callTimeout) ? epoch(scope) : std::nullopt;
-    if (!token) {
+    const std::lock_guard lock(m_state->mutex);
+    const TimePoint now = bootNow();
+    const auto holder = m_state->holders.find(scope);
+    if (m_state->stopping || holder == m_state->holders.end()) {
         return std::nullopt;
     }
-    return LeaseHold{.token = *token, .tenure = static_cast<std::uint64_t>(*token) + 1};
+    const auto held = holder->second.hold(now, callTimeout);
+    if (held) {
+        m_state->lastCallEnd = std::max(m_state->lastCallEnd, now + callTimeout);
+    }
+    return held;
 }
 
 std::optional<Offset> LeaseManager::epoch(const std::string &scope) const
@@ -352,7 +220,10 @@
         LeaseStatus status;
         status.scope = scope;
         status.phase = holder.phase();
-        status.valid = holder.mayCall(bootNow(), milliseconds(0));
+        const auto rest = holder.validUntil() ? std::chrono::floor<milliseconds>(*holder.validUntil() - bootNow()) : milliseconds(0);
+        status.valid = rest > milliseconds(0);
+        status.validFor = std::max(rest, milliseconds(0));
+        status.era = m_state->era.value_or(0);
         status.epoch = holder.epoch().value_or(noOffset);
         const auto lease = m_state->table.scopes.find(scope);
         if (lease != m_state->table.scopes.end()) {
--- a/tests/support/directcluster.cpp
+++ b/tests/support/directcluster.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <fstream>
+#include <set>
 #include <sstream>
 
 namespace snipehill::support
@@ -16,6 +17,8 @@
 {
 
 const std::string daemonProgram = std::string(SNIPEHILL_BIN_DIR) + "/src/snipehilld";
+constexpr const char *configTopic = "keyed.op";
+constexpr const char *targetsTopic = "keyed.servers";
 const std::string standInProgram = std::string(SNIPEHILL_BIN_DIR) + "/tests/snipehill_standins";
 
 Endpoint loopback()
@@ -136,16 +139,16 @@
     std::string file = m_folder.file(name + ".toml");
     std::ofstream(file) << "node_name = \"" << name << "\"\nzone = \"fd-a\"\nregion = \"r1\"\nport_range = [" << m_peerPorts[entry] << "," << m_peerPorts[entry]
                         << "]\n[listen]\nfront = " << quoted(m_callers[entry]) << "\nready = " << quoted(m_readiness[entry])
-                        << "\n[bounds]\ngrace_s = 8\nbudget_ratio = 0.2\nbudget_slack = " << m_retrySlack
-                        << "\nlease_ms = 1000\nreport_window_s = 2\nusage_late_s = 6\n"
+                        << "\n[bounds]\ngrace_s = 8\nbudget_ratio = 0.2\nbudget_slack = " << m_retrySlack << "\nlease_ms = " << leaseTimeout.count()
+                        << "\nreport_window_s = " << usageWindow.count() << "\nusage_late_s = " << usageDelay.count() << "\n"
                         << "[platform]\naddress = " << quoted(store) << "\n[cloud]\naddress = " << quoted(m_store) << "\nduties = [\"usage_report\"]\n";
     return file;
 }
 
 void DirectCluster::startEntry(std::size_t entry)
 {
-    ::setenv("SNIPEHILL_SETTINGS", writeSettings(entry).c_str(), 1);
-    ChildProcess process(daemonProgram, std::vector<std::string>{"--platform-entry"}, m_folder.file("entry-" + std::to_string(entry + 1) + ".out"));
+    ChildProcess process(
+        daemonProgram, {"--platform-entry"}, m_folder.file("entry-" + std::to_string(entry + 1) + ".out"), {"SNIPEHILL_SETTINGS=" + writeSettings(entry)});
     if (entry < entries.size()) {
         entries[entry] = std::move(process);
     } else {
@@ -186,8 +189,17 @@
 
 Journal DirectCluster::journal() const
 {
-    std::vector<Journal> journals;
+    std::set<std::string> names;
     for (const auto &[name, control] : m_controls) {
+        names.insert(name);
+    }
+    return journal(names);
+}
+
+Journal DirectCluster::journal(const std::set<std::string> &names) const
+{
+    std::vector<Journal> journals;
+    for (const std::string &name : names) {
         std::ifstream file(journalFile(name));
         std::ostringstream text;
         text << file.rdbuf();
@@ -196,6 +208,18 @@
     return mergeJournals(journals);
 }
 
+bool DirectCluster::waitForReport(std::int64_t firstWindow, milliseconds timeout) const
+{
+    return waitUntil(
+        [&] {
+            const Journal reports = eventsOf(journal({"store"}), "usage");
+            return std::any_of(reports.begin(), reports.end(), [&](const Json::Value &report) {
+                return report["report"]["window_id"].asInt64() >= firstWindow;
+            });
+        },
+        timeout);
+}
+
 const Endpoint &DirectCluster::callers(std::size_t entry) const
 {
     return m_callers.at(entry);
@@ -214,9 +238,56 @@
     callOnce(m_store, call);
 }
 
+std::size_t DirectCluster::endOfTopic(const std::string &topic) const
+{
+    const auto newest = parseJson(callOnce(m_store, {.target = "/api/log-newest?topic=" + topic + "&part=0"}).body);
+    return newest ? (*newest)["end_offset"].asUInt64() : 0;
+}
+
+void DirectCluster::trimTopic(const std::string &topic, std::size_t kept)
+{
+    const std::size_t end = endOfTopic(topic);
+    const std::string before = std::to_string(end - std::min(kept, end));
+    callOnce(m_store, {.method = "POST", .target = "/api/log-trim?topic=" + topic + "&part=0&before_offset=" + before});
+}
+
+void DirectCluster::bringBackCopy(milliseconds age)
+{
+    callOnce(m_controls.at("store"), {.method = "POST", .target = "/copy", .body = R"({"ms": )" + std::to_string(age.count()) + "}"});
+}
+
+void DirectCluster::bringBackCopy(const OlderCopy &copy)
+{
+    if (copy.away > milliseconds(0)) {
+        setFaults("store", R"({"down": true})");
+        sleepFor(copy.away / 2);
+    }
+    bringBackCopy(copy.age);
+    if (copy.away > milliseconds(0)) {
+        sleepFor(copy.away / 2);
+        setFaults("store", R"({"down": null})");
+    }
+    sleepFor(copy.writtenAgainAfter);
+    writeAgain();
+}
+
+void DirectCluster::writeAgain()
+{
+    if (!m_configuration.empty()) {
+        append(configTopic, "config", m_configuration);
+    }
+    for (const DirectTarget &target : m_targets) {
+        const auto entry = m_targetEntries.find(target.id);
+        if (entry != m_targetEntries.end()) {
+            append(targetsTopic, target.id, entry->second);
+        }
+    }
+}
+
 void DirectCluster::publish(const std::string &configuration)
 {
-    append("keyed.op", "config", configuration);
+    m_configuration = configuration;
+    append(configTopic, "config", configuration);
 }
 
 void DirectCluster::registerTarget(const DirectTarget &target, const std::string &state)
@@ -225,7 +296,8 @@
     const std::string entry = R"({"service":")" + target.group + R"(","address":")"
         + toString(m_targetRelays.empty() ? m_addresses[target.id] : targetRelay(target.id).endpoint()) + R"(","zone":"fd-a","slots":8,"born":)"
         + std::to_string(1 + m_runs[target.id]) + R"(,"state":")" + state + "\"" + role + "}";
-    append("keyed.servers", target.id, state.empty() ? "" : entry);
+    m_targetEntries[target.id] = state.empty() ? "" : entry;
+    append(targetsTopic, target.id, m_targetEntries[target.id]);
 }
 
 bool DirectCluster::waitUntilReady(std::size_t entry, bool ready)
@@ -273,6 +345,11 @@
     return text.str();
 }
 
+std::int64_t openUsageWindow()
+{
+    return std::chrono::system_clock::now().time_since_epoch() / usageWindow;
+}
+
 Call directCall(const std::string &method, const std::string &path, const std::string &id, const std::string &body)
 {
     Call call{.method = method, .target = path};
