Tell new entries the figures of the newest closed windows

A holder that was started after the last figures were told found none to compare a trimmed ledger with, and gave windows up. An entry that hears a run for the first time sends it the two newest windows that it has read back itself.

--- a/src/process/include/process/usagecounter.h
+++ b/src/process/include/process/usagecounter.h
@@ -42,7 +42,7 @@
     bool contradicted = false; //!< entries know different figures; then none may be reported
     int updatesLeft = 0; //!< peer updates that are still to include the figures
     TimePoint nextUpdate{}; //!< earliest time of the next one
-    TimePoint added{}; //!< when this entry first knew the figures
+    TimePoint added{}; //!< when this entry first read the figures back itself; not set if it only was told
 };
 
 /** Final figures of recent windows, known from the ledger and from other entries. Kept apart from the log, which may lose them. */
@@ -69,6 +69,9 @@
     FinalFigures finalFigures;
 };
 
+/** Records that an entry was heard. A run that was not heard before is told the newest figures that this entry has read back. */
+void recordHeard(MergedUsage &counts, const Incarnation &entry, TimePoint now);
+
 /** Merges published counts. Counts only grow, so the higher of two values is the later one and order does not matter. */
 void mergeUsage(MergedUsage &counts, const Incarnation &entry, const PublishedUsage &published);
 
--- a/src/process/src/usagecounter.cpp
+++ b/src/process/src/usagecounter.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr int updatesOfFinalFigures = 2; // one datagram may be lost
+constexpr int toldToNewEntry = 2; // newest windows: those that may still be unreported
 constexpr milliseconds finalFiguresInterval{1000}; // longer than most bursts of loss, shorter than a window
 constexpr milliseconds longestTelling{1000}; // an entry with 250 peers sends an update each second
 constexpr std::size_t maxTellingBytes = 16384; // a quarter of a datagram; some hundred workspaces
@@ -40,6 +41,7 @@
 {
     for (const auto &[window, totals] : windows) {
         const auto [known, added] = figures.try_emplace(window, FinalWindow{.totals = totals, .updatesLeft = updatesOfFinalFigures, .added = now});
+        known->second.added = known->second.added == TimePoint{} ? now : known->second.added;
         known->second.contradicted = known->second.contradicted || known->second.totals != totals;
     }
     removeOldFigures(figures);
@@ -73,6 +75,21 @@
     return due;
 }
 
+void recordHeard(MergedUsage &counts, const Incarnation &entry, TimePoint now)
+{
+    auto &[run, lastHeard] = counts.lastHeard[entry.instance];
+    lastHeard = now;
+    if (run == entry) {
+        return;
+    }
+    run = entry;
+    int repeated = 0;
+    for (auto known = counts.finalFigures.rbegin(); known != counts.finalFigures.rend() && repeated < toldToNewEntry; ++known, ++repeated) {
+        const bool ownFigures = known->second.added != TimePoint{};
+        known->second.updatesLeft = ownFigures ? std::max(1, known->second.updatesLeft) : 0;
+    }
+}
+
 bool isTold(const FinalFigures &figures, WindowNumber window, TimePoint now)
 {
     const auto known = figures.find(window);
--- a/src/serving/src/directpeers.cpp
+++ b/src/serving/src/directpeers.cpp
@@ -177,7 +177,7 @@
 
 void applyPeerUsage(MergedUsage &counts, const PeerUpdate &update, TimePoint now)
 {
-    counts.lastHeard[update.sender.instance] = {update.sender, now};
+    recordHeard(counts, update.sender, now);
     mergeFinalFigures(counts.finalFigures, update.finalUsage);
     if (update.openWindow == 0) {
         return;
--- a/tests/process/closingsimulation.cpp
+++ b/tests/process/closingsimulation.cpp
@@ -339,7 +339,7 @@
                 continue;
             }
             after(peer, m_choices.time(1, 150), [this, &peer, sender = entry.candidate.self, figures, usage] {
-                peer.merged.lastHeard[sender.instance] = {sender, now()};
+                recordHeard(peer.merged, sender, now());
                 mergeUsage(peer.merged, sender, usage);
                 mergeFinalFigures(peer.merged.finalFigures, figures);
             });
