--- a/tests/support/directcluster.cpp
+++ b/tests/support/directcluster.cpp
@@ -74,7 +74,8 @@
     }
     for (std::size_t entry = 0; entry < layout.entries; ++entry) {
         m_callers.push_back({layout.ownAddresses ? entryAddress(entry) : "127.0.0.1", freePort()});
-        m_readiness.push_back(loopback());
+        // On the entry's own address, if it has one: another test program may take a port of 127.0.0.1 while the entry is down.
+        m_readiness.push_back({m_callers.back().address, freePort()});
         m_peerPorts.push_back(freePort());
         if (layout.useRelays) {
             m_storeRelays.push_back(std::make_unique<Relay>(m_store));
