--- a/tests/process/closingsimulation.h
+++ b/tests/process/closingsimulation.h
@@ -15,6 +15,7 @@
 enum class LogLoss {
     None,
     Tail, //!< comes back from a copy 0.2 to 5 s old, once or twice in a row
+    Expiry, //!< removes records that are 20 s old, all the time
     Head, //!< removes its oldest records or all
     Both,
 };
@@ -59,6 +60,9 @@
 /** Simulates four entries that count, publish, and close windows under one lease with one holder at a time, and the log. */
 ClosingResult simulateClosing(std::uint64_t seed, LogLoss loss, std::set<ClosingMutation> leftOut = {});
 
+/** Simulates entries of an earlier version that are replaced one after another, with the usual faults or, if quiet, without. The log keeps its records. */
+ClosingResult simulateUpgrade(std::uint64_t seed, bool quiet, std::set<ClosingMutation> leftOut = {});
+
 /** Describes each violation: a window reported with two sets of figures, or more reported than ran. */
 std::vector<std::string> checkClosing(const ClosingResult &result);
 
