--- a/src/serving/src/directusage.cpp
+++ b/src/serving/src/directusage.cpp
@@ -207,6 +207,7 @@
             co_return false;
         }
         std::vector<Json::Value> records;
+        records.reserve(closings.size());
         for (const ClosedWindow &closed : closings) {
             records.push_back(toJson(closed));
         }
--- a/tests/process/closingtest.cpp
+++ b/tests/process/closingtest.cpp
@@ -3,7 +3,6 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <cstdlib>
 
 using namespace snipehill;
 using namespace snipehill::test;
@@ -12,6 +11,8 @@
 {
 
 constexpr std::uint64_t closingRuns = 150;
+constexpr std::uint64_t mutationRuns = 600;
+constexpr std::uint64_t longRuns = 300;
 
 /** Plays the seeds; fails with the seeds whose runs break a rule. */
 void playAll(LogLoss loss, std::size_t minLosses)
@@ -89,3 +90,64 @@
     CHECK(flagged == 0);
     CHECK(most <= 1);
 }
+
+// Guards against a checker that would not see the fault that a rule prevents.
+TEST_CASE("the checker of window closing detects each violated rule", "[usage][closing]")
+{
+    using M = ClosingMutation;
+    struct Case
+    {
+        const char *name;
+        std::set<ClosingMutation> leftOut;
+        LogLoss loss;
+    };
+    for (const Case &c : {Case{"readers don't start anew in a new era", {M::NoRestart}, LogLoss::Tail},
+                          {"no opening record after a copy", {M::NoOpening}, LogLoss::Tail},
+                          {"no opening record after removal", {M::NoOpening}, LogLoss::Head},
+                          {"opening by the own last reading after a change of holder", {M::OpeningOfOwnLedger}, LogLoss::Both},
+                          {"opening without clock error", {M::OpeningWithoutClockError}, LogLoss::Both},
+                          {"gap ignored", {M::GapIgnored}, LogLoss::Head},
+                          {"emptied stream opened by the start of the era", {M::EraBoundAfterTrimming}, LogLoss::Both},
+                          {"rest of an emptied stream taken for all", {M::TrimmedTaken}, LogLoss::Head},
+                          {"rows of given-up windows closed later", {M::FloorIgnored}, LogLoss::Both},
+                          {"opening lists what the log shows, retries with new counts", {M::UnreportedKept, M::DecidedAnew}, LogLoss::Tail},
+                          {"figures told before they are read back, retries with new counts", {M::FiguresUnread, M::DecidedAnew}, LogLoss::Tail}}) {
+        std::uint64_t seed = 1;
+        while (seed <= mutationRuns && checkClosing(simulateClosing(seed, c.loss, c.leftOut)).empty()) {
+            ++seed;
+        }
+        WARN(c.name << ": first flagged with seed " << seed << ", of " << mutationRuns << " played");
+        CHECK(seed <= mutationRuns);
+    }
+}
+
+// Shows what a rule is worth that only other rules together replace, or that saves windows and requests; prints figures.
+TEST_CASE("figures of window closing with one rule left out", "[.closing-long]")
+{
+    using M = ClosingMutation;
+    struct Case
+    {
+        const char *name;
+        std::set<ClosingMutation> leftOut;
+    };
+    for (const Case &c : {Case{"none", {}},
+                          {"era", {M::RecordsWithoutEra}},
+                          {"listed", {M::UnreportedKept}},
+                          {"decided", {M::DecidedAnew}},
+                          {"read back", {M::FiguresUnread}},
+                          {"lease", {M::FiguresWithoutLease}},
+                          {"confirmed", {M::ReportUnconfirmed}},
+                          {"told", {M::FiguresNotTold}},
+                          {"republished", {M::CountsNotRepublished}}}) {
+        std::size_t flagged = 0;
+        std::size_t missed = 0;
+        std::uint64_t uncounted = 0;
+        for (const std::uint64_t seed : seedsToRun(longRuns)) {
+            const ClosingResult result = simulateClosing(seed, LogLoss::Tail, c.leftOut);
+            flagged += checkClosing(result).empty() ? 0 : 1;
+            missed += missedWindows(result);
+            uncounted += uncountedRequests(result);
+        }
+        WARN(c.name << ": flagged " << flagged << " missed " << missed << " lost " << uncounted);
+    }
+}
