Let the test of contradicted figures reach a window that could be listed

The test named a window that is too old to be listed in any case, so it stayed green with the rule left out.

--- a/tests/process/windowclosingtest.cpp
+++ b/tests/process/windowclosingtest.cpp
@@ -183,8 +183,8 @@
 TEST_CASE("the opening record lists only figures that no entry contradicts", "[usage][closing]")
 {
     FinalFigures figures;
-    addFinalFigures(figures, {{100, requests(5)}, {101, requests(6)}, {106, requests(1)}}, TimePoint{});
-    mergeFinalFigures(figures, {{101, requests(9)}, {105, requests(2)}, {106, requests(1)}});
+    addFinalFigures(figures, {{100, requests(5)}, {104, requests(6)}, {106, requests(1)}}, TimePoint{});
+    mergeFinalFigures(figures, {{104, requests(9)}, {105, requests(2)}, {106, requests(1)}});
     WindowClosing closing;
     const LeaseHold hold = holdOf(2, 1);
     REQUIRE(readAll(closing, pageOf(2, 0, {toJson(closedWindow(99, 7, 1))}), hold, figures));
