--- a/src/process/src/usage.cpp
+++ b/src/process/src/usage.cpp
@@ -65,13 +65,22 @@
     if (opened.era < ledger.era) {
         return;
     }
+    // A retry, or a late record of an earlier holder, must not remove windows that were closed since.
+    const bool superseded = opened.era == ledger.era && ledger.openedBy != noOffset && opened.token <= ledger.openedBy;
     ledger.era = opened.era;
-    ledger.openedBy = opened.token;
     ledger.lastClosed = std::max(ledger.lastClosed.value_or(opened.through), opened.through);
     ledger.floor = std::max(ledger.floor.value_or(opened.through), opened.through);
     ledger.firstWindow = ledger.firstWindow.value_or(opened.through);
-    ledger.unreported = opened.windows;
-    ledger.recent.clear();
+    if (superseded && opened.token < ledger.openedBy) {
+        removeExpiredSources(ledger);
+        return;
+    }
+    ledger.openedBy = opened.token;
+    if (!superseded) {
+        ledger.unreported.clear();
+        ledger.recent.clear();
+    }
+    ledger.unreported.insert(opened.windows.begin(), opened.windows.end());
     for (const auto &[window, totals] : opened.windows) {
         keepRecent(ledger, window, totals);
     }
