Report from a trimmed ledger only what other entries confirm

Found by review, shown by its trial: a closed record that was carried out late, and had no effect as its window was closed before, seems to have one for a holder that starts behind the removed head of the ledger. It was reported although other figures had been. Also, a ledger that is behind what other entries have read back was taken as complete, so that a window closed by a clock that was ahead was closed again.

--- a/tests/process/windowclosingtest.cpp
+++ b/tests/process/windowclosingtest.cpp
@@ -260,3 +260,70 @@
     CHECK(takeFinalFigures(figures, now + milliseconds(1000)).contains(100));
     CHECK(takeFinalFigures(figures, now + milliseconds(5000)).empty());
 }
+
+// Guards against reporting a late record that had no effect, after the records before it were removed.
+TEST_CASE("a trimmed ledger reports only windows that other entries confirm or that are recent", "[usage][closing]")
+{
+    struct Case
+    {
+        const char *what;
+        std::optional<std::uint64_t> told; //!< requests of window 100 as told by another entry
+        bool trimmed;
+        bool reported;
+    };
+    const WindowTimes windows;
+    const LeaseHold held{.token = 7, .era = 1, .tenure = 1};
+    for (const Case &c : {Case{"nobody tells of the window", std::nullopt, true, false},
+                          {"another entry tells the same figures", 5, true, true},
+                          {"another entry tells other figures", 7, true, false},
+                          {"nothing was removed", std::nullopt, false, true}}) {
+        INFO(c.what);
+        WindowClosing closing;
+        LogPage page{.era = 1, .firstRetained = c.trimmed ? 50 : 0, .next = 53};
+        for (const WindowNumber window : {100, 101, 140}) {
+            page.records.push_back({page.firstRetained, toJson(ClosedWindow{.window = window, .totals = {{"w1", {.requests = 5}}}, .era = 1})});
+        }
+        REQUIRE(applyLedgerPage(closing, page) == LogRestart::None);
+        FinalFigures figures;
+        if (c.told) {
+            mergeFinalFigures(figures, {{100, {{"w1", {.requests = *c.told}}}}});
+        }
+        REQUIRE(confirmLedger(closing, held, held, figures, windows, TimePoint{}));
+        const auto due = dueReports(closing, held);
+        CHECK(due.contains(100) == c.reported);
+        CHECK(due.contains(140));
+    }
+}
+
+// Guards against closing a window anew that another entry has seen closed with a clock that was ahead.
+TEST_CASE("a ledger that is behind the figures told by others is not complete", "[usage][closing]")
+{
+    const LeaseHold held{.token = 7, .era = 1, .tenure = 1};
+    WindowClosing closing;
+    const LogPage page{.era = 1, .next = 1, .records = {{0, toJson(OpenedLedger{.era = 1, .token = 7, .through = 101})}}};
+    REQUIRE(applyLedgerPage(closing, page) == LogRestart::None);
+    FinalFigures figures;
+    REQUIRE(confirmLedger(closing, held, held, figures, {}, TimePoint{}));
+    CHECK(closing.complete);
+    mergeFinalFigures(figures, {{102, {{"w1", {.requests = 9}}}}});
+    REQUIRE(confirmLedger(closing, held, held, figures, {}, TimePoint{}));
+    CHECK(!closing.complete);
+    const auto opened = dueOpening(closing, held, {}, figures, {});
+    REQUIRE(opened);
+    CHECK(opened->through >= 102);
+    CHECK(opened->windows.contains(102));
+}
+
+// Guards against a late opening record that removes windows closed since, before they are reported.
+TEST_CASE("an opening record that comes late keeps the windows closed since", "[usage][closing]")
+{
+    UsageLedger ledger;
+    applyUsageRecord(ledger, {.opened = OpenedLedger{.era = 1, .token = 7, .through = 99}});
+    applyUsageRecord(ledger, {.closed = ClosedWindow{.window = 100, .totals = {{"w1", {.requests = 7}}}, .era = 1}});
+    for (const Offset token : {5, 7}) {
+        applyUsageRecord(ledger, {.opened = OpenedLedger{.era = 1, .token = token, .through = 98}});
+        CHECK(ledger.unreported.contains(100));
+        CHECK(ledger.openedBy == 7);
+    }
+    CHECK(ledger.lastClosed == 100);
+}
