Keep the duties while an entry drains, and hand them over as it ends

What callers saw: usage of windows reported late. Cause: since an entry released the lease at SIGTERM; in a rolling restart all other entries were draining too, or had just started and were not allowed to claim yet, so nobody held the duties for up to nine seconds.

Change: the lease is released when all connections are closed, or two seconds before the process must end.

--- a/src/serving/src/directentry.cpp
+++ b/src/serving/src/directentry.cpp
@@ -38,6 +38,7 @@
 constexpr milliseconds drainPollInterval{50};
 constexpr milliseconds shutdownMargin{400}; // time reserved before the platform kills the process
 constexpr milliseconds refusalMargin{400}; // before the end of the process, for refusing the requests that can't end in time
+constexpr milliseconds handoverMargin{2000}; // before the end of the process: one call for the duties and one append
 constexpr milliseconds rotationDelay{
     4000}; // the load balancer stops sending connections after two readiness probes, one second apart; the rest covers connections in flight
 constexpr unsigned statusOk = 200;
@@ -192,6 +193,7 @@
     HttpServer readiness;
     HttpServer metrics;
     std::atomic<bool> draining{false};
+    bool handedOver = false; // on the control thread
 };
 
 namespace
@@ -259,13 +261,23 @@
                    asio::detached);
 }
 
+/** Releases the leases, so that another entry takes the duties over now instead of after the end of the lease. */
+void startHandover(DirectEntry &entry)
+{
+    asio::co_spawn(
+        entry.control,
+        [&entry]() -> asio::awaitable<void> {
+            co_await entry.leases.stop();
+            entry.handedOver = true;
+        },
+        asio::detached);
+}
+
 /** Leaves the load balancer's rotation, serves remaining requests, and stops when all connections are closed or shortly before the kill. */
 asio::awaitable<void> drain(DirectEntry &entry)
 {
     const TimePoint began = Clock::now();
     entry.draining = true;
-    // Another entry takes the duties over now instead of after the end of the lease. Not awaited: it must not delay the end.
-    asio::co_spawn(entry.control, entry.leases.stop(), asio::detached);
     entry.callers.closeAfterResponses();
     logEvent(LogComponent::Process, LogLevel::Info, "draining", {{"active", entry.callers.activeExchanges()}});
     const TimePoint shutdownDeadline = began + entry.settings.grace - shutdownMargin;
@@ -276,8 +288,15 @@
         co_await pauseFor(drainPollInterval);
     }
     entry.callers.stopAccepting();
+    // The duties are kept until then: in a rolling restart, no other entry may be able to claim the lease earlier.
+    const TimePoint handoverTime = shutdownDeadline - handoverMargin;
+    bool handoverStarted = false;
     bool endedUnanswered = false;
-    while (!entry.callers.hasEnded() && Clock::now() < shutdownDeadline) {
+    while (!(entry.callers.hasEnded() && entry.handedOver) && Clock::now() < shutdownDeadline) {
+        if (!handoverStarted && (entry.callers.hasEnded() || Clock::now() >= handoverTime)) {
+            handoverStarted = true;
+            startHandover(entry);
+        }
         if (!endedUnanswered && Clock::now() >= refusalTime) {
             endedUnanswered = true;
             asio::post(entry.serving, [&entry] {
