Generate the wire format of final figures, and name log lines for what they tell

The peer update's new field was encoded by hand, as the compiler of protocol buffers was not installed when it was added; it is generated now, and the bytes are the same. Found by review: a line said that a window was closed when only its record had been appended, another that the ledger was opened when the record was about to be appended. Result: unit_tests "[usage],[closing]" pass.

--- a/src/process/include/process/usagecounter.h
+++ b/src/process/include/process/usagecounter.h
@@ -39,7 +39,7 @@
 struct FinalWindow
 {
     UsageByWorkspace totals;
-    bool contradicted = false; //!< entries know different figures; then none may be reported
+    bool contradicted = false; //!< entries know different figures; an opening record does not list the window
     int updatesLeft = 0; //!< peer updates that are still to include the figures
     TimePoint nextUpdate{}; //!< earliest time of the next one
     TimePoint added{}; //!< when this entry first read the figures back itself; not set if it only was told
--- a/src/process/include/process/windowclosing.h
+++ b/src/process/include/process/windowclosing.h
@@ -16,7 +16,7 @@
 struct WindowTimes
 {
     milliseconds window{5000}; //!< length of a usage window
-    milliseconds closeDelay{1500}; //!< after the end of a window: longer than the clock skew, and entries have published their last counts
+    milliseconds closeDelay{1500}; //!< after the end of a window: entries have published their last counts
     milliseconds overdueAfter{7000}; //!< after the end of a window: closed without the entries that sent no counts
 };
 
--- a/src/process/src/peerupdate.cpp
+++ b/src/process/src/peerupdate.cpp
@@ -3,10 +3,6 @@
 #include <peernews.pb.h>
 #include <request/estimate.h>
 
-#include <google/protobuf/io/coded_stream.h>
-#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
-#include <google/protobuf/wire_format_lite.h>
-
 #include <algorithm>
 
 namespace snipehill
@@ -15,12 +11,6 @@
 namespace
 {
 
-namespace protobuf = google::protobuf;
-using protobuf::internal::WireFormatLite;
-
-// Tag of PeerNews.final_usage, which the generated code does not know yet.
-constexpr std::uint32_t finalUsageTag = GOOGLE_PROTOBUF_WIRE_FORMAT_MAKE_TAG(10, WireFormatLite::WIRETYPE_LENGTH_DELIMITED);
-
 std::uint32_t wholeMilliseconds(Duration time)
 {
     return static_cast<std::uint32_t>(std::max<milliseconds::rep>(0, std::chrono::duration_cast<milliseconds>(time).count()));
@@ -73,45 +63,6 @@
     return totals;
 }
 
-/** The field final_usage as it follows the other fields of PeerNews. */
-std::string encodeFinalUsage(const std::map<WindowNumber, UsageByWorkspace> &windows)
-{
-    std::string bytes;
-    {
-        protobuf::io::StringOutputStream stream(&bytes);
-        protobuf::io::CodedOutputStream output(&stream);
-        for (const auto &[window, totals] : windows) {
-            wire::PeerUsage message;
-            encodeUsage(window, totals, message);
-            output.WriteTag(finalUsageTag);
-            output.WriteVarint32(static_cast<std::uint32_t>(message.ByteSizeLong()));
-            output.WriteString(message.SerializeAsString());
-        }
-    }
-    return bytes;
-}
-
-/** Reads the field final_usage from a valid PeerNews. */
-void decodeFinalUsage(std::string_view bytes, std::map<WindowNumber, UsageByWorkspace> &windows)
-{
-    protobuf::io::CodedInputStream input(reinterpret_cast<const std::uint8_t *>(bytes.data()), static_cast<int>(bytes.size()));
-    while (const std::uint32_t tag = input.ReadTag()) {
-        std::uint32_t length = 0;
-        std::string text;
-        if (tag != finalUsageTag) {
-            if (!WireFormatLite::SkipField(&input, tag)) {
-                return;
-            }
-            continue;
-        }
-        wire::PeerUsage message;
-        if (!input.ReadVarint32(&length) || !input.ReadString(&text, static_cast<int>(length)) || !message.ParseFromString(text)) {
-            return;
-        }
-        windows[message.window()] = decodeUsage(message);
-    }
-}
-
 } // namespace
 
 TargetHash targetHash(std::string_view id) noexcept
@@ -152,7 +103,10 @@
         entry.set_to_prefill(change.role == EngineRole::Prefill);
     }
     message.set_open_window(update.openWindow);
-    return message.SerializeAsString() + encodeFinalUsage(update.finalUsage);
+    for (const auto &[window, totals] : update.finalUsage) {
+        encodeUsage(window, totals, *message.add_final_usage());
+    }
+    return message.SerializeAsString();
 }
 
 std::optional<PeerUpdate> decodePeerUpdate(std::string_view bytes, Reason &reason)
@@ -181,7 +135,9 @@
     for (const wire::PeerUsage &entry : message.usage()) {
         update.usage[entry.window()] = decodeUsage(entry);
     }
-    decodeFinalUsage(bytes, update.finalUsage);
+    for (const wire::PeerUsage &entry : message.final_usage()) {
+        update.finalUsage[entry.window()] = decodeUsage(entry);
+    }
     for (const wire::PeerRoleChange &entry : message.role_changes()) {
         update.roleChanges[entry.target()] = {entry.to_prefill() ? EngineRole::Prefill : EngineRole::Decode, milliseconds(entry.remaining_ms())};
     }
--- a/src/serving/src/directusage.cpp
+++ b/src/serving/src/directusage.cpp
@@ -22,7 +22,7 @@
 constexpr milliseconds minPublishInterval{1000}; // a killed entry loses at most the counts of this period
 constexpr milliseconds publishIntervalPerEntry{150}; // with more entries, each holds a smaller part of the counts and the store gets more calls
 constexpr milliseconds reportInterval{500};
-constexpr milliseconds closeDelay{1500}; // after the end of a window: longer than the clock skew, and entries have published their last counts
+constexpr milliseconds closeDelay{1500}; // after the end of a window: entries have published their last counts
 constexpr milliseconds reportMargin{3000}; // this long before a report is due, windows are closed without the entries that sent no counts
 constexpr seconds peerTimeout{3}; // entries without updates for longer count as gone
 constexpr milliseconds reportTimeout{800}; // of one report; must fit into the remaining lease time
@@ -173,7 +173,7 @@
         processMetrics().count(Counter::LogEraEvents, {"ledger_opened"});
         logEvent(LogComponent::Usage,
                  LogLevel::Warning,
-                 "ledger opened after a loss of records; windows up to this one are given up, save those listed",
+                 "opening the ledger; windows up to this one are given up unless closed or listed",
                  {{"through", opened.through},
                   {"closed", m_closing.ledger.lastClosed.value_or(0)},
                   {"listed", opened.windows.size()},
@@ -183,7 +183,7 @@
         for (const auto &[window, totals] : opened.windows) {
             logEvent(LogComponent::Usage,
                      LogLevel::Info,
-                     "figures of a window taken over",
+                     "taking over the figures of a window",
                      {{"window", window}, {"requests", requestsOf(totals)}, {"era", opened.era}});
         }
         Reason reason;
@@ -220,7 +220,7 @@
         for (std::size_t i = 0; i < closings.size(); ++i) {
             logEvent(LogComponent::Usage,
                      LogLevel::Info,
-                     "usage window closed",
+                     "closed record of a usage window appended",
                      {{"window", closings[i].window},
                       {"offset", *appended + static_cast<Offset>(i)},
                       {"era", hold.era},
