--- a/tests/platform/recordstest.cpp
+++ b/tests/platform/recordstest.cpp
@@ -87,7 +87,9 @@
 {
     Reason reason;
     const auto entry = platform::parseTargetEntry(
-        "i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"draining","stage":"prefill","born":1700000000123,"sequence":7})", reason);
+        "i-1",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"draining","stage":"prefill","born":1700000000123,"sequence":7})",
+        reason);
     REQUIRE(entry);
     CHECK(entry->id == "i-1");
     CHECK(entry->draining);
