--- a/src/process/include/process/leasemanager.h
+++ b/src/process/include/process/leasemanager.h
@@ -31,6 +31,8 @@
     std::string scope;
     LeasePhase phase = LeasePhase::Unread;
     bool valid = false;
+    milliseconds validFor{0}; //!< rest of the validity
+    LogEra era = 0; //!< era of the log as known to this process; 0 if the log does not tell
     Offset epoch = noOffset; //!< fencing token of this process's lease; noOffset if it has none
     std::string holder; //!< instance that holds the lease according to the log
 };
@@ -62,6 +64,8 @@
 
     /** True if the lease on the scope stays valid for the longest duration of the call. To be checked right before each platform call. */
     bool mayCall(const std::string &scope, milliseconds callTimeout) const;
+    /** The lease on the scope, if it stays valid for the longest duration of the call. To be checked right before each platform call, like mayCall(). */
+    std::optional<LeaseHold> hold(const std::string &scope, milliseconds callTimeout) const;
     /** Fencing token of the lease that is or was last held. Kept after the validity has ended, until another holder's record is read. */
     std::optional<Offset> epoch(const std::string &scope) const;
     /** Fencing token of the scope's latest lease according to the log; empty until the stream was read to its end once. */
--- a/tests/platform/storeclienttest.cpp
+++ b/tests/platform/storeclienttest.cpp
@@ -1,77 +1,13 @@
-#include "standins/standin.h"
-
-#include <platform/storeclient.h>
+#include "platform/storehost.h"
 
 #include <catch2/catch.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/use_future.hpp>
-
-#include <future>
-#include <thread>
-
 using namespace snipehill;
-namespace asio = boost::asio;
+using snipehill::support::StoreHost;
 
 namespace
 {
 
-/** Runs a stand-in of the store on a free port in its own thread. */
-class StoreHost
-{
-public:
-    StoreHost()
-        : m_store(standins::makePlatformStore("store", "")), m_server(m_storeContext.get_executor(), {}, [this](HttpExchange &exchange) {
-            return m_store->handle(exchange);
-        })
-    {
-        Reason reason;
-        REQUIRE(m_server.start({"127.0.0.1", 0}, reason));
-        m_thread = std::thread([this] {
-            m_storeContext.run();
-        });
-    }
-    ~StoreHost()
-    {
-        m_storeContext.stop();
-        m_thread.join();
-    }
-    StoreHost(const StoreHost &) = delete;
-    StoreHost &operator=(const StoreHost &) = delete;
-
-    Endpoint endpoint() const
-    {
-        return {"127.0.0.1", m_server.port()};
-    }
-
-    /** Runs one call to completion on the context that owns the client's persistent connections. */
-    template<typename Result> Result run(asio::awaitable<Result> call)
-    {
-        auto result = asio::co_spawn(m_clientContext, std::move(call), asio::use_future);
-        m_clientContext.restart();
-        m_clientContext.run();
-        return result.get();
-    }
-
-    void setFaults(const std::string &json)
-    {
-        std::promise<void> done;
-        asio::post(m_storeContext, [&] {
-            m_store->faults.merge(*standins::parseJson(json));
-            done.set_value();
-        });
-        done.get_future().wait();
-    }
-
-private:
-    asio::io_context m_clientContext;
-    asio::io_context m_storeContext;
-    std::unique_ptr<standins::StandIn> m_store;
-    HttpServer m_server;
-    std::thread m_thread;
-};
-
 constexpr milliseconds timeout{2000};
 
 std::vector<platform::StoreRecord> oneRecord(std::string key, std::string value)
@@ -160,3 +96,46 @@
     REQUIRE(page);
     CHECK(page->records.size() == 1);
 }
+
+// Guards against taking records of two lives of the log for one sequence, as offsets are given out again.
+TEST_CASE("Reads and appends tell the era after the store came back from an older copy", "[platform][era]")
+{
+    StoreHost host;
+    platform::StoreClient store(host.endpoint());
+    Reason reason;
+    CHECK(host.run(store.append("own", oneRecord("", "x"), timeout, reason)) == 0);
+    const auto before = host.run(store.read("own", 0, milliseconds(0), timeout, reason));
+    REQUIRE(before);
+    CHECK(store.era() == before->era);
+    host.loseRecordsOf(seconds(10));
+    // Nothing is at offset 1 any more.
+    const auto beyondEnd = host.run(store.read("own", 1, milliseconds(0), timeout, reason));
+    REQUIRE(beyondEnd);
+    CHECK(beyondEnd->offsetDeleted);
+    CHECK(beyondEnd->era == before->era + 1);
+    CHECK(host.run(store.append("own", oneRecord("", "y"), timeout, reason)) == 0);
+    const auto after = host.run(store.read("own", 0, milliseconds(0), timeout, reason));
+    REQUIRE(after);
+    REQUIRE(after->records.size() == 1);
+    CHECK(after->records[0].value == "y");
+    CHECK(after->era == before->era + 1);
+    const auto newest = host.run(store.readNewest("keyed.own", timeout, reason));
+    REQUIRE(newest);
+    CHECK(newest->era == before->era + 1);
+}
+
+// Guards against applying a response that a slow connection delivers after the store came back from an older copy.
+TEST_CASE("A response of an earlier era fails after one of a later era", "[platform][era]")
+{
+    StoreHost host;
+    platform::StoreClient store(host.endpoint());
+    Reason reason;
+    host.loseRecordsOf(seconds(10));
+    REQUIRE(host.run(store.read("own", 0, milliseconds(0), timeout, reason)));
+    const LogEra later = store.era();
+    host.setFaults(R"({"eraBehind": 1})");
+    CHECK(!host.run(store.read("own", 0, milliseconds(0), timeout, reason)));
+    CHECK(reason.detail.find("came after one of era") != std::string::npos);
+    CHECK(!host.run(store.append("own", oneRecord("", "x"), timeout, reason)));
+    CHECK(store.era() == later);
+}
