--- a/src/process/src/windowclosing.cpp
+++ b/src/process/src/windowclosing.cpp
@@ -18,6 +18,33 @@
     return newestEndedWindow(time + clockError, windows.closeDelay, windows.window);
 }
 
+/** Whether the ledger has closed every window that another entry has read back as closed. */
+bool reachesFigures(const UsageLedger &ledger, const FinalFigures &figures)
+{
+    return figures.empty() || (ledger.lastClosed && *ledger.lastClosed >= figures.rbegin()->first);
+}
+
+/** Whether the totals are the only ones known for the window. */
+bool isConfirmedBy(const FinalFigures &figures, WindowNumber window, const UsageByWorkspace &totals)
+{
+    const auto known = figures.find(window);
+    return known != figures.end() && !known->second.contradicted && known->second.totals == totals;
+}
+
+/**
+ * Drops what a trimmed ledger says of its oldest windows unless other entries confirm it: a late record that had no effect
+ * seems to have one if the records before it were removed.
+ */
+void dropUnconfirmed(UsageLedger &ledger, const FinalFigures &figures, const WindowTimes &windows)
+{
+    const WindowNumber certainFrom = ledger.firstWindow.value_or(0) + lateAppend / windows.window;
+    const auto isUnconfirmed = [&](const auto &window) {
+        return window.first < certainFrom && !isConfirmedBy(figures, window.first, window.second);
+    };
+    std::erase_if(ledger.unreported, isUnconfirmed);
+    std::erase_if(ledger.recent, isUnconfirmed);
+}
+
 /**
  * Whether the ledger's last record is that of the newest closed window. Not certain if the stream was emptied a short time
  * ago: what was read may then be a late record, with later ones before it that are gone. Other entries tell the newest
@@ -29,8 +56,8 @@
     if (!closing.position.trimmed || !ledger.lastClosed) {
         return !closing.position.trimmed;
     }
-    const bool reachesFigures = !figures.empty() && *ledger.lastClosed >= figures.rbegin()->first;
-    return reachesFigures || (*ledger.lastClosed - ledger.firstWindow.value_or(*ledger.lastClosed)) * windows.window >= lateAppend;
+    const bool reachesKnown = !figures.empty() && reachesFigures(ledger, figures);
+    return reachesKnown || (*ledger.lastClosed - ledger.firstWindow.value_or(*ledger.lastClosed)) * windows.window >= lateAppend;
 }
 
 /** Whether the complete ledger was read to its end in the era of the lease and while it was held. */
@@ -97,7 +124,11 @@
         return false;
     }
     const bool known = closing.ledger.era == after->era && isContiguous(closing, figures, windows);
-    closing.complete = closing.complete || known || (after->token != noOffset && closing.ledger.openedBy == after->token);
+    if (!closing.complete && closing.position.trimmed && closing.ledger.openedBy != after->token) {
+        dropUnconfirmed(closing.ledger, figures, windows);
+    }
+    const bool opened = after->token != noOffset && closing.ledger.openedBy == after->token;
+    closing.complete = reachesFigures(closing.ledger, figures) && (closing.complete || known || opened);
     if (closing.complete) {
         closing.confirmed = after;
         closing.confirmedThrough = closing.ledger.lastClosed;
