Log each crash verdict, what it rests on, and what stood on each target

Cause: "requests blocked", "block withdrawn" and "target ended with requests on it" were counted as repeats after the first of each, so ten seconds of verdicts became a number. Nothing told which requests stood on a run that ended, why a verdict was withdrawn, what ranked second, or that a verdict never refused anybody.

Change: logDistinctEvent() counts an event as a repeat only if all fields are equal; one line for each request on a run that may have crashed (causes, parts, age, phase); verdicts name their runs and the runner-up, withdrawals the reason and the refusals; snipehill_broken_exchanges_total by result.

--- a/src/process/include/process/log.h
+++ b/src/process/include/process/log.h
@@ -67,7 +67,10 @@
  */
 void logEvent(LogComponent component, LogLevel level, std::string_view message, LogFields fields = {});
 
-/** Like above, with the step, peer and detail of a failure as further fields. */
+/** Like logEvent(), but an event of any level is a repeat only if all fields are equal too. For changes that must not hide each other. */
+void logDistinctEvent(LogComponent component, LogLevel level, std::string_view message, LogFields fields);
+
+/** Like logEvent(), with the step, peer and detail of a failure as further fields. */
 void logEvent(LogComponent component, LogLevel level, std::string_view message, const Reason &reason, LogFields fields = {});
 
 /**
--- a/src/process/include/process/metrics.h
+++ b/src/process/include/process/metrics.h
@@ -35,6 +35,7 @@
     RequestsEnded, //!< end; the sum equals RequestsReceived less the requests in progress
     TargetCrashes, //!< runs of targets that ended with requests of this entry on them
     CrashVerdicts, //!< change
+    BrokenExchanges, //!< result; exchanges that their target broke off, by what was found out about the target
     LogEraEvents, //!< event; rises of the log's era and what followed from them
     CrashRefusals, //!< workspace; requests that were not sent because requests like them crash targets
     Count,
--- a/src/process/src/log.cpp
+++ b/src/process/src/log.cpp
@@ -196,6 +196,12 @@
     filterAndWrite(component, level, message, std::move(fields), repeatKey);
 }
 
+void logDistinctEvent(LogComponent component, LogLevel level, std::string_view message, LogFields fields)
+{
+    const std::string repeatKey = formatFields(fields);
+    filterAndWrite(component, level, message, std::move(fields), repeatKey);
+}
+
 void logEvent(LogComponent component, LogLevel level, std::string_view message, const Reason &reason, LogFields fields)
 {
     fields.emplace_back("step", toString(reason.step));
--- a/src/request/include/request/crashevidence.h
+++ b/src/request/include/request/crashevidence.h
@@ -82,6 +82,8 @@
     std::vector<TargetRunHash> runs; //!< some of these, enough to come to the same verdict; the independent ones first
     TimePoint lastCrash{};
     bool certain = false; //!< not tried again while such requests come
+    CrashCause next = 0; //!< the cause that ranked second when this one was blocked; 0: none
+    std::uint32_t nextCrashes = 0; //!< its independent crashes
 };
 
 /**
--- a/src/request/src/crashevidence.cpp
+++ b/src/request/src/crashevidence.cpp
@@ -398,7 +398,15 @@
         if (likely->second.independent < settings.minCrashes) {
             break;
         }
-        evidence.blocked.push_back(blockCause(likely->first, likely->second, open, settings));
+        const CrashCause cause = likely->first;
+        BlockedCauses blocked = blockCause(cause, likely->second, open, settings);
+        tallies.erase(cause);
+        const auto next = mostLikely(tallies);
+        if (next != tallies.end()) {
+            blocked.next = next->first;
+            blocked.nextCrashes = next->second.independent;
+        }
+        evidence.blocked.push_back(std::move(blocked));
         tallies = tally(open);
     }
     for (const auto &[cause, counted] : tallies) {
--- a/src/serving/src/crashguard.cpp
+++ b/src/serving/src/crashguard.cpp
@@ -28,12 +28,39 @@
     });
 }
 
-void logVerdict(const char *message, const BlockedCauses &blocked)
+LogFields describe(const BlockedCauses &blocked)
+{
+    return {{"causes", toString(blocked.causes)},
+            {"crashes", blocked.crashes},
+            {"lostRuns", blocked.lostRuns},
+            {"certain", blocked.certain ? 1 : 0},
+            {"runs", toString(blocked.runs)},
+            {"next", hexText(blocked.next)},
+            {"nextCrashes", blocked.nextCrashes}};
+}
+
+/** Why a verdict no longer holds. */
+const char *withdrawalReason(const CrashEvidence &evidence, const BlockedCauses &blocked)
 {
-    logEvent(LogComponent::Entry,
-             LogLevel::Warning,
-             message,
-             {{"causes", toString(blocked.causes)}, {"crashes", blocked.crashes}, {"lostRuns", blocked.lostRuns}, {"certain", blocked.certain ? 1 : 0}});
+    const bool changed = std::any_of(evidence.blocked.begin(), evidence.blocked.end(), [&blocked](const BlockedCauses &other) {
+        return other.causes == blocked.causes;
+    });
+    if (changed) {
+        return "certainty changed";
+    }
+    for (const TargetRunHash run : blocked.runs) {
+        const auto crash = evidence.crashes.find(run);
+        if (crash == evidence.crashes.end()) {
+            return "a crash was forgotten";
+        }
+        const auto isCleared = [&crash](CrashCause cause) {
+            return crash->second.cleared.contains(cause);
+        };
+        if (std::any_of(blocked.causes.begin(), blocked.causes.end(), isCleared)) {
+            return "a cause was cleared";
+        }
+    }
+    return "the crashes are explained otherwise";
 }
 
 } // namespace
@@ -57,13 +84,18 @@
     for (const BlockedCauses &blocked : m_evidence.blocked) {
         if (!containsCauses(before, blocked)) {
             processMetrics().count(Counter::CrashVerdicts, {"blocked"});
-            logVerdict("requests blocked", blocked);
+            logDistinctEvent(LogComponent::Entry, LogLevel::Warning, "requests blocked", describe(blocked));
         }
     }
     for (const BlockedCauses &blocked : before) {
         if (!containsCauses(m_evidence.blocked, blocked)) {
             processMetrics().count(Counter::CrashVerdicts, {"released"});
-            logVerdict("block withdrawn", blocked);
+            LogFields fields = describe(blocked);
+            const auto refused = m_refusals.find(blocked.causes);
+            fields.emplace_back("refused", refused == m_refusals.end() ? 0 : refused->second);
+            fields.emplace_back("why", withdrawalReason(m_evidence, blocked));
+            logDistinctEvent(LogComponent::Entry, LogLevel::Warning, "block withdrawn", std::move(fields));
+            m_refusals.erase(blocked.causes);
         }
     }
 }
@@ -71,11 +103,13 @@
 bool CrashGuard::recordBroken(const TargetRef &target, const CrashSuspect &suspect, Duration flowing, TimePoint now)
 {
     if (flowing > m_settings.suspectTime) {
+        processMetrics().count(Counter::BrokenExchanges, {"flowing"});
         return false;
     }
     const std::lock_guard lock(m_lock);
     if (m_evidence.crashes.contains(target.run)) {
         recordCrash(m_evidence, target.run, suspect, m_settings, now);
+        processMetrics().count(Counter::BrokenExchanges, {"crash"});
         return false;
     }
     const auto [found, added] = m_unresolved.try_emplace(target.run, Unresolved{.noticed = now, .suspects = {}});
@@ -92,6 +126,7 @@
     }
     const Unresolved unresolved = std::move(found->second);
     m_unresolved.erase(found);
+    processMetrics().count(Counter::BrokenExchanges, {ended ? "crash" : "no_crash"}, unresolved.suspects.size());
     if (!ended) {
         return;
     }
@@ -116,14 +151,14 @@
     }
     constexpr std::size_t maxLoggedCauses = 8;
     mostSuspected.resize(std::min(mostSuspected.size(), maxLoggedCauses));
-    logEvent(LogComponent::Entry,
-             LogLevel::Warning,
-             "target ended with requests on it",
-             {{"target", target.id},
-              {"run", hexText(target.run)},
-              {"requests", unresolved.suspects.size()},
-              {"unexplained", most},
-              {"mostSuspected", toString(mostSuspected)}});
+    logDistinctEvent(LogComponent::Entry,
+                     LogLevel::Warning,
+                     "target ended with requests on it",
+                     {{"target", target.id},
+                      {"run", hexText(target.run)},
+                      {"requests", unresolved.suspects.size()},
+                      {"unexplained", most},
+                      {"mostSuspected", toString(mostSuspected)}});
 }
 
 void CrashGuard::recordSound(std::span<const CrashCause> causes, TimePoint began)
@@ -141,6 +176,7 @@
         return std::nullopt;
     }
     recordRefusal(m_evidence, *blocked, now);
+    ++m_refusals[blocked->causes];
     return CrashBlock{blocked->causes, blocked->lostRuns, blockedFor(*blocked, m_settings, now)};
 }
 
--- a/src/serving/src/crashguard.h
+++ b/src/serving/src/crashguard.h
@@ -68,6 +68,7 @@
     std::mutex m_lock;
     CrashEvidence m_evidence;
     std::map<TargetRunHash, Unresolved> m_unresolved;
+    std::map<std::vector<CrashCause>, std::uint64_t> m_refusals; //!< requests refused by the blocks in force, by causes
 };
 
 /** "5f2c…" for logs and for operators. */
--- a/src/serving/src/directexchange.cpp
+++ b/src/serving/src/directexchange.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 
+#include <array>
+
 namespace snipehill
 {
 
@@ -185,9 +187,19 @@
     const TimePoint now = Clock::now();
     // The end of a target that leaves as planned breaks its connections too.
     if (!exchange.mayRun || !request.context.targets.acceptsWork(exchange.target)) {
+        processMetrics().count(Counter::BrokenExchanges, {exchange.mayRun ? "leaving" : "prefill"});
         return;
     }
     const Duration flowing = exchange.firstEvent == TimePoint{} ? Duration::zero() : now - exchange.firstEvent;
+    logRequest(request,
+               LogLevel::Warning,
+               "request on a target that may have crashed",
+               {{"target", exchange.target.id},
+                {"run", toString(std::array{exchange.target.run})},
+                {"causes", toString(request.causes)},
+                {"parts", partNames(request, request.causes)},
+                {"sentMs", std::chrono::duration_cast<milliseconds>(now - exchange.sent).count()},
+                {"flowingMs", std::chrono::duration_cast<milliseconds>(flowing).count()}});
     if (request.context.crashes.recordBroken(exchange.target, {request.causes, now - exchange.sent}, flowing, now)) {
         asio::co_spawn(request.context.executor, resolveCrash(request.context.crashes, exchange.target), asio::detached);
     }
--- a/src/serving/src/directrequest.cpp
+++ b/src/serving/src/directrequest.cpp
@@ -208,18 +208,6 @@
     request.context.budgets.recordRequest(request.group->name);
 }
 
-/** Names of the prompt parts of a request that are among the causes, for logs. */
-std::string partNames(const DirectRequest &request, const std::vector<CrashCause> &causes)
-{
-    std::string names;
-    for (const PromptPart &part : request.caller.promptParts) {
-        if (std::find(causes.begin(), causes.end(), part.hash) != causes.end()) {
-            names += (names.empty() ? "" : ",") + part.name;
-        }
-    }
-    return names;
-}
-
 } // namespace
 
 const char *toString(RetryDenial denial) noexcept
@@ -247,6 +235,17 @@
     return "";
 }
 
+std::string partNames(const DirectRequest &request, const std::vector<CrashCause> &causes)
+{
+    std::string names;
+    for (const PromptPart &part : request.caller.promptParts) {
+        if (std::find(causes.begin(), causes.end(), part.hash) != causes.end()) {
+            names += (names.empty() ? "" : ",") + part.name;
+        }
+    }
+    return names;
+}
+
 std::optional<DirectRefusal> refusalForCrashes(DirectRequest &request)
 {
     const auto block = request.context.crashes.findBlock(request.causes, Clock::now());
--- a/src/serving/src/directrequest.h
+++ b/src/serving/src/directrequest.h
@@ -100,6 +100,9 @@
  */
 bool mayCrashTargets(const DirectRequest &request, bool repeated);
 
+/** Names of the prompt parts of a request that are among the causes, for logs. */
+std::string partNames(const DirectRequest &request, const std::vector<CrashCause> &causes);
+
 /** Refusal for a request past its deadline: 504 if a target may have run it, else 503. */
 DirectRefusal timeoutRefusal(const DirectRequest &request);
 
