Show in virtual time that two crashing parts at once are not stopped

The simulation of crash evidence gets the shape of the record: several culprits, a part that all prompts share, queues, copies of one request. The bound is the platform's: three sends of a part later than 3 s after its third crash. The existing loads count from the fifth crash; they stay as they are.

--- a/tests/fakes/crashevidencerun.h
+++ b/tests/fakes/crashevidencerun.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <tuple>
@@ -14,15 +15,19 @@
 namespace snipehill::fakes
 {
 
-/** Load and faults of a deployment in which one prompt part crashes the targets that begin to respond to it. */
+/** Load and faults of a deployment in which some prompt parts crash the targets that begin to respond to them. */
 struct CrashLoad
 {
     std::size_t targets = 18;
     std::size_t slots = 16;
     std::size_t entries = 6;
     double soundPerTarget = 10; //!< requests a second
-    double crashingPerSecond = 10; //!< requests a second with the crashing part; 0: none
-    bool crashingFirst = false; //!< the crashing part is the first of the prompt, else the second
+    double crashingPerSecond = 10; //!< requests a second with each crashing part; 0: none
+    std::size_t culprits = 1; //!< crashing parts, no two in one request
+    bool alike = false; //!< all requests with one crashing part are the same
+    bool crashingFirst = false; //!< the crashing parts are the first of the prompt, else the second
+    bool sharedPart = false; //!< all requests begin with one more part, the same
+    double slowness = 1; //!< factor on waits and lengths of responses
     std::size_t callers = 8; //!< each with a first part of its own
     std::size_t subjects = 90; //!< second parts of sound prompts
     seconds crashingFrom{5};
@@ -43,6 +48,9 @@
     std::uint64_t relatedRefused = 0; //!< of these
     std::uint64_t crashes = 0; //!< under the crashing part
     std::uint64_t lateSends = 0; //!< of requests with the crashing part, from 3 s after the fifth crash on
+    std::uint64_t lateAfterThird = 0; //!< sends from 3 s after the third crash of the same crashing part on; of the worst part
+    std::uint64_t mostCrashes = 0; //!< under one crashing part
+    std::uint64_t refusedLate = 0; //!< sound requests refused because of a blocked cause in the last ten seconds
     std::uint64_t retriesDenied = 0; //!< of sound requests, because of suspicion
 };
 
@@ -56,6 +64,7 @@
         , m_random(load.seed)
         , m_entries(load.entries)
         , m_targets(load.targets)
+        , m_culprits(load.culprits)
         , m_updateInterval(std::max<Duration>(milliseconds(100), milliseconds(4) * load.entries))
     {
     }
@@ -70,7 +79,9 @@
         scheduleSound();
         if (m_load.crashingPerSecond > 0) {
             at(m_load.crashingFrom, [this] {
-                scheduleCrashing();
+                for (std::size_t culprit = 0; culprit < m_load.culprits; ++culprit) {
+                    scheduleCrashing(culprit);
+                }
             });
         }
         if (m_load.domainCrashShare > 0) {
@@ -82,6 +93,10 @@
             m_now = event.time;
             event.action();
         }
+        for (const Culprit &culprit : m_culprits) {
+            m_outcome.lateAfterThird = std::max(m_outcome.lateAfterThird, culprit.late);
+            m_outcome.mostCrashes = std::max(m_outcome.mostCrashes, culprit.crashes);
+        }
         return m_outcome;
     }
 
@@ -89,7 +104,7 @@
     struct Request
     {
         std::vector<CrashCause> causes;
-        bool crashing = false;
+        std::optional<std::size_t> culprit;
         bool related = false;
         std::size_t entry = 0;
         int attempts = 0;
@@ -97,6 +112,12 @@
         TimePoint firstEvent{}; //!< unset: none yet
     };
     using RequestPointer = std::shared_ptr<Request>;
+    struct Culprit
+    {
+        std::uint64_t crashes = 0;
+        TimePoint third{};
+        std::uint64_t late = 0;
+    };
     struct FakeTarget
     {
         std::uint64_t run = 1;
@@ -115,6 +136,7 @@
     };
 
     static constexpr CrashCause crashingPart = 1;
+    static constexpr CrashCause shared = 90;
     static constexpr CrashCause firstCallerPart = 100;
     static constexpr CrashCause firstSubject = 10000;
 
@@ -138,6 +160,10 @@
     {
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::exponential_distribution<double>(perSecond)(m_random)));
     }
+    Duration stretched(Duration time) const
+    {
+        return std::chrono::duration_cast<Duration>(time * m_load.slowness);
+    }
     bool afterFifthCrash(Duration time) const
     {
         return m_outcome.crashes >= 5 && m_now > m_fifthCrash + time;
@@ -151,16 +177,16 @@
             const double place = std::uniform_real_distribution<double>(0, 1)(m_random);
             const auto subject = static_cast<CrashCause>(place * place * static_cast<double>(m_load.subjects));
             ++m_outcome.soundRequests;
-            receive({firstCallerPart + caller, firstSubject + subject}, false, caller == 0);
+            receive({firstCallerPart + caller, firstSubject + subject}, std::nullopt, caller == 0);
             scheduleSound();
         });
     }
-    void scheduleCrashing()
+    void scheduleCrashing(std::size_t culprit)
     {
-        at(gap(m_load.crashingPerSecond), [this] {
-            const CrashCause other = m_load.crashingFirst ? firstSubject + below(m_load.subjects) : firstCallerPart;
-            receive({crashingPart, other}, true, false);
-            scheduleCrashing();
+        at(gap(m_load.crashingPerSecond), [this, culprit] {
+            const CrashCause other = m_load.crashingFirst ? firstSubject + below(m_load.subjects) : firstCallerPart + culprit;
+            receive({crashingPart + culprit, other}, culprit, false);
+            scheduleCrashing(culprit);
         });
     }
     void scheduleDomainCrash()
@@ -174,13 +200,17 @@
         });
     }
 
-    void receive(std::vector<CrashCause> causes, bool crashing, bool related)
+    void receive(std::vector<CrashCause> causes, std::optional<std::size_t> culprit, bool related)
     {
         const auto request = std::make_shared<Request>();
         request->causes = std::move(causes);
-        request->causes.push_back((1ULL << 40U) + m_nextOrder++); // no two requests are alike
+        if (m_load.sharedPart) {
+            request->causes.push_back(shared);
+        }
+        const bool alike = m_load.alike && culprit;
+        request->causes.push_back((1ULL << 40U) + (alike ? *culprit : 1000 + m_nextOrder++));
         std::sort(request->causes.begin(), request->causes.end());
-        request->crashing = crashing;
+        request->culprit = culprit;
         request->related = related;
         request->entry = below(m_entries.size());
         const bool counted = related && afterFifthCrash(seconds(6));
@@ -189,7 +219,8 @@
         evaluateCrashes(evidence, m_settings, m_now);
         if (const BlockedCauses *blocked = findBlocked(evidence, request->causes, m_settings, m_now)) {
             recordRefusal(evidence, *blocked, m_now);
-            m_outcome.soundRefused += crashing ? 0 : 1;
+            m_outcome.soundRefused += culprit ? 0 : 1;
+            m_outcome.refusedLate += !culprit && end() - m_now < seconds(10) ? 1 : 0;
             m_outcome.relatedRefused += counted ? 1 : 0;
             return;
         }
@@ -206,16 +237,20 @@
         }
         FakeTarget &target = m_targets[chosen];
         if (!target.up) {
-            m_outcome.soundBroken += request->crashing ? 0 : 1;
+            m_outcome.soundBroken += request->culprit ? 0 : 1;
             return;
         }
-        m_outcome.lateSends += request->crashing && afterFifthCrash(seconds(3)) ? 1 : 0;
+        m_outcome.lateSends += request->culprit && afterFifthCrash(seconds(3)) ? 1 : 0;
+        if (request->culprit) {
+            Culprit &culprit = m_culprits[*request->culprit];
+            culprit.late += culprit.crashes >= 3 && m_now > culprit.third + seconds(3) ? 1 : 0;
+        }
         ++request->attempts;
         request->sent = m_now;
         request->firstEvent = {};
         target.active.push_back(request);
         const std::size_t queued = target.active.size() > m_load.slots ? target.active.size() - m_load.slots : 0;
-        at(between(milliseconds(10), milliseconds(150)) + milliseconds(20) * queued, [this, request, chosen, run = target.run] {
+        at(stretched(between(milliseconds(10), milliseconds(150))) + milliseconds(20) * queued, [this, request, chosen, run = target.run] {
             if (m_targets[chosen].run == run && m_targets[chosen].up) {
                 begin(request, chosen);
             }
@@ -224,13 +259,15 @@
     void begin(const RequestPointer &request, std::size_t chosen)
     {
         request->firstEvent = m_now;
-        const Duration length = request->crashing ? between(milliseconds(60), milliseconds(115)) : between(milliseconds(50), milliseconds(400));
+        const Duration length = request->culprit ? between(milliseconds(60), milliseconds(115)) : stretched(between(milliseconds(50), milliseconds(400)));
         at(length, [this, request, chosen, run = m_targets[chosen].run] {
             FakeTarget &target = m_targets[chosen];
             if (target.run != run || !target.up) {
                 return;
             }
-            if (request->crashing) {
+            if (request->culprit) {
+                Culprit &culprit = m_culprits[*request->culprit];
+                culprit.third = ++culprit.crashes == 3 ? m_now : culprit.third;
                 ++m_outcome.crashes;
                 m_fifthCrash = m_outcome.crashes == 5 ? m_now : m_fifthCrash;
                 crash(chosen);
@@ -271,8 +308,8 @@
             send(request);
             return;
         }
-        m_outcome.retriesDenied += !request->crashing && denied ? 1 : 0;
-        m_outcome.soundBroken += request->crashing ? 0 : 1;
+        m_outcome.retriesDenied += !request->culprit && denied ? 1 : 0;
+        m_outcome.soundBroken += request->culprit ? 0 : 1;
     }
     void sendUpdate(std::size_t sender)
     {
@@ -296,6 +333,7 @@
     std::mt19937_64 m_random;
     std::vector<CrashEvidence> m_entries;
     std::vector<FakeTarget> m_targets;
+    std::vector<Culprit> m_culprits;
     Duration m_updateInterval;
     std::priority_queue<Event> m_events;
     std::uint64_t m_nextOrder = 0;
