Block each of several culprits, and end wrong blocks by trials

Cause: what one verdict explained was held against nothing else. Of the same class, blame by standing nearby: a queue sent before the first crash counted as one crash; a popular sound part counted each time; a verdict joined parts of different requests, so that no request had them all; after probation all entries let all requests through at once.

Change: the cause least likely to be there by chance explains its crashes; a verdict names what each request with the cause had; crashes 30 ms apart count each; a cause with three crashes is blocked even if others explain them. Such a doubtful block ends by a trial: one request without which the crashes would be explained too, one entry after the other, with growing pauses. A cause with two crashes is sent one request at a time.

Why it works: a culprit never gets a complete response, so its count doesn't fall, whatever else explains its crashes; only trials reach engines, one at a time. A sound cause is cleared by its first trial.

--- a/src/process/src/metrics.cpp
+++ b/src/process/src/metrics.cpp
@@ -60,7 +60,7 @@
         {CounterType, "snipehill_requests_received_total", "Requests of callers that were received completely.", {}},
         {CounterType, "snipehill_requests_ended_total", "Received requests, by how they ended for the caller.", {"end"}},
         {CounterType, "snipehill_target_crashes_total", "Runs of targets that ended with requests on them.", {}},
-        {CounterType, "snipehill_crash_verdicts_total", "Causes of crashes that were blocked or released.", {"change"}},
+        {CounterType, "snipehill_crash_verdicts_total", "Causes of crashes that were blocked or released, and requests that tried them.", {"change"}},
         {CounterType, "snipehill_broken_exchanges_total", "Exchanges that their target broke off, by what was found out about the target.", {"result"}},
         {CounterType, "snipehill_log_era_events_total", "Returns of the log from an older copy, and what followed from them.", {"event"}},
         {CounterType, "snipehill_crash_refusals_total", "Requests not sent because requests like them crash targets.", {"workspace"}},
--- a/src/request/include/request/crashevidence.h
+++ b/src/request/include/request/crashevidence.h
@@ -26,9 +26,20 @@
 struct CrashEvidenceSettings
 {
     std::uint32_t minCrashes = 3; //!< independent crashes without a complete response after which a cause is blocked
+    std::uint32_t suspectCrashes = 2; //!< the same after which an entry sends one request with the cause at a time
     std::uint32_t certainCrashes = 5; //!< target runs after which a blocked cause is not tried again; the platform allows no more
     milliseconds suspectTime{1000}; //!< a response that was flowing for longer than this did not crash its target
-    seconds probation{30}; //!< a blocked cause that is not certain may run again this long after its last crash
+    milliseconds simultaneous{30}; //!< crashes under requests sent before the first of them count once within this time
+    seconds probation{30}; //!< a blocked cause that is not certain may be tried this long after its last crash
+    milliseconds doubtfulPause{300}; //!< the same if likelier causes explain the crashes; eight times as long after each failed trial
+    milliseconds contestedPause{3000}; //!< the same if other causes are nearly as likely; grows alike
+    seconds maxTrialPause{60}; //!< bounds the pauses, so that a sound cause is not blocked for long
+    milliseconds trialTime{10000}; //!< a trial whose end is not known counts as one that has ended after this time
+    milliseconds trialWait{500}; //!< what a request is told to wait for the result of another one's trial
+    milliseconds trialResultTime{200}; //!< after the end of a trial, until a crash of its target is known
+    milliseconds trialTurn{500}; //!< for each entry that lives, as each gets so much less of the requests; the time between the turns of two entries ...
+    seconds maxTrialTurn{10}; //!< ... is at most this
+    milliseconds blockSpread{500}; //!< after the crash that blocks a cause, until all entries refuse it
     seconds retention{600}; //!< a crash is forgotten after this time without a further crash or refusal of the cause that explains it
     std::size_t maxCrashes = 512; //!< capacity; the crash that was needed least recently is dropped first
     std::size_t maxSuspectsPerCrash = 128; //!< requests that one target runs or queues
@@ -82,17 +93,31 @@
     std::vector<TargetRunHash> runs; //!< some of these, enough to come to the same verdict; the independent ones first
     TimePoint lastCrash{};
     bool certain = false; //!< not tried again while such requests come
+    bool doubtful = false; //!< fewer than minCrashes of the crashes are left to it by blocked causes that are likelier
+    double improbability = 0; //!< logarithm of how much likelier its crashes are if it caused them than if it was there by chance
+    std::vector<std::size_t> evidence; //!< its independent crashes, as indices of CrashEvidence::candidates
+    std::uint32_t failedTrials = 0; //!< crashes under requests that were sent while the causes were blocked
     CrashCause next = 0; //!< the cause that ranked second when this one was blocked; 0: none
     std::uint32_t nextCrashes = 0; //!< its independent crashes
 };
 
+/** A cause that may have crashed a target run. */
+struct CrashCandidate
+{
+    CrashCause cause = 0;
+    std::uint32_t crashes = 0; //!< independent ones in which it is a suspect
+    double improbability = 0; //!< as in BlockedCauses
+};
+
 /**
  * Finds out which cause crashes targets, from crashes seen by all entries.
  *
  * Each crash makes suspects of all requests that were on the target. A complete response clears the causes of its request of all
- * crashes before it began. Of the causes left, the one with most crashes explains them; then the next one is sought among the
- * crashes that are left. A cause is counted once for requests that were sent before the crash counted last, so that many targets that
- * end at one moment count as one crash.
+ * crashes before it began. Of the causes left, the one that is least likely to be there by chance explains its crashes; then the next
+ * one is sought among the crashes that are left. A cause that has enough crashes of its own is blocked as well, although others explain
+ * them: they may have stood on the same targets. Such a doubtful block is tried soon, by a request without which the crashes would be
+ * explained too, one at a time and by one entry after the other. Causes with fewer crashes are sent one request at a time. Crashes at
+ * one moment count once.
  *
  * Verdicts follow from the evidence alone: merging another entry's evidence can add and withdraw them. Owned by the process,
  * not thread-safe; the owner locks. Times are passed in.
@@ -103,9 +128,13 @@
     std::unordered_map<CrashCause, TimePoint> sound; //!< latest begin of a complete response
     std::unordered_map<CrashCause, TimePoint> olderSound; //!< the older half of these
     std::vector<BlockedCauses> blocked; //!< as of the latest evaluation
+    std::vector<std::vector<CrashCandidate>> candidates; //!< causes with two crashes or more, of each crash
     std::unordered_map<CrashCause, std::uint32_t> unexplained; //!< independent crashes that no blocked cause explains, by cause
     std::unordered_set<CrashCause> suspected; //!< causes that some crash may still be blamed on
     bool changed = false; //!< since the latest evaluation
+    std::map<std::vector<CrashCause>, TimePoint> trials; //!< by blocked causes: until when a trial of this entry forbids another one
+    std::uint64_t self = 0; //!< hash of this entry's name
+    std::vector<std::uint64_t> peers; //!< the same of the other entries that are known to live; with them it takes turns in trials
     TargetRunHash nextReport = 0; //!< where the turn of unchanged crashes goes on
 };
 
@@ -131,6 +160,12 @@
 const BlockedCauses *
 findBlocked(const CrashEvidence &evidence, std::span<const CrashCause> causes, const CrashEvidenceSettings &settings, TimePoint now) noexcept;
 
+/** Begins a trial if a request that findBlocked() lets through has blocked causes, and returns whether it does. */
+bool beginTrial(CrashEvidence &evidence, std::span<const CrashCause> causes, const CrashEvidenceSettings &settings, TimePoint now);
+
+/** Ends the trial of a request; the next one need not wait for its result if no target has received it. */
+void endTrial(CrashEvidence &evidence, std::span<const CrashCause> causes, bool received, const CrashEvidenceSettings &settings, TimePoint now);
+
 /** Records that a request was refused because of a blocked combination, which keeps its evidence. */
 void recordRefusal(CrashEvidence &evidence, const BlockedCauses &blocked, TimePoint now);
 
@@ -138,6 +173,10 @@
 std::uint32_t suspicionOf(const CrashEvidence &evidence, std::span<const CrashCause> causes) noexcept;
 
 /** Time until a request with the blocked causes may be sent again, if no more come. */
-Duration blockedFor(const BlockedCauses &blocked, const CrashEvidenceSettings &settings, TimePoint now) noexcept;
+Duration blockedFor(const CrashEvidence &evidence,
+                    const BlockedCauses &blocked,
+                    std::span<const CrashCause> causes,
+                    const CrashEvidenceSettings &settings,
+                    TimePoint now) noexcept;
 
 } // namespace snipehill
--- a/src/request/src/crashevidence.cpp
+++ b/src/request/src/crashevidence.cpp
@@ -2,9 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
-#include <limits>
 #include <optional>
-#include <tuple>
 #include <utility>
 
 namespace snipehill
@@ -17,18 +15,6 @@
 constexpr seconds repeatTime{30}; // crashes without a verdict are repeated to other entries for this time; a verdict takes seconds
 constexpr seconds neededStep{1}; // smaller differences of lastNeeded may come from the transit of a report
 
-/** What the crashes that are not explained yet say about one cause. */
-struct Tally
-{
-    std::uint32_t independent = 0;
-    std::uint32_t runs = 0;
-    std::uint32_t requests = 0;
-    TimePoint lastCounted{};
-};
-
-using OpenCrash = std::pair<TargetRunHash, const CrashRecord *>;
-using Tallies = std::unordered_map<CrashCause, Tally>;
-
 CrashRecord &recordFor(CrashEvidence &evidence, TargetRunHash run, const CrashEvidenceSettings &settings, TimePoint time)
 {
     const auto [found, added] = evidence.crashes.try_emplace(run);
@@ -110,101 +96,6 @@
     return cleared;
 }
 
-/** Counts a crash for the causes of its suspects. */
-void countCrash(Tallies &tallies, const CrashRecord &record)
-{
-    std::map<CrashCause, Duration> latest; // shortest time from sending to the crash
-    for (const auto &[causes, suspect] : record.suspects) {
-        for (const CrashCause cause : causes) {
-            if (!record.cleared.contains(cause)) {
-                const auto found = latest.try_emplace(cause, suspect.sentBefore).first;
-                found->second = std::min(found->second, suspect.sentBefore);
-                ++tallies[cause].requests;
-            }
-        }
-    }
-    for (const auto &[cause, sentBefore] : latest) {
-        Tally &tally = tallies[cause];
-        if (tally.runs == 0 || record.time - sentBefore > tally.lastCounted) {
-            ++tally.independent;
-            tally.lastCounted = record.time;
-        }
-        ++tally.runs;
-    }
-}
-
-Tallies tally(const std::vector<OpenCrash> &crashes)
-{
-    Tallies tallies;
-    for (const auto &[run, record] : crashes) {
-        countCrash(tallies, *record);
-    }
-    return tallies;
-}
-
-/** The cause that explains most crashes; of several, the one with fewest requests, as its presence is the least likely by chance. */
-Tallies::const_iterator mostLikely(const Tallies &tallies)
-{
-    const auto rank = [](const Tallies::value_type &item) {
-        return std::make_tuple(item.second.independent, item.second.runs, std::numeric_limits<std::uint32_t>::max() - item.second.requests, item.first);
-    };
-    return std::max_element(tallies.begin(), tallies.end(), [&rank](const auto &left, const auto &right) {
-        return rank(left) < rank(right);
-    });
-}
-
-bool explains(const CrashRecord &record, CrashCause cause)
-{
-    return !record.cleared.contains(cause) && hasCause(record, cause);
-}
-
-/** Causes that stand beside the given one in some request in each of the crashes that it explains, itself included. */
-std::vector<CrashCause> companionsOf(CrashCause cause, const std::vector<OpenCrash> &crashes)
-{
-    std::optional<std::set<CrashCause>> common;
-    for (const OpenCrash &crash : crashes) {
-        const CrashRecord &record = *crash.second;
-        if (!explains(record, cause)) {
-            continue;
-        }
-        std::set<CrashCause> beside;
-        for (const auto &[causes, suspect] : record.suspects) {
-            if (std::binary_search(causes.begin(), causes.end(), cause)) {
-                beside.insert(causes.begin(), causes.end());
-            }
-        }
-        std::erase_if(beside, [&](CrashCause other) {
-            return record.cleared.contains(other) || (common && !common->contains(other));
-        });
-        common = std::move(beside);
-    }
-    return common ? std::vector<CrashCause>(common->begin(), common->end()) : std::vector<CrashCause>();
-}
-
-/** Blocks a cause and removes the crashes that it explains from the open ones. */
-BlockedCauses blockCause(CrashCause cause, const Tally &counted, std::vector<OpenCrash> &crashes, const CrashEvidenceSettings &settings)
-{
-    BlockedCauses blocked{.causes = companionsOf(cause, crashes), .crashes = counted.independent, .lostRuns = counted.runs};
-    blocked.certain = counted.runs >= settings.certainCrashes;
-    std::vector<TargetRunHash> dependent;
-    Tallies tallies;
-    std::vector<OpenCrash> open;
-    for (const OpenCrash &crash : crashes) {
-        if (!explains(*crash.second, cause)) {
-            open.push_back(crash);
-            continue;
-        }
-        const std::uint32_t before = tallies[cause].independent;
-        countCrash(tallies, *crash.second);
-        (tallies[cause].independent > before ? blocked.runs : dependent).push_back(crash.first);
-        blocked.lastCrash = crash.second->time;
-    }
-    crashes = std::move(open);
-    std::move(dependent.begin(), dependent.end(), std::back_inserter(blocked.runs));
-    blocked.runs.resize(std::min(blocked.runs.size(), runsPerVerdict));
-    return blocked;
-}
-
 CrashReport emptyReport(TargetRunHash run, const CrashRecord &record, TimePoint now)
 {
     return {.run = run,
@@ -371,84 +262,4 @@
     return reports;
 }
 
-void evaluateCrashes(CrashEvidence &evidence, const CrashEvidenceSettings &settings, TimePoint now)
-{
-    const std::size_t expired = std::erase_if(evidence.crashes, [&](const auto &crash) {
-        return now - crash.second.lastNeeded > settings.retention;
-    });
-    if (!std::exchange(evidence.changed, false) && expired == 0) {
-        return;
-    }
-    std::vector<OpenCrash> open;
-    for (const auto &[run, record] : evidence.crashes) {
-        open.emplace_back(run, &record);
-    }
-    std::sort(open.begin(), open.end(), [](const OpenCrash &left, const OpenCrash &right) {
-        return left.second->time < right.second->time;
-    });
-    evidence.blocked.clear();
-    evidence.unexplained.clear();
-    Tallies tallies = tally(open);
-    evidence.suspected.clear();
-    for (const auto &[cause, counted] : tallies) {
-        evidence.suspected.insert(cause);
-    }
-    while (!tallies.empty()) {
-        const auto likely = mostLikely(tallies);
-        if (likely->second.independent < settings.minCrashes) {
-            break;
-        }
-        const CrashCause cause = likely->first;
-        BlockedCauses blocked = blockCause(cause, likely->second, open, settings);
-        tallies.erase(cause);
-        const auto next = mostLikely(tallies);
-        if (next != tallies.end()) {
-            blocked.next = next->first;
-            blocked.nextCrashes = next->second.independent;
-        }
-        evidence.blocked.push_back(std::move(blocked));
-        tallies = tally(open);
-    }
-    for (const auto &[cause, counted] : tallies) {
-        evidence.unexplained[cause] = counted.independent;
-    }
-}
-
-const BlockedCauses *
-findBlocked(const CrashEvidence &evidence, std::span<const CrashCause> causes, const CrashEvidenceSettings &settings, TimePoint now) noexcept
-{
-    for (const BlockedCauses &blocked : evidence.blocked) {
-        const bool applies = blocked.certain || now - blocked.lastCrash < settings.probation;
-        if (applies && std::includes(causes.begin(), causes.end(), blocked.causes.begin(), blocked.causes.end())) {
-            return &blocked;
-        }
-    }
-    return nullptr;
-}
-
-void recordRefusal(CrashEvidence &evidence, const BlockedCauses &blocked, TimePoint now)
-{
-    for (const TargetRunHash run : blocked.runs) {
-        const auto crash = evidence.crashes.find(run);
-        if (crash != evidence.crashes.end()) {
-            crash->second.lastNeeded = std::max(crash->second.lastNeeded, now);
-        }
-    }
-}
-
-std::uint32_t suspicionOf(const CrashEvidence &evidence, std::span<const CrashCause> causes) noexcept
-{
-    std::uint32_t most = 0;
-    for (const CrashCause cause : causes) {
-        const auto found = evidence.unexplained.find(cause);
-        most = found == evidence.unexplained.end() ? most : std::max(most, found->second);
-    }
-    return most;
-}
-
-Duration blockedFor(const BlockedCauses &blocked, const CrashEvidenceSettings &settings, TimePoint now) noexcept
-{
-    return blocked.certain ? Duration(settings.retention) : std::max(Duration::zero(), blocked.lastCrash + settings.probation - now);
-}
-
 } // namespace snipehill
--- a/src/serving/src/crashguard.cpp
+++ b/src/serving/src/crashguard.cpp
@@ -2,6 +2,7 @@
 
 #include <process/log.h>
 #include <process/metrics.h>
+#include <request/estimate.h>
 
 #include <json/writer.h>
 
@@ -21,10 +22,16 @@
     return text.data();
 }
 
+/** Whether requests with the causes are refused, not only sent one at a time. */
+bool isRefused(const BlockedCauses &blocked, const CrashEvidenceSettings &settings)
+{
+    return blocked.crashes >= settings.minCrashes;
+}
+
 bool containsCauses(const std::vector<BlockedCauses> &list, const BlockedCauses &blocked)
 {
     return std::any_of(list.begin(), list.end(), [&blocked](const BlockedCauses &other) {
-        return other.causes == blocked.causes && other.certain == blocked.certain;
+        return other.causes == blocked.causes && other.certain == blocked.certain && other.doubtful == blocked.doubtful;
     });
 }
 
@@ -34,6 +41,8 @@
             {"crashes", blocked.crashes},
             {"lostRuns", blocked.lostRuns},
             {"certain", blocked.certain ? 1 : 0},
+            {"doubtful", blocked.doubtful ? 1 : 0},
+            {"failedTrials", blocked.failedTrials},
             {"runs", toString(blocked.runs)},
             {"next", hexText(blocked.next)},
             {"nextCrashes", blocked.nextCrashes}};
@@ -82,13 +91,13 @@
     const std::vector<BlockedCauses> before = m_evidence.blocked;
     evaluateCrashes(m_evidence, m_settings, now);
     for (const BlockedCauses &blocked : m_evidence.blocked) {
-        if (!containsCauses(before, blocked)) {
+        if (isRefused(blocked, m_settings) && !containsCauses(before, blocked)) {
             processMetrics().count(Counter::CrashVerdicts, {"blocked"});
             logDistinctEvent(LogComponent::Entry, LogLevel::Warning, "requests blocked", describe(blocked));
         }
     }
     for (const BlockedCauses &blocked : before) {
-        if (!containsCauses(m_evidence.blocked, blocked)) {
+        if (isRefused(blocked, m_settings) && !containsCauses(m_evidence.blocked, blocked)) {
             processMetrics().count(Counter::CrashVerdicts, {"released"});
             LogFields fields = describe(blocked);
             const auto refused = m_refusals.find(blocked.causes);
@@ -170,6 +179,11 @@
 std::optional<CrashBlock> CrashGuard::findBlock(std::span<const CrashCause> causes, TimePoint now)
 {
     const std::lock_guard lock(m_lock);
+    return findBlockLocked(causes, now);
+}
+
+std::optional<CrashBlock> CrashGuard::findBlockLocked(std::span<const CrashCause> causes, TimePoint now)
+{
     evaluate(now);
     const BlockedCauses *blocked = findBlocked(m_evidence, causes, m_settings, now);
     if (!blocked) {
@@ -177,7 +191,34 @@
     }
     recordRefusal(m_evidence, *blocked, now);
     ++m_refusals[blocked->causes];
-    return CrashBlock{blocked->causes, blocked->lostRuns, blockedFor(*blocked, m_settings, now)};
+    return CrashBlock{blocked->causes, blocked->lostRuns, blockedFor(m_evidence, *blocked, causes, m_settings, now)};
+}
+
+CrashDecision CrashGuard::admit(std::span<const CrashCause> causes, TimePoint now)
+{
+    const std::lock_guard lock(m_lock);
+    CrashDecision decision{.block = findBlockLocked(causes, now)};
+    decision.trial = !decision.block && beginTrial(m_evidence, causes, m_settings, now);
+    if (decision.trial) {
+        processMetrics().count(Counter::CrashVerdicts, {"tried"});
+    }
+    return decision;
+}
+
+void CrashGuard::endTrial(std::span<const CrashCause> causes, bool received, TimePoint now)
+{
+    const std::lock_guard lock(m_lock);
+    snipehill::endTrial(m_evidence, causes, received, m_settings, now);
+}
+
+void CrashGuard::setPeers(std::string_view self, const std::vector<std::string> &peers)
+{
+    const std::lock_guard lock(m_lock);
+    m_evidence.self = fingerprintOf(self);
+    m_evidence.peers.clear();
+    for (const std::string &peer : peers) {
+        m_evidence.peers.push_back(fingerprintOf(peer));
+    }
 }
 
 bool CrashGuard::isSuspect(std::span<const CrashCause> causes, TimePoint now)
@@ -201,6 +242,9 @@
     evaluate(now);
     Json::Value list(Json::arrayValue);
     for (const BlockedCauses &blocked : m_evidence.blocked) {
+        if (!isRefused(blocked, m_settings)) {
+            continue;
+        }
         Json::Value item;
         for (const CrashCause cause : blocked.causes) {
             item["causes"].append(hexText(cause));
@@ -208,6 +252,7 @@
         item["crashes"] = blocked.crashes;
         item["lostRuns"] = blocked.lostRuns;
         item["certain"] = blocked.certain;
+        item["doubtful"] = blocked.doubtful;
         item["secondsSinceCrash"] = Json::Int64(std::chrono::duration_cast<seconds>(now - blocked.lastCrash).count());
         list.append(std::move(item));
     }
--- a/src/serving/src/crashguard.h
+++ b/src/serving/src/crashguard.h
@@ -21,6 +21,13 @@
     Duration wait{}; //!< until such a request may be sent again
 };
 
+/** Whether a request may be sent. */
+struct CrashDecision
+{
+    std::optional<CrashBlock> block; //!< empty: it may
+    bool trial = false; //!< its causes are blocked, and it is sent to find out whether they are sound
+};
+
 /**
  * Attributes crashes of targets to what the requests on them had in common, and blocks such requests.
  *
@@ -43,6 +50,12 @@
     void recordSound(std::span<const CrashCause> causes, TimePoint began);
     /** Whether a request with these ascending causes must not be sent. */
     std::optional<CrashBlock> findBlock(std::span<const CrashCause> causes, TimePoint now);
+    /** Like findBlock(), for a request that is going to be sent if nothing forbids it. */
+    CrashDecision admit(std::span<const CrashCause> causes, TimePoint now);
+    /** The trial of a request has ended; received: a target may have received it. */
+    void endTrial(std::span<const CrashCause> causes, bool received, TimePoint now);
+    /** Sets the names of the entries that live; they take turns in trying blocked requests. */
+    void setPeers(std::string_view self, const std::vector<std::string> &peers);
     /** Whether one more crash of a request with these causes could block them, so that it must not be sent to another target after a crash. */
     bool isSuspect(std::span<const CrashCause> causes, TimePoint now);
     /** Releases a blocked cause, at the wish of an operator; the other entries learn of it. False if it is not blocked. */
@@ -61,6 +74,8 @@
         std::vector<CrashSuspect> suspects;
     };
 
+    /** findBlock() with the lock held. */
+    std::optional<CrashBlock> findBlockLocked(std::span<const CrashCause> causes, TimePoint now);
     /** Brings the verdicts up to date and logs those that are new or withdrawn. The lock is held. */
     void evaluate(TimePoint now);
 
--- a/src/serving/src/directpeers.cpp
+++ b/src/serving/src/directpeers.cpp
@@ -232,22 +232,25 @@
     update.finalUsage = takeFinalFigures(exchange.context.counts.finalFigures, now);
     const std::string bytes = encodePeerUpdate(update);
     const bool probe = ++exchange.rounds % silentPeerProbeRounds == 0;
-    std::size_t activePeers = 0;
+    std::vector<std::string> activePeers;
     std::vector<Udp::endpoint> receivers;
     for (const auto &[instance, peer] : exchange.peers) {
         const bool silent = now - peer.lastHeard > peerTimeout;
-        activePeers += silent ? 0 : 1;
+        if (!silent) {
+            activePeers.push_back(instance);
+        }
         if (!silent || probe) {
             receivers.push_back(peer.endpoint);
         }
     }
+    exchange.context.crashes.setPeers(exchange.context.settings.instance, activePeers);
     for (const Udp::endpoint &receiver : receivers) {
         auto [error, sent] = co_await exchange.socket.async_send_to(asio::buffer(bytes), receiver, useTuple);
         if (error) {
             logEvent(LogComponent::Members, LogLevel::Warning, "peer update not sent", {{"peer", receiver.address().to_string()}, {"detail", error.message()}});
         }
     }
-    co_return activePeers;
+    co_return activePeers.size();
 }
 
 } // namespace
--- a/src/serving/src/directrequest.cpp
+++ b/src/serving/src/directrequest.cpp
@@ -246,26 +246,49 @@
     return names;
 }
 
-std::optional<DirectRefusal> refusalForCrashes(DirectRequest &request)
+namespace
+{
+
+/** Refusal for a request with blocked causes. */
+DirectRefusal refuseBlocked(const DirectRequest &request, const CrashBlock &block)
 {
-    const auto block = request.context.crashes.findBlock(request.causes, Clock::now());
-    if (!block) {
-        return std::nullopt;
-    }
     processMetrics().count(Counter::CrashRefusals, {request.workspace});
-    logRequest(request,
-               LogLevel::Warning,
-               "blocked",
-               {{"causes", toString(block->causes)}, {"parts", partNames(request, block->causes)}, {"lostRuns", block->lostRuns}});
+    logRequest(
+        request, LogLevel::Warning, "blocked", {{"causes", toString(block.causes)}, {"parts", partNames(request, block.causes)}, {"lostRuns", block.lostRuns}});
     return DirectRefusal{.status = unavailable,
                          .reason = {Step::Admit, "", "requests like this crash targets"},
-                         .retryAfter = timeUntil(TimePoint() + block->wait, TimePoint()),
-                         .explanation = "requests with this content have crashed " + std::to_string(block->lostRuns) + " targets and are not sent to others"};
+                         .retryAfter = timeUntil(TimePoint() + block.wait, TimePoint()),
+                         .explanation = "requests with this content have crashed " + std::to_string(block.lostRuns) + " targets and are not sent to others"};
+}
+
+/** Refuses a request with blocked causes, unless it is the one that tries them. */
+std::optional<DirectRefusal> admitDespiteCrashes(DirectRequest &request)
+{
+    const CrashDecision decision = request.context.crashes.admit(request.causes, Clock::now());
+    if (decision.block) {
+        return refuseBlocked(request, *decision.block);
+    }
+    request.crashTrial = decision.trial;
+    if (decision.trial) {
+        logRequest(request, LogLevel::Warning, "tried although blocked", {{"causes", toString(request.causes)}});
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<DirectRefusal> refusalForCrashes(const DirectRequest &request)
+{
+    const auto block = request.crashTrial ? std::nullopt : request.context.crashes.findBlock(request.causes, Clock::now());
+    return block ? std::optional(refuseBlocked(request, *block)) : std::nullopt;
 }
 
 bool mayCrashTargets(const DirectRequest &request, bool repeated)
 {
     const TimePoint now = Clock::now();
+    if (request.crashTrial && !repeated) {
+        return false;
+    }
     return (repeated && request.context.crashes.isSuspect(request.causes, now)) || request.context.crashes.findBlock(request.causes, now);
 }
 
@@ -304,11 +327,11 @@
         co_return;
     }
     prepare(request);
-    if (const auto refusal = refusalForCrashes(request)) {
+    if (const auto refusal = refusalWhileDraining(request)) {
         co_await refuse(request, *refusal);
         co_return;
     }
-    if (const auto refusal = refusalWhileDraining(request)) {
+    if (const auto refusal = admitDespiteCrashes(request)) {
         co_await refuse(request, *refusal);
         co_return;
     }
@@ -323,6 +346,9 @@
     } else {
         co_await serveCall(request);
     }
+    if (request.crashTrial) {
+        context.crashes.endTrial(request.causes, request.sendCount > 0, Clock::now());
+    }
 }
 
 } // namespace snipehill
--- a/src/serving/src/directrequest.h
+++ b/src/serving/src/directrequest.h
@@ -28,6 +28,7 @@
     TimePoint received{};
     TimePoint deadline{}; //!< time after which a response is of no use to the caller
     std::uint64_t fingerprint = 0; //!< of path, workspace and body
+    bool crashTrial = false; //!< sent although its causes are blocked, to find out whether they are sound
     std::vector<CrashCause> causes; //!< what may crash a target: the fingerprint and the shared parts of the prompt, ascending
     std::vector<std::string> triedTargets; //!< ids of targets to avoid on retries
     std::uint32_t sendCount = 0; //!< sends that reached a target or may have reached it
@@ -91,7 +92,7 @@
 bool hasTimeForRetry(const DirectRequest &request) noexcept;
 
 /** Refusal of a request that must not be sent because requests like it crash targets; empty if it may be sent. */
-std::optional<DirectRefusal> refusalForCrashes(DirectRequest &request);
+std::optional<DirectRefusal> refusalForCrashes(const DirectRequest &request);
 
 /**
  * Whether a request must not be sent to another target because it may be what crashes them.
--- a/tests/fakes/crashevidencerun.h
+++ b/tests/fakes/crashevidencerun.h
@@ -72,6 +72,12 @@
     CrashOutcome play()
     {
         for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
+            m_entries[entry].self = entry;
+            for (std::size_t peer = 0; peer < m_entries.size(); ++peer) {
+                if (peer != entry) {
+                    m_entries[entry].peers.push_back(peer);
+                }
+            }
             at(between(milliseconds(0), milliseconds(100)), [this, entry] {
                 sendUpdate(entry);
             });
@@ -106,6 +112,7 @@
         std::vector<CrashCause> causes;
         std::optional<std::size_t> culprit;
         bool related = false;
+        bool trial = false;
         std::size_t entry = 0;
         int attempts = 0;
         TimePoint sent{};
@@ -224,6 +231,7 @@
             m_outcome.relatedRefused += counted ? 1 : 0;
             return;
         }
+        request->trial = beginTrial(evidence, request->causes, m_settings, m_now);
         send(request);
     }
     void send(const RequestPointer &request)
@@ -237,6 +245,7 @@
         }
         FakeTarget &target = m_targets[chosen];
         if (!target.up) {
+            finishTrial(*request, false);
             m_outcome.soundBroken += request->culprit ? 0 : 1;
             return;
         }
@@ -275,6 +284,7 @@
             }
             std::erase(target.active, request);
             recordSound(m_entries[request->entry], request->causes, request->firstEvent, m_settings);
+            finishTrial(*request, true);
         });
     }
     void crash(std::size_t chosen)
@@ -298,6 +308,7 @@
     void notice(const RequestPointer &request, TargetRunHash run)
     {
         CrashEvidence &evidence = m_entries[request->entry];
+        finishTrial(*request, true);
         const bool suspect = request->firstEvent == TimePoint{} || m_now - request->firstEvent < m_settings.suspectTime;
         if (suspect) {
             recordCrash(evidence, run, {request->causes, m_now - request->sent}, m_settings, m_now);
@@ -311,6 +322,12 @@
         m_outcome.retriesDenied += !request->culprit && denied ? 1 : 0;
         m_outcome.soundBroken += request->culprit ? 0 : 1;
     }
+    void finishTrial(const Request &request, bool received)
+    {
+        if (request.trial) {
+            endTrial(m_entries[request.entry], request.causes, received, m_settings, m_now);
+        }
+    }
     void sendUpdate(std::size_t sender)
     {
         const auto reports = std::make_shared<std::vector<CrashReport>>(takeCrashReports(m_entries[sender], m_settings, m_now));
