Test the pauses between trials of blocked causes

Found by leaving mechanisms of crashverdicts.cpp out one at a time: without the growth of the pauses, and without the longer pause after five crashes, no test was red. With this table both are (one check each), and so is the pause of contested blocks.

--- a/tests/request/crashverdictstest.cpp
+++ b/tests/request/crashverdictstest.cpp
@@ -46,13 +46,13 @@
     return findBlocked(evidence, causes, defaults, now) != nullptr;
 }
 
-/** Three crashes, 100 ms apart, in which requests with both parts were on each target; returns the time of the last one. */
-TimePoint addCrashesOfBoth(CrashEvidence &evidence)
+/** Crashes, 100 ms apart, in which requests with both parts were on each target; returns the time of the last one. */
+TimePoint addCrashesOfBoth(CrashEvidence &evidence, int count = 3)
 {
-    for (int crash = 0; crash < 3; ++crash) {
+    for (int crash = 0; crash < count; ++crash) {
         addCrash(evidence, {{shared, bad}, {shared, otherBad}}, start + milliseconds(100) * crash);
     }
-    const TimePoint last = start + milliseconds(200);
+    const TimePoint last = start + milliseconds(100) * (count - 1);
     const std::vector<CrashCause> sound{shared, rare};
     recordSound(evidence, sound, last + milliseconds(1), defaults);
     return last;
@@ -192,6 +192,46 @@
     }
 }
 
+// Guards against trials of a crashing part that come as fast as targets restart.
+TEST_CASE("A block is tried later the more speaks for it", "[crash]")
+{
+    struct Case
+    {
+        const char *what;
+        int crashes;
+        bool doubtful;
+        int failedTrials;
+        Duration pause;
+    };
+    const std::vector<Case> cases{
+        {"doubtful", 3, true, 0, defaults.doubtfulPause},
+        {"doubtful, after a failed trial", 3, true, 1, 8 * defaults.doubtfulPause},
+        {"undoubted, another one is as likely", 3, false, 0, defaults.contestedPause},
+        {"the same after five crashes", 5, false, 0, defaults.probation},
+    };
+    for (const Case &c : cases) {
+        INFO(c.what);
+        CrashEvidence evidence;
+        TimePoint last = addCrashesOfBoth(evidence, c.crashes);
+        std::vector<CrashCause> request = doubtfulRequest(evidence, last);
+        const CrashCause other = request.front() == bad ? otherBad : bad;
+        if (!c.doubtful) {
+            request.front() = other;
+        }
+        for (int trial = 0; trial < c.failedTrials; ++trial) {
+            // The other one has more crashes, so that this one stays the doubtful one.
+            for (int crash = 0; crash < 2; ++crash) {
+                last += milliseconds(100);
+                addCrash(evidence, {{shared, other}}, last);
+            }
+            last += seconds(1);
+            addCrash(evidence, {request}, last, milliseconds(100));
+        }
+        CHECK(isBlocked(evidence, request, last + c.pause - milliseconds(1)));
+        CHECK(!isBlocked(evidence, request, last + c.pause));
+    }
+}
+
 // Guards against a queue of copies that is sent while two crashes speak against them (BUDGET).
 TEST_CASE("A cause with two crashes is sent by one request at a time", "[crash]")
 {
