--- a/src/request/src/crashevidence.cpp
+++ b/src/request/src/crashevidence.cpp
@@ -11,7 +11,6 @@
 namespace
 {
 
-constexpr std::size_t runsPerVerdict = 8; // more than certainCrashes, so that an entry that learns only these is as certain
 constexpr seconds repeatTime{30}; // crashes without a verdict are repeated to other entries for this time; a verdict takes seconds
 constexpr seconds neededStep{1}; // smaller differences of lastNeeded may come from the transit of a report
 
