--- a/src/request/include/request/crashevidence.h
+++ b/src/request/include/request/crashevidence.h
@@ -27,7 +27,7 @@
 {
     std::uint32_t minCrashes = 3; //!< independent crashes without a complete response after which a cause is blocked
     std::uint32_t suspectCrashes = 2; //!< the same after which an entry sends one request with the cause at a time
-    std::uint32_t certainCrashes = 5; //!< target runs after which a blocked cause is not tried again; the platform allows no more
+    std::uint32_t certainCrashes = 5; //!< target runs after which a blocked cause is not tried again unless other causes explain the crashes
     milliseconds suspectTime{1000}; //!< a response that was flowing for longer than this did not crash its target
     milliseconds simultaneous{30}; //!< crashes under requests sent before the first of them count once within this time
     seconds probation{30}; //!< a blocked cause that is not certain may be tried this long after its last crash
@@ -39,7 +39,7 @@
     milliseconds trialResultTime{200}; //!< after the end of a trial, until a crash of its target is known
     milliseconds trialTurn{500}; //!< for each entry that lives, as each gets so much less of the requests; the time between the turns of two entries ...
     seconds maxTrialTurn{10}; //!< ... is at most this
-    milliseconds blockSpread{500}; //!< after the crash that blocks a cause, until all entries refuse it
+    milliseconds blockSpread{500}; //!< after the crash that makes a cause a suspect, until all entries know of it
     seconds retention{600}; //!< a crash is forgotten after this time without a further crash or refusal of the cause that explains it
     std::size_t maxCrashes = 512; //!< capacity; the crash that was needed least recently is dropped first
     std::size_t maxSuspectsPerCrash = 128; //!< requests that one target runs or queues
@@ -84,7 +84,7 @@
     std::vector<CrashCause> cleared;
 };
 
-/** A combination of causes that is refused. */
+/** A combination of causes that is refused, or sent one request at a time if it has fewer than CrashEvidenceSettings::minCrashes. */
 struct BlockedCauses
 {
     std::vector<CrashCause> causes; //!< ascending; a request is refused if it has all of them
@@ -92,11 +92,11 @@
     std::uint32_t lostRuns = 0; //!< target runs that ended under it
     std::vector<TargetRunHash> runs; //!< some of these, enough to come to the same verdict; the independent ones first
     TimePoint lastCrash{};
-    bool certain = false; //!< not tried again while such requests come
-    bool doubtful = false; //!< fewer than minCrashes of the crashes are left to it by blocked causes that are likelier
+    bool certain = false; //!< not tried again while such requests come, unless other causes explain the crashes
+    bool doubtful = false; //!< likelier causes leave it fewer than minCrashes, or it has fewer
     double improbability = 0; //!< logarithm of how much likelier its crashes are if it caused them than if it was there by chance
     std::vector<std::size_t> evidence; //!< its independent crashes, as indices of CrashEvidence::candidates
-    std::uint32_t failedTrials = 0; //!< crashes under requests that were sent while the causes were blocked
+    std::uint32_t failedTrials = 0; //!< crashes that nothing else explains under requests that were sent when the causes were suspected already
     CrashCause next = 0; //!< the cause that ranked second when this one was blocked; 0: none
     std::uint32_t nextCrashes = 0; //!< its independent crashes
 };
--- a/src/request/src/crashtrials.cpp
+++ b/src/request/src/crashtrials.cpp
@@ -142,7 +142,7 @@
                     TimePoint now) noexcept
 {
     const auto pause = pauseBeforeTrial(evidence, blocked, causes, settings);
-    // Later than that, the result of another request's trial, of this entry or of one whose turn it is, ends the block or begins a new pause.
+    // Once the pause is over, the result of another request's trial is due soon.
     return pause ? std::max<Duration>(settings.trialWait, blocked.lastCrash + *pause - now) : Duration(settings.retention);
 }
 
--- a/src/request/src/crashverdicts.cpp
+++ b/src/request/src/crashverdicts.cpp
@@ -174,6 +174,7 @@
     return common.value_or(std::vector<CrashCause>());
 }
 
+/** What is blocked because of the open crashes of one cause. */
 BlockedCauses describe(const std::vector<Presence> &presences,
                        const Tally &counted,
                        const std::vector<OpenCrash> &crashes,
@@ -199,7 +200,7 @@
     return blocked;
 }
 
-/** The open causes with enough crashes, the most likely culprit first. */
+/** A cause with enough open crashes, and what it is ranked by. */
 struct Ranked
 {
     double improbability = 0;
@@ -215,6 +216,7 @@
     return rank(left) > rank(right);
 }
 
+/** The causes with enough open crashes, the most likely culprit first. */
 std::vector<Ranked> rankCauses(const Presences &presences,
                                const std::vector<OpenCrash> &crashes,
                                const std::vector<bool> &explained,
