--- a/tests/standins/platformserver.cpp
+++ b/tests/standins/platformserver.cpp
@@ -25,7 +25,8 @@
 
 /**
  * Target on the users' platform: plain responses, event streams and separate prefill. The fault "id" sets its instance id.
- * Further faults: refuse (503 with Not-Executed), status (of plain responses), orderStatus (of the response to an order),
+ * Further faults: leaving (all responses state that the target leaves), pause (503 with Not-Executed and this Retry-After, for every kind of request, or
+ * with pauseEvery for each N-th one only), refuse (503 with Not-Executed), status (of plain responses), orderStatus (of the response to an order),
  * cutAfter (aborts the next stream after N events), extraAnswer (the next N responses are followed by an unsolicited one),
  * endless (the next N responses never end and hold no event, as fast as they are read or, with dripMs, a byte at a time),
  * eventMs (pause between events), beforeMs (delay before the response), readMs (prefill time of a prompt),
@@ -47,15 +48,25 @@
         entry["body"] = request.body();
         const std::string expected = header(exchange, "Expect-Instance");
         HeaderList headers{{"Attempt-Id", id}};
-        if (request.method() == boost::beast::http::verb::delete_) {
+        if (faults.flag("", "leaving")) {
+            headers.emplace_back("Server-Leaving", "1");
+            journal.add("leaving", entry);
+        }
+        if (const std::string time = faults.text("pause", ""); !time.empty() && ++m_arrivals % faults.number("", "pauseEvery", 1) == 0) {
+            entry["retryAfter"] = time;
+            journal.add("refused", entry);
+            headers.emplace_back("Not-Executed", "1");
+            headers.emplace_back("Retry-After", time);
+            co_await exchange.respond(503, std::move(headers), "");
+        } else if (request.method() == boost::beast::http::verb::delete_) {
             journal.add("dropped", entry);
-            co_await exchange.respond(200, {}, "");
+            co_await exchange.respond(200, std::move(headers), "");
         } else if (!expected.empty() && expected != faults.text("id", "")) {
             headers.emplace_back("Not-Executed", "1");
             co_await exchange.respond(421, std::move(headers), "");
         } else if (entry["path"] == "/api/order") {
             journal.add("order", entry);
-            co_await exchange.respond(static_cast<unsigned>(faults.number("", "orderStatus", 400)), {}, "");
+            co_await exchange.respond(static_cast<unsigned>(faults.number("", "orderStatus", 400)), std::move(headers), "");
         } else if (faults.flag("", "refuse")) {
             headers.emplace_back("Not-Executed", "1");
             co_await exchange.respond(503, std::move(headers), "");
@@ -151,6 +162,7 @@
     }
 
     std::uint64_t m_lastHandle = 0;
+    std::int64_t m_arrivals = 0; //!< requests while the fault "pause" was set
 };
 
 } // namespace
