Log and count what targets say about themselves, and sends against it

The adapter reads Server-Leaving of any response and Retry-After of a 503, bounded; the registry keeps both by run. Nothing acts on them yet: one line for each statement that is new, one for each send to a target that has said that it leaves or wants no requests, with its purpose, and a counter for each (snipehill_target_statements_total, snipehill_barred_sends_total).

--- a/src/process/include/process/targetregistry.h
+++ b/src/process/include/process/targetregistry.h
@@ -4,6 +4,7 @@
 #include <core/reason.h>
 #include <core/time.h>
 #include <process/peerupdate.h>
+#include <process/targetnotice.h>
 #include <request/promptplacement.h>
 #include <request/targetchoice.h>
 #include <version/routingversion.h>
@@ -31,6 +32,9 @@
     std::uint64_t run = 0; //!< hash of the run of the target, which ends when the target restarts
 };
 
+/** Hash that identifies the run of a target in all processes. */
+std::uint64_t targetRun(const TargetEntry &entry) noexcept;
+
 /** Work that this entry has placed on a target and that counts towards its load until TargetRegistry::release(). */
 struct WorkReservation
 {
@@ -63,6 +67,13 @@
     std::uint32_t slots = 0; //!< requests that can be served at once
 };
 
+/** What a statement of a target has changed, and how its registration record differs from it. */
+struct NoticeChange
+{
+    bool changed = false;
+    const char *record = "none"; //!< what the registration record says of the target: "ready", "leaving", "other run" or "none"
+};
+
 /** Settings of TargetRegistry. */
 struct TargetRegistrySettings
 {
@@ -137,6 +148,12 @@
     void recordResponse(const TargetRef &target, const std::optional<ReportedLoad> &load, TimePoint now);
     /** A request to the target or the connection to it failed; the target is suspect for a time. No-op if it is suspect already. */
     void recordFailure(const TargetRef &target, TimePoint now);
+    /** The target, or another entry to which it said so, states that it is leaving. The statement outlives the target's registration record. */
+    NoticeChange recordLeaving(const TargetRef &target, TimePoint now);
+    /** The target wants no requests from this entry until the given time. */
+    NoticeChange recordPause(const TargetRef &target, TimePoint until, TimePoint now);
+    /** Why the target must not be sent anything now; empty if it may be. */
+    std::optional<SendBar> sendBar(const TargetRef &target, TimePoint now) const;
     /** Another target responded at the address, or the target accepts no more work: it gets none until its registration record shows a restart. */
     void markReplaced(const TargetRef &target);
 
@@ -152,6 +169,8 @@
     std::vector<std::shared_ptr<Shard>> shards() const;
     /** Runs the function on a target under its shard's lock; does nothing if the target is not registered. */
     template<typename Function> void withTarget(const TargetRef &ref, Function function);
+    /** Runs the function on the notice of the target's run under its shard's lock, whether the run is registered or not. */
+    template<typename Function> NoticeChange updateNotice(const TargetRef &ref, TimePoint now, Function function);
 
     const TargetRegistrySettings m_settings;
     mutable std::mutex m_lock; //!< guards the two maps; each shard has its own lock
--- a/src/process/src/targetregistry.cpp
+++ b/src/process/src/targetregistry.cpp
@@ -53,6 +53,20 @@
     return !target.entry.draining && !target.replaced;
 }
 
+/** Keeps what the target's run has stated when its registration record goes. */
+template<typename Shard, typename Target> void keepNotice(Shard &shard, const Target &target)
+{
+    if (target.notice.leavingSince || target.notice.pausedUntil != TimePoint{}) {
+        shard.absentNotices[target.run] = target.notice;
+    }
+}
+
+/** Whether the records of the target tell its runs apart. */
+template<typename Target> bool isStartKnown(const Target &target)
+{
+    return target.entry.startTimeMs != 0;
+}
+
 template<typename Target> TargetRef makeTargetRef(const Target &target)
 {
     return {target.entry.group, target.entry.id, target.endpoint, target.entry.failureDomain, target.run};
@@ -87,6 +101,11 @@
 
 } // namespace
 
+std::uint64_t targetRun(const TargetEntry &entry) noexcept
+{
+    return fingerprintOf(std::to_string(entry.startTimeMs), fingerprintOf(entry.id));
+}
+
 TargetRegistry::TargetRegistry(TargetRegistrySettings settings) : m_settings(std::move(settings)) { }
 
 TargetRegistry::~TargetRegistry() = default;
@@ -129,6 +148,7 @@
         return false;
     }
     std::string previousGroup;
+    std::optional<std::pair<std::uint64_t, TargetNotice>> moved; // from the shard of another group
     std::shared_ptr<Shard> shard;
     {
         const std::lock_guard lock(m_lock);
@@ -138,21 +158,32 @@
     if (!previousGroup.empty() && previousGroup != entry.group) {
         const auto other = shardOf(previousGroup);
         const std::lock_guard lock(other->lock);
-        other->targets.erase(entry.id);
+        const auto known = other->targets.find(entry.id);
+        if (known != other->targets.end()) {
+            moved = {known->second.run, known->second.notice};
+            other->targets.erase(known);
+        }
     }
     const std::lock_guard lock(shard->lock);
+    if (moved) {
+        mergeNotice(shard->absentNotices[moved->first], moved->second);
+    }
     const auto [found, added] = shard->targets.try_emplace(entry.id);
     Target &target = found->second;
     const bool restarted = !added && (target.entry.startTimeMs != entry.startTimeMs || target.entry.address != entry.address);
     const bool changed = added || restarted || target.entry.draining != entry.draining || target.entry.role != entry.role;
     if (restarted) {
         removeTarget(shard->prefixIndex, entry.id);
+        keepNotice(*shard, target);
         target = Target{};
     }
     target.entry = entry;
     target.hash = targetHash(entry.id);
-    target.run = fingerprintOf(std::to_string(entry.startTimeMs), fingerprintOf(entry.id));
+    target.run = targetRun(entry);
     target.endpoint = *endpoint;
+    if (const auto notice = shard->absentNotices.extract(target.run)) {
+        mergeNotice(target.notice, notice.mapped());
+    }
     return changed;
 }
 
@@ -175,6 +206,7 @@
     if (target == shard->targets.end()) {
         return false;
     }
+    keepNotice(*shard, target->second);
     shard->targets.erase(target);
     return true;
 }
@@ -409,6 +441,52 @@
     });
 }
 
+template<typename Function> NoticeChange TargetRegistry::updateNotice(const TargetRef &ref, TimePoint now, Function function)
+{
+    const auto shard = shardOf(ref.group);
+    if (!shard) {
+        return {};
+    }
+    const std::lock_guard lock(shard->lock);
+    const auto found = shard->targets.find(ref.id);
+    if (found != shard->targets.end() && found->second.run == ref.run) {
+        return {function(found->second.notice), found->second.entry.draining ? "leaving" : "ready"};
+    }
+    std::erase_if(shard->absentNotices, [now](const auto &notice) {
+        return !isCurrent(notice.second, now);
+    });
+    return {function(shard->absentNotices[ref.run]), found == shard->targets.end() ? "none" : "other run"};
+}
+
+NoticeChange TargetRegistry::recordLeaving(const TargetRef &ref, TimePoint now)
+{
+    return updateNotice(ref, now, [now](TargetNotice &notice) {
+        return snipehill::recordLeaving(notice, true, now);
+    });
+}
+
+NoticeChange TargetRegistry::recordPause(const TargetRef &ref, TimePoint until, TimePoint now)
+{
+    return updateNotice(ref, now, [until](TargetNotice &notice) {
+        return snipehill::recordPause(notice, until);
+    });
+}
+
+std::optional<SendBar> TargetRegistry::sendBar(const TargetRef &ref, TimePoint now) const
+{
+    const auto shard = shardOf(ref.group);
+    if (!shard) {
+        return SendBar{};
+    }
+    const std::lock_guard lock(shard->lock);
+    const auto found = shard->targets.find(ref.id);
+    if (found == shard->targets.end() || !isUsable(found->second) || isLeaving(found->second.notice, isStartKnown(found->second), now)) {
+        return SendBar{};
+    }
+    const TimePoint until = found->second.notice.pausedUntil;
+    return now < until ? std::optional(SendBar{"paused", until}) : std::nullopt;
+}
+
 void TargetRegistry::markReplaced(const TargetRef &ref)
 {
     withTarget(ref, [](Target &target) {
--- a/src/process/src/targetregistryshard.h
+++ b/src/process/src/targetregistryshard.h
@@ -28,6 +28,7 @@
     TargetHash hash = 0;
     std::uint64_t run = 0; //!< hash of id and start time
     Endpoint endpoint;
+    TargetNotice notice; //!< what this run has stated
     bool replaced = false; //!< another run of a target holds the address, or the target takes no more work
     EngineRole orderedRole = EngineRole::Mixed; //!< of the last role change
     TimePoint roleChangeUntil{}; //!< end of the time allowed for the change to orderedRole
@@ -52,6 +53,7 @@
 {
     std::mutex lock;
     std::map<std::string, Target, std::less<>> targets;
+    TargetNotices absentNotices; //!< of runs that are not registered
     PrefixIndex prefixIndex; //!< prompt blocks that each target has cached
     std::uint64_t nextReservationId = 1;
     std::vector<RoutedBlocks> unsentBlocks; //!< for the next peer update
--- a/src/request/include/request/directrequest.h
+++ b/src/request/include/request/directrequest.h
@@ -51,6 +51,21 @@
     std::string lastEventId; //!< see IncomingRequest::lastEventId
 };
 
+/** Time for which a target that refused a request asks for no further ones from the sender. */
+struct PauseRequest
+{
+    milliseconds length{0}; //!< within bounds, whatever was asked
+    std::string asked; //!< as the target wrote it, shortened
+    const char *adjusted = ""; //!< why the length is not what was asked; empty if it is
+};
+
+/** What a target states about itself in a response. Holds for the target, not for the request. */
+struct TargetStatement
+{
+    bool leaving = false; //!< the target is about to end
+    std::optional<PauseRequest> pause;
+};
+
 /** Status and headers of a target's response. */
 struct TargetResponse
 {
@@ -62,6 +77,7 @@
     bool isEventStream = false; //!< the body is an event stream
     std::optional<std::pair<std::uint32_t, std::uint32_t>> load; //!< running and queued requests on the target
     std::optional<seconds> keepAlive; //!< idle time after which the target closes the connection
+    TargetStatement statement;
     std::vector<std::pair<std::string, std::string>> headers; //!< headers to forward to the caller
 };
 
--- a/src/serving/src/directcall.cpp
+++ b/src/serving/src/directcall.cpp
@@ -144,18 +144,18 @@
 }
 
 /** Sends the call to the target and waits for the head of the response. */
-asio::awaitable<SendResult> sendCall(DirectRequest &request, const TargetRef &target, DirectExchange &exchange, Reason &reason)
+asio::awaitable<SendResult> sendCall(DirectRequest &request, const TargetRef &target, SendPurpose purpose, DirectExchange &exchange, Reason &reason)
 {
     TargetRequestHeaders headers;
     headers.targetId = target.id;
     headers.workspace = request.workspace;
     headers.remaining = remainingTime(request);
-    ExchangeLimits limits;
-    limits.headTimeout = headers.remaining;
+    ExchangeOptions options{.purpose = purpose};
+    options.headTimeout = headers.remaining;
     if (!mayRepeat(*request.route)) {
-        limits.maxIdle = nonRepeatableMaxIdle;
+        options.maxIdle = nonRepeatableMaxIdle;
     }
-    const SendResult result = co_await sendToTarget(request, target, platform::buildTargetRequest(request.caller, headers), limits, exchange, reason);
+    const SendResult result = co_await sendToTarget(request, target, platform::buildTargetRequest(request.caller, headers), options, exchange, reason);
     exchange.mayRun = true;
     co_return result;
 }
@@ -201,7 +201,7 @@
     }
     processMetrics().count(Counter::Retries, {"silence"});
     Reason reason;
-    const SendResult result = co_await sendCall(request, run.next->target, next, reason);
+    const SendResult result = co_await sendCall(request, run.next->target, SendPurpose::Takeover, next, reason);
     if (result == SendResult::ResponseReceived && !next.response.notRun && next.response.status < firstServerError) {
         co_return true;
     }
@@ -235,7 +235,8 @@
 {
     DirectRequest &request = run.request;
     CallProgress &progress = run.progress;
-    SendResult result = co_await sendCall(request, run.work.target, run.exchange, progress.reason);
+    const SendPurpose purpose = request.sendCount == 0 ? SendPurpose::Run : SendPurpose::Retry;
+    SendResult result = co_await sendCall(request, run.work.target, purpose, run.exchange, progress.reason);
     const DirectExchange first = endedCopy(run.exchange);
     if ((result != SendResult::ResponseReceived || handover.isAccepted()) && co_await handover.settle()) {
         if (first.result == ConnectionResult::Broken) {
--- a/src/serving/src/directexchange.cpp
+++ b/src/serving/src/directexchange.cpp
@@ -32,7 +32,7 @@
 }
 
 /** Reads response heads until one carries the id of the request. */
-asio::awaitable<bool> readMatchingHead(DirectRequest &request, DirectExchange &exchange, TimePoint until, Reason &reason)
+asio::awaitable<bool> readMatchingHead(DirectRequest &request, DirectExchange &exchange, SendPurpose purpose, TimePoint until, Reason &reason)
 {
     for (int skipped = 0; skipped <= maxForeignResponses; ++skipped) {
         if (!co_await exchange.connection->readHead(timeUntil(until, Clock::now()), reason)) {
@@ -40,6 +40,7 @@
         }
         exchange.lastHeard = Clock::now();
         exchange.response = platform::parseTargetResponse(exchange.connection->head(), request.caller);
+        recordStatement(request.context.targets, exchange.target, exchange.response.statement, exchange.response.status, purpose, request.caller.id);
         if (exchange.response.matchesRequest) {
             co_return true;
         }
@@ -72,15 +73,15 @@
 } // namespace
 
 asio::awaitable<SendResult>
-sendToTarget(DirectRequest &request, TargetRef target, HttpRequest message, ExchangeLimits limits, DirectExchange &exchange, Reason &reason)
+sendToTarget(DirectRequest &request, TargetRef target, HttpRequest message, ExchangeOptions options, DirectExchange &exchange, Reason &reason)
 {
     exchange = DirectExchange{.target = target, .lastHeard = Clock::now()};
-    exchange.connection = request.context.connections.take(target.endpoint, limits.maxIdle);
+    exchange.connection = request.context.connections.take(target.endpoint, options.maxIdle);
     const bool reused = exchange.connection != nullptr;
     if (!reused) {
         exchange.connection = std::make_unique<HttpConnection>(co_await asio::this_coro::executor);
         request.activeConnections.push_back(exchange.connection.get());
-        const bool connected = co_await exchange.connection->connect(target.endpoint, std::min(limits.connectTimeout, remainingTime(request)), reason);
+        const bool connected = co_await exchange.connection->connect(target.endpoint, std::min(options.connectTimeout, remainingTime(request)), reason);
         if (!connected || request.exchange.isDisconnected()) {
             abortExchange(request, exchange);
             co_return SendResult::NotSent;
@@ -93,12 +94,14 @@
         finishExchange(request, exchange);
         co_return SendResult::NotSent;
     }
+    recordSend(request.context.targets, target, options.purpose, request.caller.id);
     logRequest(request, LogLevel::Info, "sent", {{"target", target.id}, {"address", toString(target.endpoint)}, {"kept", reused ? 1 : 0}});
     exchange.lastHeard = Clock::now();
     exchange.sent = exchange.lastHeard;
-    const milliseconds headTimeout = std::min(limits.headTimeout, remainingTime(request)); // connecting has taken part of it
+    const milliseconds headTimeout = std::min(options.headTimeout, remainingTime(request)); // connecting has taken part of it
     const TimePoint until = exchange.lastHeard + headTimeout;
-    const bool answered = co_await exchange.connection->send(message, headTimeout, reason) && co_await readMatchingHead(request, exchange, until, reason);
+    const bool answered = co_await exchange.connection->send(message, headTimeout, reason)
+        && co_await readMatchingHead(request, exchange, options.purpose, until, reason);
     if (!answered) {
         abortExchange(request, exchange);
         co_return SendResult::OutcomeUnknown;
--- a/src/serving/src/directexchange.h
+++ b/src/serving/src/directexchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "directrequest.h"
+#include "targetstatements.h"
 
 namespace snipehill
 {
@@ -27,9 +28,10 @@
 
 constexpr milliseconds targetConnectTimeout{400}; // below the one-second TCP SYN retransmission: trying another target is faster
 
-/** Timeouts of one exchange. */
-struct ExchangeLimits
+/** Timeouts of one exchange, and what it is for. */
+struct ExchangeOptions
 {
+    SendPurpose purpose = SendPurpose::Run;
     milliseconds connectTimeout = targetConnectTimeout;
     milliseconds headTimeout{0}; //!< until the response head has been read
     milliseconds maxIdle{3000}; //!< longest idle time of a pooled connection to be reused
@@ -37,7 +39,7 @@
 
 /** Sends a request to a target and reads the head of the response that carries its id; skips responses to other requests. */
 boost::asio::awaitable<SendResult>
-sendToTarget(DirectRequest &request, TargetRef target, HttpRequest message, ExchangeLimits limits, DirectExchange &exchange, Reason &reason);
+sendToTarget(DirectRequest &request, TargetRef target, HttpRequest message, ExchangeOptions options, DirectExchange &exchange, Reason &reason);
 
 /** Reads the next part of the body, like HttpConnection::readSome(), until the deadline of the request. */
 boost::asio::awaitable<std::optional<std::string>> readPiece(DirectRequest &request, DirectExchange &exchange, Reason &reason);
--- a/src/serving/src/directroles.cpp
+++ b/src/serving/src/directroles.cpp
@@ -1,5 +1,7 @@
 #include "directroles.h"
 
+#include "targetstatements.h"
+
 #include <connection/httpclient.h>
 #include <platform/messages.h>
 #include <process/log.h>
@@ -68,12 +70,20 @@
     call.step = Step::Order;
     call.body = platform::roleOrderBody(role, {context.settings.instance, *fencingToken});
     call.headers = platform::orderHeaders(engine.id);
-    call.maySend = [&context, fencingToken] {
-        return context.leases.epoch(scopes::duties) == fencingToken && context.leases.mayCall(scopes::duties, orderTimeout);
+    const TargetRef target{.group = engine.group, .id = engine.id, .endpoint = *endpoint, .failureDomain = engine.failureDomain, .run = targetRun(engine)};
+    call.maySend = [&context, &target, fencingToken] {
+        const bool authorized = context.leases.epoch(scopes::duties) == fencingToken && context.leases.mayCall(scopes::duties, orderTimeout);
+        if (authorized) {
+            recordSend(context.targets, target, SendPurpose::RoleOrder, {});
+        }
+        return authorized;
     };
     pending[engine.id] = {role, Clock::now()};
     const auto response = co_await httpCall(std::move(call), reason);
     const unsigned status = response ? response->result_int() : 0;
+    if (response) {
+        recordStatement(context.targets, target, platform::parseTargetStatement(*response), status, SendPurpose::RoleOrder, {});
+    }
     const bool acknowledged = status == accepted || status == alreadyInRole;
     if (response && !acknowledged) {
         pending.erase(engine.id);
--- a/src/serving/src/directstream.cpp
+++ b/src/serving/src/directstream.cpp
@@ -29,12 +29,19 @@
 constexpr unsigned statusOk = 200;
 
 /** Frees an unused KV cache on an engine. Errors are ignored: the engine frees it after a timeout anyway. */
-asio::awaitable<void> releaseKvCache(Endpoint engine, std::string handle)
+asio::awaitable<void> releaseKvCache(TargetRegistry &targets, TargetRef engine, std::string handle)
 {
     const HttpRequest request = platform::buildKvReleaseRequest(handle);
-    HttpCall call{.peer = engine, .method = request.method(), .target = std::string(request.target()), .timeout = releaseTimeout};
+    HttpCall call{.peer = engine.endpoint, .method = request.method(), .target = std::string(request.target()), .timeout = releaseTimeout};
+    call.maySend = [&targets, &engine] {
+        recordSend(targets, engine, SendPurpose::KvRelease, {});
+        return true;
+    };
     Reason ignored;
-    co_await httpCall(std::move(call), ignored);
+    const auto response = co_await httpCall(std::move(call), ignored);
+    if (response) {
+        recordStatement(targets, engine, platform::parseTargetStatement(*response), response->result_int(), SendPurpose::KvRelease, {});
+    }
 }
 
 /** Gives up a silent prefill if the request may be placed once more; otherwise the prefill goes on. */
@@ -67,15 +74,15 @@
     TargetRequestHeaders headers = headersFor(request, prefillEngine, progress);
     headers.prefillOnly = true;
     headers.fetchFrom = placed.fetchFrom ? toString(placed.fetchFrom->endpoint) : std::string();
-    ExchangeLimits limits;
-    limits.headTimeout = remainingTime(request);
+    ExchangeOptions options{.purpose = SendPurpose::Prefill};
+    options.headTimeout = remainingTime(request);
     DirectExchange exchange;
     const milliseconds patience = std::chrono::duration_cast<milliseconds>(prefillTimeFactor * placed.firstToken) + prefillSlack;
     Handover handover(co_await asio::this_coro::executor, request, exchange, patience, [&](DirectExchange &) -> asio::awaitable<bool> {
         co_return giveUpSilentPrefill(request, exchange, progress);
     });
     const SendResult result
-        = co_await sendToTarget(request, prefillEngine, platform::buildTargetRequest(request.caller, headers), limits, exchange, progress.reason);
+        = co_await sendToTarget(request, prefillEngine, platform::buildTargetRequest(request.caller, headers), options, exchange, progress.reason);
     request.context.targets.finishPrefill(*placed.prefill, Clock::now());
     if (co_await handover.settle()) {
         co_return std::nullopt;
@@ -107,7 +114,7 @@
     request.context.targets.recordPromptAccepted(prefillEngine);
     auto handle = platform::parseKvHandle(*body, progress.reason);
     if (handle && request.exchange.isDisconnected()) {
-        asio::co_spawn(co_await asio::this_coro::executor, releaseKvCache(prefillEngine.endpoint, *handle), asio::detached);
+        asio::co_spawn(co_await asio::this_coro::executor, releaseKvCache(request.context.targets, prefillEngine, *handle), asio::detached);
         co_return std::nullopt;
     }
     co_return handle;
@@ -129,7 +136,7 @@
         if (!request.context.targets.acceptsWork(placed.run.target)) {
             logRequest(request, LogLevel::Warning, "decode engine left during prefill", {{"target", placed.run.target.id}});
             progress.reason = {Step::ChooseTarget, placed.run.target.id, "the engine left while the prompt was read"};
-            asio::co_spawn(co_await asio::this_coro::executor, releaseKvCache(placed.prefill->target.endpoint, *handle), asio::detached);
+            asio::co_spawn(co_await asio::this_coro::executor, releaseKvCache(request.context.targets, placed.prefill->target, *handle), asio::detached);
             request.triedTargets.push_back(placed.run.target.id);
             request.context.targets.release(placed.run, Clock::now());
             co_return PlacementOutcome::NotRun;
@@ -137,7 +144,7 @@
         // The block may have come while the prompt was read.
         if (mayCrashTargets(request, false)) {
             progress.reason = {Step::Admit, "", "requests like this crash targets"};
-            asio::co_spawn(co_await asio::this_coro::executor, releaseKvCache(placed.prefill->target.endpoint, *handle), asio::detached);
+            asio::co_spawn(co_await asio::this_coro::executor, releaseKvCache(request.context.targets, placed.prefill->target, *handle), asio::detached);
             request.context.targets.release(placed.run, Clock::now());
             co_return PlacementOutcome::NotRun;
         }
--- a/src/serving/src/streamrun.cpp
+++ b/src/serving/src/streamrun.cpp
@@ -105,8 +105,13 @@
 }
 
 /** Sends the request to the engine of the placement and waits for the head of the response. */
-asio::awaitable<EngineReaction>
-sendPrompt(DirectRequest &request, const PlacedPrompt &placed, std::string kvCacheRef, StreamProgress &progress, Reason &reason, DirectExchange &exchange)
+asio::awaitable<EngineReaction> sendPrompt(DirectRequest &request,
+                                           const PlacedPrompt &placed,
+                                           std::string kvCacheRef,
+                                           SendPurpose purpose,
+                                           StreamProgress &progress,
+                                           Reason &reason,
+                                           DirectExchange &exchange)
 {
     const TargetRef &engine = placed.run.target;
     TargetRequestHeaders headers = headersFor(request, engine, progress);
@@ -115,9 +120,9 @@
     if (!placed.prefill && placed.fetchFrom) {
         headers.fetchFrom = toString(placed.fetchFrom->endpoint);
     }
-    ExchangeLimits limits;
-    limits.headTimeout = remainingTime(request);
-    const SendResult result = co_await sendToTarget(request, engine, platform::buildTargetRequest(request.caller, headers), limits, exchange, reason);
+    ExchangeOptions options{.purpose = separatePrefill ? SendPurpose::Decode : purpose};
+    options.headTimeout = remainingTime(request);
+    const SendResult result = co_await sendToTarget(request, engine, platform::buildTargetRequest(request.caller, headers), options, exchange, reason);
     exchange.mayRun = true;
     if (result == SendResult::NotSent) {
         progress.downEngines += exchange.result == ConnectionResult::Broken ? 1 : 0;
@@ -198,7 +203,7 @@
     ++run.progress.placements;
     processMetrics().count(Counter::Retries, {"silence"});
     Reason reason;
-    const EngineReaction reaction = co_await sendPrompt(request, *run.next, {}, run.progress, reason, next);
+    const EngineReaction reaction = co_await sendPrompt(request, *run.next, {}, SendPurpose::Takeover, run.progress, reason, next);
     if (reaction == EngineReaction::Accepted && isUsableStream(next.response)) {
         co_return true;
     }
@@ -363,7 +368,8 @@
 asio::awaitable<PlacementOutcome> runAndForward(StreamRun &run, Handover &handover, std::string kvCacheRef)
 {
     DirectRequest &request = run.request;
-    const EngineReaction reaction = co_await sendPrompt(request, run.placed, std::move(kvCacheRef), run.progress, run.progress.reason, run.exchange);
+    const SendPurpose purpose = request.sendCount == 0 ? SendPurpose::Run : SendPurpose::Retry;
+    const EngineReaction reaction = co_await sendPrompt(request, run.placed, std::move(kvCacheRef), purpose, run.progress, run.progress.reason, run.exchange);
     if (reaction != EngineReaction::Accepted || handover.isAccepted()) {
         const DirectExchange first = endedCopy(run.exchange);
         if (co_await handover.settle()) {
