--- a/tests/support/directcluster.cpp
+++ b/tests/support/directcluster.cpp
@@ -167,17 +167,22 @@
     targetProcesses.at(id) = startStandIn(id, "platform-server", m_addresses.at(id));
     waitForStandIn(id);
     if (m_targetRelays.empty()) {
-        ++m_runs[id];
-        registerTarget(*std::find_if(m_targets.begin(),
-                                     m_targets.end(),
-                                     [&id](const DirectTarget &target) {
-                                         return target.id == id;
-                                     }),
-                       "ready");
+        registerNewRun(id);
     }
     setFaults(id, R"({"id": ")" + id + "\"}");
 }
 
+void DirectCluster::registerNewRun(const std::string &id)
+{
+    ++m_runs[id];
+    registerTarget(*std::find_if(m_targets.begin(),
+                                 m_targets.end(),
+                                 [&id](const DirectTarget &target) {
+                                     return target.id == id;
+                                 }),
+                   "ready");
+}
+
 Relay &DirectCluster::targetRelay(const std::string &id)
 {
     return *m_targetRelays.at(id);
--- a/tests/support/directcluster.h
+++ b/tests/support/directcluster.h
@@ -72,6 +72,8 @@
     void registerTarget(const DirectTarget &target, const std::string &state);
     /** Number of records appended to a topic of the store, those trimmed included. */
     std::size_t endOfTopic(const std::string &topic) const;
+    /** Writes the entry of a target as a restart of the target would, with a later start time. */
+    void registerNewRun(const std::string &id);
     /** Removes the records of a topic from its head on but for the newest ones. */
     void trimTopic(const std::string &topic, std::size_t kept = 0);
     /** Brings the store back from a copy of the given age; nothing is written again. */
