Send nothing to a target that has said that it leaves

What callers saw: requests reached a target after a response had told the entry that it leaves (DRAIN); such requests are cut when it ends. Fix: the registry keeps the statement by run (id and start time), beyond the record of the target, so that a record that is written again, removed or brought back by an older copy doesn't make the run sound; only a new run ends it. It is heard at the head of every response. It is asked at the choice and, in one place for calls, prompts, prefills, decodes, handovers, role orders and the release of KV caches, right before the send. Role plans see such targets as draining. A KV cache that was offered to no engine is released whatever the reason.

--- a/src/process/include/process/peerupdate.h
+++ b/src/process/include/process/peerupdate.h
@@ -55,6 +55,7 @@
     std::map<WindowNumber, UsageByWorkspace> usage; //!< request counts that the sender has not published to the store yet
     std::map<WindowNumber, UsageByWorkspace> finalUsage; //!< request counts of windows that the sender has read back as closed
     std::map<TargetHash, PendingRoleChange> roleChanges; //!< changes that the sender has ordered
+    std::map<std::uint64_t, Duration> leavingRuns; //!< runs of targets that told the sender that they are leaving, and how long ago; see TargetRef::run
     WindowNumber openWindow = 0; //!< all counts of earlier windows are published or in this update; 0: no statement
 };
 
--- a/src/process/include/process/targetnotice.h
+++ b/src/process/include/process/targetnotice.h
@@ -21,10 +21,18 @@
 using TargetNotices = std::unordered_map<std::uint64_t, TargetNotice>;
 
 /** Why a target must not be sent a request. */
+enum class SendBarReason {
+    Leaving, //!< it leaves, or is gone
+    Paused, //!< it wants none from this instance for a time
+};
+
+/** "leaving" or "paused", for logs and metrics. */
+const char *toString(SendBarReason reason) noexcept;
+
+/** Forbids requests to a target. */
 struct SendBar
 {
-    /** Name of the reason, for logs and metrics: "leaving" or "paused". */
-    const char *reason = "leaving";
+    SendBarReason reason = SendBarReason::Leaving;
     TimePoint until = TimePoint::max(); //!< end of the pause
 };
 
--- a/src/process/include/process/targetregistry.h
+++ b/src/process/include/process/targetregistry.h
@@ -74,6 +74,13 @@
     const char *record = "none"; //!< what the registration record says of the target: "ready", "leaving", "other run" or "none"
 };
 
+/** What an update of another entry has told of targets that was not known before. */
+struct PeerUpdateEffect
+{
+    std::vector<std::string> roleChanges; //!< ids of engines that change their role
+    std::vector<std::string> leaving; //!< ids of targets that are leaving
+};
+
 /** Settings of TargetRegistry. */
 struct TargetRegistrySettings
 {
@@ -111,8 +118,8 @@
     bool apply(const TargetEntry &entry);
     /** Removes a target. False if it was not known. */
     bool remove(std::string_view id);
-    /** Registration records of all targets, in no particular order. */
-    std::vector<TargetEntry> entries() const;
+    /** Registration records of all targets, in no particular order. Targets that said that they leave are shown as draining. */
+    std::vector<TargetEntry> entries(TimePoint now) const;
 
     /** Chooses a target of a plain service, other than those tried, and reserves the work on it. Empty with a reason if there is none. */
     std::optional<PlacedCall> placeCall(const std::string &group, std::span<const std::string> tried, std::uint64_t draw, TimePoint now, Reason &reason);
@@ -126,8 +133,8 @@
 
     /** Whether any target of the group is known to run requests, of this entry or of others. */
     bool hasRunningRequests(const std::string &group, TimePoint now) const;
-    /** Whether work reserved on the target may still be sent: the target is registered, not leaving and not replaced. */
-    bool acceptsWork(const TargetRef &target);
+    /** Whether the target may still be given work: it is registered, not leaving and not replaced. It may want a pause. */
+    bool acceptsWork(const TargetRef &target, TimePoint now) const;
 
     /** The prefill has finished or will not take place. Compares its duration with the prediction to update the engine's slowness factor. */
     void finishPrefill(const WorkReservation &reservation, TimePoint now);
@@ -159,8 +166,8 @@
 
     /** Adds this entry's load, the role changes it ordered and the blocks it routed since the last call to an update for the other entries. */
     void fillPeerUpdate(PeerUpdate &update, TimePoint now);
-    /** Applies an update of another entry. Returns the ids of engines whose role change was not known before. */
-    std::vector<std::string> applyPeerUpdate(const PeerUpdate &update, TimePoint now);
+    /** Applies an update of another entry. */
+    PeerUpdateEffect applyPeerUpdate(const PeerUpdate &update, TimePoint now);
 
 private:
     struct Target;
--- a/src/process/src/peerupdate.cpp
+++ b/src/process/src/peerupdate.cpp
@@ -102,6 +102,11 @@
         entry.set_remaining_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(change.remaining).count()));
         entry.set_to_prefill(change.role == EngineRole::Prefill);
     }
+    for (const auto &[run, age] : update.leavingRuns) {
+        wire::PeerLeavingTarget &entry = *message.add_leaving();
+        entry.set_run(run);
+        entry.set_age_ms(wholeMilliseconds(age));
+    }
     message.set_open_window(update.openWindow);
     for (const auto &[window, totals] : update.finalUsage) {
         encodeUsage(window, totals, *message.add_final_usage());
@@ -141,6 +146,9 @@
     for (const wire::PeerRoleChange &entry : message.role_changes()) {
         update.roleChanges[entry.target()] = {entry.to_prefill() ? EngineRole::Prefill : EngineRole::Decode, milliseconds(entry.remaining_ms())};
     }
+    for (const wire::PeerLeavingTarget &entry : message.leaving()) {
+        update.leavingRuns[entry.run()] = milliseconds(entry.age_ms());
+    }
     update.openWindow = message.open_window();
     return update;
 }
--- a/src/process/src/targetnotice.cpp
+++ b/src/process/src/targetnotice.cpp
@@ -14,6 +14,11 @@
 
 } // namespace
 
+const char *toString(SendBarReason reason) noexcept
+{
+    return reason == SendBarReason::Leaving ? "leaving" : "paused";
+}
+
 bool isLeaving(const TargetNotice &notice, bool startKnown, TimePoint now) noexcept
 {
     return notice.leavingSince && (startKnown || now - *notice.leavingSince < unknownRunMemory);
--- a/src/process/src/targetregistry.cpp
+++ b/src/process/src/targetregistry.cpp
@@ -48,11 +48,6 @@
     return target.running + others;
 }
 
-template<typename Target> bool isUsable(const Target &target)
-{
-    return !target.entry.draining && !target.replaced;
-}
-
 /** Keeps what the target's run has stated when its registration record goes. */
 template<typename Shard, typename Target> void keepNotice(Shard &shard, const Target &target)
 {
@@ -67,6 +62,11 @@
     return target.entry.startTimeMs != 0;
 }
 
+template<typename Target> bool isUsable(const Target &target, TimePoint now)
+{
+    return !target.entry.draining && !target.replaced && !isLeaving(target.notice, isStartKnown(target), now);
+}
+
 template<typename Target> TargetRef makeTargetRef(const Target &target)
 {
     return {target.entry.group, target.entry.id, target.endpoint, target.entry.failureDomain, target.run};
@@ -211,13 +211,14 @@
     return true;
 }
 
-std::vector<TargetEntry> TargetRegistry::entries() const
+std::vector<TargetEntry> TargetRegistry::entries(TimePoint now) const
 {
     std::vector<TargetEntry> all;
     for (const auto &shard : shards()) {
         const std::lock_guard lock(shard->lock);
         for (const auto &[id, target] : shard->targets) {
             all.push_back(target.entry);
+            all.back().draining = target.entry.draining || isLeaving(target.notice, isStartKnown(target), now);
         }
     }
     return all;
@@ -242,7 +243,7 @@
         view.report.slots = target.entry.slots;
         view.report.running = runningOn(target, m_settings, now) - target.running;
         view.outstanding.requests = target.running;
-        view.leaving = !isUsable(target);
+        view.leaving = !isUsable(target, now);
         view.suspect = now < target.suspectUntil;
         view.distance = target.entry.failureDomain == m_settings.failureDomain ? Duration::zero() : Duration(m_settings.crossDomainPenalty);
         views.push_back(std::move(view));
@@ -274,7 +275,7 @@
     std::vector<PlacementEngine> engines;
     std::vector<Target *> targets;
     for (auto &[id, target] : shard->targets) {
-        if (!isUsable(target) || isChanging(target, now) || contains(tried, id)) {
+        if (!isUsable(target, now) || isChanging(target, now) || contains(tried, id)) {
             continue;
         }
         engines.push_back({.id = id,
@@ -329,13 +330,10 @@
     return placed;
 }
 
-bool TargetRegistry::acceptsWork(const TargetRef &ref)
+bool TargetRegistry::acceptsWork(const TargetRef &ref, TimePoint now) const
 {
-    bool usable = false;
-    withTarget(ref, [&usable](const Target &target) {
-        usable = isUsable(target);
-    });
-    return usable;
+    const auto bar = sendBar(ref, now);
+    return !bar || bar->reason == SendBarReason::Paused;
 }
 
 void TargetRegistry::finishPrefill(const WorkReservation &reservation, TimePoint now)
@@ -480,11 +478,11 @@
     }
     const std::lock_guard lock(shard->lock);
     const auto found = shard->targets.find(ref.id);
-    if (found == shard->targets.end() || !isUsable(found->second) || isLeaving(found->second.notice, isStartKnown(found->second), now)) {
+    if (found == shard->targets.end() || !isUsable(found->second, now)) {
         return SendBar{};
     }
     const TimePoint until = found->second.notice.pausedUntil;
-    return now < until ? std::optional(SendBar{"paused", until}) : std::nullopt;
+    return now < until ? std::optional(SendBar{SendBarReason::Paused, until}) : std::nullopt;
 }
 
 void TargetRegistry::markReplaced(const TargetRef &ref)
--- a/src/process/src/targetregistrypeerupdate.cpp
+++ b/src/process/src/targetregistrypeerupdate.cpp
@@ -8,11 +8,49 @@
 namespace snipehill
 {
 
+namespace
+{
+
+void announceLeaving(PeerUpdate &update, std::uint64_t run, const TargetNotice &notice, TimePoint now)
+{
+    if (isAnnounced(notice, now)) {
+        update.leavingRuns[run] = now - *notice.leavingSince;
+    }
+}
+
+/** Records what another entry was told; appends the ids of registered targets for which that is new. */
+template<typename Shard> void applyLeavingRuns(Shard &shard, const PeerUpdate &update, TimePoint now, std::vector<std::string> &leaving)
+{
+    std::map<std::uint64_t, Duration> absent = update.leavingRuns;
+    for (auto &[id, target] : shard.targets) {
+        const auto run = absent.find(target.run);
+        if (run == absent.end()) {
+            continue;
+        }
+        if (recordLeaving(target.notice, false, now - run->second)) {
+            leaving.push_back(id);
+        }
+        absent.erase(run);
+    }
+    for (const auto &[run, age] : absent) {
+        recordLeaving(shard.absentNotices[run], false, now - age);
+    }
+}
+
+} // namespace
+
 void TargetRegistry::fillPeerUpdate(PeerUpdate &update, TimePoint now)
 {
     for (const auto &shard : shards()) {
         const std::lock_guard lock(shard->lock);
+        std::erase_if(shard->absentNotices, [now](const auto &notice) {
+            return !isCurrent(notice.second, now);
+        });
+        for (const auto &[run, notice] : shard->absentNotices) {
+            announceLeaving(update, run, notice, now);
+        }
         for (const auto &[id, target] : shard->targets) {
+            announceLeaving(update, target.run, target.notice, now);
             if (target.running > 0 || !target.pendingPrefills.empty()) {
                 update.loads[target.hash] = {ownBacklog(target, now), target.running};
             }
@@ -29,11 +67,14 @@
     }
 }
 
-std::vector<std::string> TargetRegistry::applyPeerUpdate(const PeerUpdate &update, TimePoint now)
+PeerUpdateEffect TargetRegistry::applyPeerUpdate(const PeerUpdate &update, TimePoint now)
 {
-    std::vector<std::string> changing;
+    PeerUpdateEffect effect;
     for (const auto &shard : shards()) {
         const std::lock_guard lock(shard->lock);
+        if (!update.leavingRuns.empty()) {
+            applyLeavingRuns(*shard, update, now, effect.leaving);
+        }
         std::map<TargetHash, std::string_view> ids;
         for (auto &[id, target] : shard->targets) {
             ids[target.hash] = id;
@@ -53,7 +94,7 @@
                 target.roleChangeUntil = now + change.remaining;
                 target.orderedLocally = false;
                 if (!known && isChanging(target, now)) {
-                    changing.push_back(target.entry.id);
+                    effect.roleChanges.push_back(target.entry.id);
                 }
             }
         }
@@ -64,7 +105,7 @@
             }
         }
     }
-    return changing;
+    return effect;
 }
 
 } // namespace snipehill
--- a/src/serving/src/directcall.cpp
+++ b/src/serving/src/directcall.cpp
@@ -206,7 +206,7 @@
         co_return true;
     }
     if (result == SendResult::NotSent) {
-        ++run.progress.unreachableTargets;
+        run.progress.unreachableTargets += next.barred ? 0 : 1;
         request.context.budgets.giveBack(request.group->name);
     } else {
         ++request.sendCount;
@@ -252,7 +252,7 @@
         co_return co_await handleResponse(request, run.exchange, progress);
     }
     if (result == SendResult::NotSent) {
-        ++progress.unreachableTargets;
+        progress.unreachableTargets += run.exchange.barred ? 0 : 1;
     } else {
         ++request.sendCount;
         request.mayHaveRun = true;
--- a/src/serving/src/directexchange.cpp
+++ b/src/serving/src/directexchange.cpp
@@ -94,7 +94,12 @@
         finishExchange(request, exchange);
         co_return SendResult::NotSent;
     }
-    recordSend(request.context.targets, target, options.purpose, request.caller.id);
+    if (!maySendTo(request.context.targets, target, options.purpose, request.caller.id)) {
+        reason = {Step::ChooseTarget, target.id, "the target wants no requests"};
+        exchange.barred = true;
+        finishExchange(request, exchange);
+        co_return SendResult::NotSent;
+    }
     logRequest(request, LogLevel::Info, "sent", {{"target", target.id}, {"address", toString(target.endpoint)}, {"kept", reused ? 1 : 0}});
     exchange.lastHeard = Clock::now();
     exchange.sent = exchange.lastHeard;
@@ -170,6 +175,7 @@
     return {.target = exchange.target,
             .sent = exchange.sent,
             .firstEvent = exchange.firstEvent,
+            .barred = exchange.barred,
             .mayRun = exchange.mayRun,
             .lastHeard = exchange.lastHeard,
             .result = exchange.result};
@@ -189,7 +195,7 @@
 {
     const TimePoint now = Clock::now();
     // The end of a target that leaves as planned breaks its connections too.
-    if (!exchange.mayRun || !request.context.targets.acceptsWork(exchange.target)) {
+    if (!exchange.mayRun || !request.context.targets.acceptsWork(exchange.target, now)) {
         processMetrics().count(Counter::BrokenExchanges, {exchange.mayRun ? "leaving" : "prefill"});
         return;
     }
@@ -230,7 +236,7 @@
     if (result == SendResult::OutcomeUnknown && exchange.result == ConnectionResult::Broken) {
         recordPossibleCrash(request, exchange);
     }
-    if (request.exchange.isDisconnected()) {
+    if (request.exchange.isDisconnected() || exchange.barred) {
         return;
     }
     const TimePoint now = Clock::now();
--- a/src/serving/src/directexchange.h
+++ b/src/serving/src/directexchange.h
@@ -9,7 +9,7 @@
 /** How far a request got with one target. */
 enum class SendResult {
     ResponseReceived, //!< the response head was read
-    NotSent, //!< no byte reached the target
+    NotSent, //!< no byte reached the target, which couldn't be reached or wants no requests
     OutcomeUnknown, //!< the target may have run the request, but no response was received
 };
 
@@ -21,6 +21,7 @@
     TargetResponse response;
     TimePoint sent{}; //!< time of the send
     TimePoint firstEvent{}; //!< time of the first part of the body; unset before
+    bool barred = false; //!< nothing was sent because the target wants no requests
     bool mayRun = false; //!< the target runs the request, it does not only prefill the prompt
     TimePoint lastHeard{}; //!< latest time at which the target sent something; the time of the connect or send before that
     ConnectionResult result = ConnectionResult::Success; //!< of a connection that was closed
--- a/src/serving/src/directpeers.cpp
+++ b/src/serving/src/directpeers.cpp
@@ -3,6 +3,7 @@
 #include "storereader.h"
 
 #include <process/log.h>
+#include <process/metrics.h>
 #include <process/pause.h>
 #include <process/peerupdate.h>
 
@@ -210,9 +211,15 @@
         }
         peer.endpoint = from;
         peer.lastHeard = now;
-        for (const std::string &engine : exchange->context.targets.applyPeerUpdate(*update, now)) {
+        const PeerUpdateEffect effect = exchange->context.targets.applyPeerUpdate(*update, now);
+        for (const std::string &engine : effect.roleChanges) {
             logEvent(LogComponent::Roles, LogLevel::Info, "engine role change announced", {{"target", engine}, {"toldBy", update->sender.instance}});
         }
+        for (const std::string &target : effect.leaving) {
+            processMetrics().count(Counter::TargetStatements, {"leaving_by_peer"});
+            logEvent(
+                LogComponent::Members, LogLevel::Info, "target leaves, as another entry was told", {{"target", target}, {"toldBy", update->sender.instance}});
+        }
         applyPeerUsage(exchange->context.counts, *update, now);
         exchange->context.crashes.mergeReports(update->crashes, now);
     }
--- a/src/serving/src/directroles.cpp
+++ b/src/serving/src/directroles.cpp
@@ -71,12 +71,10 @@
     call.body = platform::roleOrderBody(role, {context.settings.instance, *fencingToken});
     call.headers = platform::orderHeaders(engine.id);
     const TargetRef target{.group = engine.group, .id = engine.id, .endpoint = *endpoint, .failureDomain = engine.failureDomain, .run = targetRun(engine)};
-    call.maySend = [&context, &target, fencingToken] {
-        const bool authorized = context.leases.epoch(scopes::duties) == fencingToken && context.leases.mayCall(scopes::duties, orderTimeout);
-        if (authorized) {
-            recordSend(context.targets, target, SendPurpose::RoleOrder, {});
-        }
-        return authorized;
+    bool barred = false;
+    call.maySend = [&context, &target, &barred, fencingToken] {
+        barred = !maySendTo(context.targets, target, SendPurpose::RoleOrder, {});
+        return !barred && context.leases.epoch(scopes::duties) == fencingToken && context.leases.mayCall(scopes::duties, orderTimeout);
     };
     pending[engine.id] = {role, Clock::now()};
     const auto response = co_await httpCall(std::move(call), reason);
@@ -85,7 +83,9 @@
         recordStatement(context.targets, target, platform::parseTargetStatement(*response), status, SendPurpose::RoleOrder, {});
     }
     const bool acknowledged = status == accepted || status == alreadyInRole;
-    if (response && !acknowledged) {
+    if (barred) {
+        pending.erase(engine.id);
+    } else if (response && !acknowledged) {
         pending.erase(engine.id);
         reason = {Step::Order, engine.address, "answered " + std::to_string(status)};
     }
@@ -120,7 +120,7 @@
 /** Runs one planning round for one group of engines. */
 asio::awaitable<void> planGroup(RoleContext &context, const std::string &group, RolePlan &plan)
 {
-    const std::vector<TargetEntry> entries = context.targets.entries();
+    const std::vector<TargetEntry> entries = context.targets.entries(Clock::now());
     removeSettledOrders(plan.pending, entries, Clock::now());
     const bool underLoad = context.targets.hasRunningRequests(group, Clock::now());
     const std::vector<RoleOrder> orders = planRoleShare(shareEngines(entries, group, plan.pending), underLoad, {});
--- a/src/serving/src/directstream.cpp
+++ b/src/serving/src/directstream.cpp
@@ -34,8 +34,7 @@
     const HttpRequest request = platform::buildKvReleaseRequest(handle);
     HttpCall call{.peer = engine.endpoint, .method = request.method(), .target = std::string(request.target()), .timeout = releaseTimeout};
     call.maySend = [&targets, &engine] {
-        recordSend(targets, engine, SendPurpose::KvRelease, {});
-        return true;
+        return maySendTo(targets, engine, SendPurpose::KvRelease, {});
     };
     Reason ignored;
     const auto response = co_await httpCall(std::move(call), ignored);
@@ -94,7 +93,7 @@
     }
     if (result != SendResult::ResponseReceived) {
         progress.countedPrefills += result == SendResult::OutcomeUnknown ? 1 : 0;
-        progress.downEngines += result == SendResult::NotSent && exchange.result == ConnectionResult::Broken ? 1 : 0;
+        progress.downEngines += result == SendResult::NotSent && (exchange.barred || exchange.result == ConnectionResult::Broken) ? 1 : 0;
         recordFailedExchange(request, exchange, result, progress.reason);
         co_return std::nullopt;
     }
@@ -123,24 +122,16 @@
 /** Runs one placement: the separate prefill, if any, then the decode. */
 asio::awaitable<PlacementOutcome> runPlacement(DirectRequest &request, PlacedPrompt placed, StreamProgress &progress)
 {
-    std::string kvCacheRef;
+    progress.kvCacheOffered = false;
+    std::optional<std::string> handle;
     if (placed.prefill) {
-        const auto handle = co_await prefillPrompt(request, placed, progress);
+        handle = co_await prefillPrompt(request, placed, progress);
         request.context.targets.release(*placed.prefill, Clock::now());
         if (!handle) {
             request.triedTargets.push_back(placed.prefill->target.id);
             request.context.targets.release(placed.run, Clock::now());
             co_return PlacementOutcome::NotRun;
         }
-        // Prefill takes seconds under load, enough time for the decode engine to have announced that it is leaving.
-        if (!request.context.targets.acceptsWork(placed.run.target)) {
-            logRequest(request, LogLevel::Warning, "decode engine left during prefill", {{"target", placed.run.target.id}});
-            progress.reason = {Step::ChooseTarget, placed.run.target.id, "the engine left while the prompt was read"};
-            asio::co_spawn(co_await asio::this_coro::executor, releaseKvCache(request.context.targets, placed.prefill->target, *handle), asio::detached);
-            request.triedTargets.push_back(placed.run.target.id);
-            request.context.targets.release(placed.run, Clock::now());
-            co_return PlacementOutcome::NotRun;
-        }
         // The block may have come while the prompt was read.
         if (mayCrashTargets(request, false)) {
             progress.reason = {Step::Admit, "", "requests like this crash targets"};
@@ -148,10 +139,14 @@
             request.context.targets.release(placed.run, Clock::now());
             co_return PlacementOutcome::NotRun;
         }
-        kvCacheRef = platform::formatKvCacheRef(placed.prefill->target.endpoint, *handle);
     }
+    const std::optional<WorkReservation> prefill = placed.prefill; // placed may become that of another engine, which has none
+    std::string kvCacheRef = handle ? platform::formatKvCacheRef(prefill->target.endpoint, *handle) : std::string();
     const PlacementOutcome outcome = co_await runOnEngine(request, placed, std::move(kvCacheRef), progress);
     request.context.targets.release(placed.run, Clock::now());
+    if (handle && !progress.kvCacheOffered) {
+        asio::co_spawn(co_await asio::this_coro::executor, releaseKvCache(request.context.targets, prefill->target, *handle), asio::detached);
+    }
     if (outcome != PlacementOutcome::Done) {
         request.triedTargets.push_back(placed.run.target.id);
     }
--- a/src/serving/src/streamrun.cpp
+++ b/src/serving/src/streamrun.cpp
@@ -125,11 +125,12 @@
     const SendResult result = co_await sendToTarget(request, engine, platform::buildTargetRequest(request.caller, headers), options, exchange, reason);
     exchange.mayRun = true;
     if (result == SendResult::NotSent) {
-        progress.downEngines += exchange.result == ConnectionResult::Broken ? 1 : 0;
+        progress.downEngines += exchange.barred || exchange.result == ConnectionResult::Broken ? 1 : 0;
         recordFailedExchange(request, exchange, result, reason);
         co_return EngineReaction::NotRun;
     }
     ++request.sendCount;
+    progress.kvCacheOffered = progress.kvCacheOffered || separatePrefill;
     if (result == SendResult::OutcomeUnknown) {
         request.mayHaveRun = true;
         co_return EngineReaction::Unknown;
--- a/src/serving/src/streamrun.h
+++ b/src/serving/src/streamrun.h
@@ -22,9 +22,10 @@
     EventStream events;
     bool headSent = false; //!< the response head was sent to the caller
     bool usageCounted = false; //!< the request was counted in the usage of the workspace
+    bool kvCacheOffered = false; //!< the KV cache of the placement's prefill was named to an engine, which may take it
     bool allowDisaggregation = true; //!< prefill may run on a different engine than decode
     std::uint32_t placements = 0; //!< so far
-    std::uint32_t downEngines = 0; //!< engines that refused the connection
+    std::uint32_t downEngines = 0; //!< engines that refused the connection or wanted no requests when it stood
     std::uint32_t countedPrefills = 0; //!< separate prefills that count as attempts, because their engine may not have accepted them
     TimePoint lastEvent{};
     Duration longestGap{}; //!< between two forwarded events
--- a/src/serving/src/targetstatements.cpp
+++ b/src/serving/src/targetstatements.cpp
@@ -55,16 +55,20 @@
     }
 }
 
-void recordSend(const TargetRegistry &targets, const TargetRef &target, SendPurpose purpose, std::string_view requestId)
+bool maySendTo(const TargetRegistry &targets, const TargetRef &target, SendPurpose purpose, std::string_view requestId)
 {
-    if (const auto bar = targets.sendBar(target, Clock::now())) {
-        processMetrics().count(Counter::BarredSends, {bar->reason, toString(purpose), "sent"});
-        logRequestEvent(LogComponent::Entry,
-                        LogLevel::Warning,
-                        "sent to a target that wants no requests",
-                        requestId,
-                        {{"target", target.id}, {"why", bar->reason}, {"purpose", toString(purpose)}});
+    const auto bar = targets.sendBar(target, Clock::now());
+    if (!bar) {
+        return true;
     }
+    const bool stopped = bar->reason == SendBarReason::Leaving;
+    processMetrics().count(Counter::BarredSends, {toString(bar->reason), toString(purpose), stopped ? "stopped" : "sent"});
+    logRequestEvent(LogComponent::Entry,
+                    stopped ? LogLevel::Info : LogLevel::Warning,
+                    stopped ? "not sent, the target wants no requests" : "sent to a target that wants no requests",
+                    requestId,
+                    {{"target", target.id}, {"why", toString(bar->reason)}, {"purpose", toString(purpose)}});
+    return !stopped;
 }
 
 } // namespace snipehill
--- a/src/serving/src/targetstatements.h
+++ b/src/serving/src/targetstatements.h
@@ -35,7 +35,10 @@
                      SendPurpose purpose,
                      std::string_view requestId);
 
-/** Counts and logs a send to a target that has said that it leaves or wants no requests now. Call right before sending. */
-void recordSend(const TargetRegistry &targets, const TargetRef &target, SendPurpose purpose, std::string_view requestId);
+/**
+ * Whether a request may be sent to the target now; false if it has said that it leaves. Counts and logs what is stopped.
+ * Call right before sending: connecting, a prefill on another engine or a wait may have taken seconds since the target was chosen.
+ */
+bool maySendTo(const TargetRegistry &targets, const TargetRef &target, SendPurpose purpose, std::string_view requestId);
 
 } // namespace snipehill
--- a/tests/platform/messagestest.cpp
+++ b/tests/platform/messagestest.cpp
@@ -167,3 +167,56 @@
     CHECK(!platform::parseKvHandle("no JSON", reason));
     CHECK(platform::formatKvCacheRef({"10.1.0.9", 8080}, "3fa0") == "10.1.0.9:8080/3fa0");
 }
+
+// Guards against statements of targets that are dropped with the response, and against values that take a target out of use for good.
+TEST_CASE("What a target states about itself is parsed from the head of any response and is not forwarded", "[platform][statements]")
+{
+    struct Case
+    {
+        const char *what;
+        unsigned status;
+        std::vector<std::pair<std::string, std::string>> headers;
+        bool leaving;
+        std::optional<milliseconds> pause;
+        std::string adjusted;
+    };
+    const std::vector<Case> cases{
+        {"success", 200, {}, false, {}, ""},
+        {"leaving on a success", 200, {{"Server-Leaving", "1"}}, true, {}, ""},
+        {"leaving on an error", 500, {{"server-leaving", "1"}}, true, {}, ""},
+        {"not leaving", 200, {{"Server-Leaving", "0"}}, false, {}, ""},
+        {"pause", 503, {{"Retry-After", "2"}}, false, milliseconds(2000), ""},
+        {"fraction", 503, {{"Retry-After", " 0.25 "}}, false, milliseconds(250), ""},
+        {"no time at all", 503, {{"Retry-After", "0"}}, false, milliseconds(0), ""},
+        {"pause of a leaving target", 503, {{"Retry-After", "2"}, {"Server-Leaving", "1"}}, true, milliseconds(2000), ""},
+        {"refusal without a pause", 503, {}, false, {}, ""},
+        {"other status", 429, {{"Retry-After", "2"}}, false, {}, ""},
+        {"a success that says it", 200, {{"Retry-After", "2"}}, false, {}, ""},
+        {"date", 503, {{"Retry-After", "Fri, 31 Dec 2027 23:59:59 GMT"}}, false, milliseconds(1000), "malformed"},
+        {"empty", 503, {{"Retry-After", ""}}, false, milliseconds(1000), "malformed"},
+        {"negative", 503, {{"Retry-After", "-3"}}, false, milliseconds(1000), "malformed"},
+        {"no number", 503, {{"Retry-After", "NaN"}}, false, milliseconds(1000), "malformed"},
+        {"infinite", 503, {{"Retry-After", "inf"}}, false, milliseconds(1000), "malformed"},
+        {"beyond all numbers", 503, {{"Retry-After", "1e400"}}, false, milliseconds(1000), "malformed"},
+        {"rest after the number", 503, {{"Retry-After", "2s"}}, false, milliseconds(1000), "malformed"},
+        {"absurd", 503, {{"Retry-After", "1e300"}}, false, milliseconds(120000), "too long"},
+        {"twice", 503, {{"Retry-After", "2"}, {"Retry-After", "3"}}, false, milliseconds(1000), "repeated"},
+    };
+    Reason reason;
+    const auto request = platform::parseIncomingRequest(callerMessage(), reason);
+    for (const Case &c : cases) {
+        INFO(c.what);
+        http::response<http::string_body> response(http::int_to_status(c.status), 11);
+        for (const auto &[name, value] : c.headers) {
+            response.insert(name, value);
+        }
+        const TargetResponse parsed = platform::parseTargetResponse(response, *request);
+        CHECK(parsed.statement.leaving == c.leaving);
+        CHECK(parsed.statement.pause.has_value() == c.pause.has_value());
+        if (parsed.statement.pause && c.pause) {
+            CHECK(parsed.statement.pause->length == *c.pause);
+            CHECK(parsed.statement.pause->adjusted == c.adjusted);
+        }
+        CHECK(parsed.headers.empty());
+    }
+}
--- a/tests/process/targetregistrytest.cpp
+++ b/tests/process/targetregistrytest.cpp
@@ -61,16 +61,16 @@
     TargetEntry leaving = service("t1");
     leaving.draining = true;
     CHECK(registry.apply(leaving));
-    CHECK(!registry.acceptsWork({.group = "g", .id = "t1"}));
+    CHECK(!registry.acceptsWork({.group = "g", .id = "t1"}, start));
     CHECK(choose(registry, start) == "none");
     CHECK(registry.apply(service("t1")));
     registry.markReplaced({.group = "g", .id = "t1"});
     CHECK(choose(registry, start) == "none");
     CHECK(registry.apply(service("t1", "fd-a", 2)));
     CHECK(choose(registry, start) == "t1");
-    CHECK(registry.acceptsWork({.group = "g", .id = "t1"}));
+    CHECK(registry.acceptsWork({.group = "g", .id = "t1"}, start));
     CHECK(registry.remove("t1"));
-    CHECK(!registry.acceptsWork({.group = "g", .id = "t1"}));
+    CHECK(!registry.acceptsWork({.group = "g", .id = "t1"}, start));
     CHECK(!registry.remove("t1"));
     CHECK(choose(registry, start) == "none");
 }
@@ -199,8 +199,8 @@
     orderer.recordRoleChange("changing", EngineRole::Prefill, start + seconds(6));
     PeerUpdate update{.sender = {"entry-1", 1}};
     orderer.fillPeerUpdate(update, start);
-    CHECK(other.applyPeerUpdate(update, start) == std::vector<std::string>{"changing"});
-    CHECK(other.applyPeerUpdate(update, start).empty());
+    CHECK(other.applyPeerUpdate(update, start).roleChanges == std::vector<std::string>{"changing"});
+    CHECK(other.applyPeerUpdate(update, start).roleChanges.empty());
     for (TargetRegistry *registry : {&orderer, &other}) {
         CHECK(placeShort(*registry, start + seconds(5)) == "steady");
         CHECK(placeShort(*registry, start + seconds(7)) == "changing");
--- a/tests/proofs/targetstatementstest.cpp
+++ b/tests/proofs/targetstatementstest.cpp
@@ -171,6 +171,9 @@
     CHECK(review.status == 200);
     CHECK(host.events("e2", "run").size() == 1);
     CHECK(host.events("e3", "run").size() == 1);
+    CHECK(waitUntil([&] {
+        return host.events("e1", "dropped").size() == 1; // the KV cache that no engine was offered
+    }));
 }
 
 // Guards against further requests of any kind to a target that refused one with 503 and asked for a pause.
--- a/tests/serving/readerrun.h
+++ b/tests/serving/readerrun.h
@@ -85,7 +85,7 @@
 
     bool accepts(const std::string &id)
     {
-        return targets.acceptsWork({.group = "g", .id = id});
+        return targets.acceptsWork({.group = "g", .id = id}, Clock::now());
     }
 
     StoreHost host;
