Give a target that refused with a pause nothing until it is over

What callers saw: a target had answered an entry 503 with Retry-After and got its requests all the same, each refused again (BUDGET); callers of a group whose targets all did so were told to come back after 0.1 s to 0.2 s. Cause: Retry-After of a target was not read. A refused prompt made its engine suspect for 250 ms, which is a preference; a refused call recorded nothing. It is no preference: such targets are not chosen, and the check right before the send stops what was chosen before. It is for this entry only; peers are not told. The target is not suspect for it.

--- a/src/process/include/process/metrics.h
+++ b/src/process/include/process/metrics.h
@@ -38,7 +38,7 @@
     BrokenExchanges, //!< result; exchanges that their target broke off, by what was found out about the target
     LogEraEvents, //!< event; rises of the log's era and what followed from them
     TargetStatements, //!< statement; what targets said about themselves in their responses
-    BarredSends, //!< reason, purpose, result; sends to targets that had said that they leave or want no requests
+    BarredSends, //!< reason, purpose; requests that were not sent because the target had said that it leaves or wants none
     CrashRefusals, //!< workspace; requests that were not sent because requests like them crash targets
     Count,
 };
--- a/src/process/include/process/targetregistry.h
+++ b/src/process/include/process/targetregistry.h
@@ -161,6 +161,11 @@
     NoticeChange recordPause(const TargetRef &target, TimePoint until, TimePoint now);
     /** Why the target must not be sent anything now; empty if it may be. */
     std::optional<SendBar> sendBar(const TargetRef &target, TimePoint now) const;
+    /**
+     * If all targets of the group that could respond want no requests for a time, the time until the first one takes requests again.
+     * Empty if one takes requests now, or all are leaving.
+     */
+    std::optional<Duration> shortestPause(const std::string &group, TimePoint now) const;
     /** Another target responded at the address, or the target accepts no more work: it gets none until its registration record shows a restart. */
     void markReplaced(const TargetRef &target);
 
--- a/src/process/src/targetregistry.cpp
+++ b/src/process/src/targetregistry.cpp
@@ -67,6 +67,11 @@
     return !target.entry.draining && !target.replaced && !isLeaving(target.notice, isStartKnown(target), now);
 }
 
+template<typename Target> bool isPaused(const Target &target, TimePoint now)
+{
+    return now < target.notice.pausedUntil;
+}
+
 template<typename Target> TargetRef makeTargetRef(const Target &target)
 {
     return {target.entry.group, target.entry.id, target.endpoint, target.entry.failureDomain, target.run};
@@ -236,6 +241,9 @@
     std::vector<TargetView> views;
     views.reserve(shard->targets.size());
     for (const auto &[id, target] : shard->targets) {
+        if (isPaused(target, now)) {
+            continue;
+        }
         TargetView view;
         view.instance = id;
         view.failureDomain = target.entry.failureDomain;
@@ -275,7 +283,7 @@
     std::vector<PlacementEngine> engines;
     std::vector<Target *> targets;
     for (auto &[id, target] : shard->targets) {
-        if (!isUsable(target, now) || isChanging(target, now) || contains(tried, id)) {
+        if (!isUsable(target, now) || isPaused(target, now) || isChanging(target, now) || contains(tried, id)) {
             continue;
         }
         engines.push_back({.id = id,
@@ -481,8 +489,27 @@
     if (found == shard->targets.end() || !isUsable(found->second, now)) {
         return SendBar{};
     }
-    const TimePoint until = found->second.notice.pausedUntil;
-    return now < until ? std::optional(SendBar{SendBarReason::Paused, until}) : std::nullopt;
+    return isPaused(found->second, now) ? std::optional(SendBar{SendBarReason::Paused, found->second.notice.pausedUntil}) : std::nullopt;
+}
+
+std::optional<Duration> TargetRegistry::shortestPause(const std::string &group, TimePoint now) const
+{
+    const auto shard = shardOf(group);
+    if (!shard) {
+        return std::nullopt;
+    }
+    const std::lock_guard lock(shard->lock);
+    std::optional<Duration> shortest;
+    for (const auto &[id, target] : shard->targets) {
+        if (!isUsable(target, now) || target.entry.role == EngineRole::Prefill) {
+            continue;
+        }
+        if (!isPaused(target, now)) {
+            return std::nullopt;
+        }
+        shortest = std::min(shortest.value_or(Duration::max()), target.notice.pausedUntil - now);
+    }
+    return shortest;
 }
 
 void TargetRegistry::markReplaced(const TargetRef &ref)
--- a/src/serving/src/directcall.cpp
+++ b/src/serving/src/directcall.cpp
@@ -335,7 +335,7 @@
         const DirectRefusal refusal = timeoutRefusal(request);
         co_await refuse(request, refusal);
     } else {
-        const DirectRefusal refusal{request.mayHaveRun ? badGateway : unavailable, progress.reason, defaultRetryAfter};
+        const DirectRefusal refusal{request.mayHaveRun ? badGateway : unavailable, progress.reason, retryAfterNoTarget(request, defaultRetryAfter)};
         co_await refuse(request, refusal);
     }
 }
--- a/src/serving/src/directrequest.cpp
+++ b/src/serving/src/directrequest.cpp
@@ -118,6 +118,12 @@
     recordOutcome(request, outcome, refusal.status);
 }
 
+milliseconds retryAfterNoTarget(const DirectRequest &request, milliseconds usual)
+{
+    const auto pause = request.context.targets.shortestPause(request.group->name, Clock::now());
+    return pause ? std::max(usual, std::chrono::ceil<milliseconds>(*pause)) : usual;
+}
+
 DirectRefusal timeoutRefusal(const DirectRequest &request)
 {
     return {request.mayHaveRun ? gatewayTimeout : unavailable, {Step::RunOnTarget, "", "the time for an answer is up"}, milliseconds(0)};
--- a/src/serving/src/directrequest.h
+++ b/src/serving/src/directrequest.h
@@ -104,6 +104,12 @@
 /** Names of the prompt parts of a request that are among the causes, for logs. */
 std::string partNames(const DirectRequest &request, const std::vector<CrashCause> &causes);
 
+/**
+ * When a caller may come back whose request no target took: at the end of the shortest pause if all targets of the group want
+ * one, else after the usual time.
+ */
+milliseconds retryAfterNoTarget(const DirectRequest &request, milliseconds usual);
+
 /** Refusal for a request past its deadline: 504 if a target may have run it, else 503. */
 DirectRefusal timeoutRefusal(const DirectRequest &request);
 
--- a/src/serving/src/directstream.cpp
+++ b/src/serving/src/directstream.cpp
@@ -106,7 +106,9 @@
     finishExchange(request, exchange);
     if (!body || status != statusOk) {
         ++progress.countedPrefills;
-        request.context.targets.recordPromptRefused(prefillEngine, Clock::now());
+        if (!exchange.response.statement.pause) {
+            request.context.targets.recordPromptRefused(prefillEngine, Clock::now());
+        }
         logRequest(request, LogLevel::Warning, "prefill failed", {{"target", prefillEngine.id}, {"status", status}});
         co_return std::nullopt;
     }
@@ -191,7 +193,7 @@
     } else if (const auto blocked = request.mayHaveRun ? std::nullopt : refusalForCrashes(request)) {
         co_await refuse(request, *blocked);
     } else {
-        const DirectRefusal refusal{request.mayHaveRun ? badGateway : unavailable, progress.reason, retryAfter};
+        const DirectRefusal refusal{request.mayHaveRun ? badGateway : unavailable, progress.reason, retryAfterNoTarget(request, retryAfter)};
         co_await refuse(request, refusal);
     }
 }
--- a/src/serving/src/streamrun.cpp
+++ b/src/serving/src/streamrun.cpp
@@ -90,9 +90,12 @@
     if (exchange.response.status == misdirected) {
         request.context.targets.markReplaced(engine);
     }
-    request.context.targets.recordPromptRefused(engine, Clock::now());
-    if (placed.prefill) {
-        request.context.targets.recordKvTransfer(placed.prefill->target, false, Clock::now());
+    // An engine that asks for a pause is sound; how long it wants no prompts is known.
+    if (!exchange.response.statement.pause) {
+        request.context.targets.recordPromptRefused(engine, Clock::now());
+        if (placed.prefill) {
+            request.context.targets.recordKvTransfer(placed.prefill->target, false, Clock::now());
+        }
     }
     logRequest(request,
                LogLevel::Warning,
--- a/src/serving/src/targetstatements.cpp
+++ b/src/serving/src/targetstatements.cpp
@@ -61,14 +61,13 @@
     if (!bar) {
         return true;
     }
-    const bool stopped = bar->reason == SendBarReason::Leaving;
-    processMetrics().count(Counter::BarredSends, {toString(bar->reason), toString(purpose), stopped ? "stopped" : "sent"});
+    processMetrics().count(Counter::BarredSends, {toString(bar->reason), toString(purpose)});
     logRequestEvent(LogComponent::Entry,
-                    stopped ? LogLevel::Info : LogLevel::Warning,
-                    stopped ? "not sent, the target wants no requests" : "sent to a target that wants no requests",
+                    LogLevel::Info,
+                    "not sent, the target wants no requests",
                     requestId,
                     {{"target", target.id}, {"why", toString(bar->reason)}, {"purpose", toString(purpose)}});
-    return !stopped;
+    return false;
 }
 
 } // namespace snipehill
--- a/src/serving/src/targetstatements.h
+++ b/src/serving/src/targetstatements.h
@@ -36,7 +36,7 @@
                      std::string_view requestId);
 
 /**
- * Whether a request may be sent to the target now; false if it has said that it leaves. Counts and logs what is stopped.
+ * Whether a request may be sent to the target now; false if it has said that it leaves or wants a pause. Counts and logs what is stopped.
  * Call right before sending: connecting, a prefill on another engine or a wait may have taken seconds since the target was chosen.
  */
 bool maySendTo(const TargetRegistry &targets, const TargetRef &target, SendPurpose purpose, std::string_view requestId);
--- a/tests/process/targetnoticetest.cpp
+++ b/tests/process/targetnoticetest.cpp
@@ -189,3 +189,62 @@
     teller.registry.fillPeerUpdate(later, start + seconds(31));
     CHECK(later.leavingRuns.empty());
 }
+
+// Guards against sends in a pause, and against callers who are told to come back before any target takes requests again.
+TEST_CASE("Targets that want a pause are not chosen, and the shortest pause of all is known", "[targets][statements]")
+{
+    Targets targets;
+    const TargetRef t1 = refOf(entryOf("t1"));
+    const TargetRef t2 = refOf(entryOf("t2"));
+    targets.registry.recordPause(t1, start + seconds(3), start);
+    CHECK(targets.chosen(start) == second);
+    CHECK_FALSE(targets.registry.shortestPause("g", start));
+    targets.registry.recordPause(t2, start + seconds(5), start);
+    CHECK(targets.chosen(start).empty());
+    CHECK(targets.registry.shortestPause("g", start + seconds(1)) == seconds(2));
+    CHECK(targets.registry.acceptsWork(t1, start));
+    targets.registry.remove("t1");
+    targets.registry.apply(entryOf("t1"));
+    CHECK(targets.chosen(start + milliseconds(2999)).empty());
+    CHECK(targets.chosen(start + seconds(3)) == std::vector<std::string>{"t1"});
+    targets.registry.apply(entryOf("t2", 2));
+    CHECK(targets.chosen(start + seconds(3)) == both);
+    CHECK_FALSE(targets.registry.shortestPause("unknown", start));
+}
+
+// Guards against prompts on engines that want a pause, also as the source of a KV cache, and against waiting for a prefill engine.
+TEST_CASE("Engines that want a pause get no prompt", "[targets][statements]")
+{
+    struct Case
+    {
+        const char *what;
+        std::vector<std::string> paused;
+        std::string chosen; //!< engine that runs the prompt
+        bool pauseKnown;
+    };
+    const std::vector<Case> cases{
+        {"none", {}, "d1", false},
+        {"the prefill engine", {"p"}, "d1", false},
+        {"one decode engine", {"d1"}, "d2", false},
+        {"all decode engines", {"d1", "d2"}, "none", true},
+        {"all", {"d1", "d2", "p"}, "none", true},
+    };
+    for (const Case &c : cases) {
+        INFO(c.what);
+        TargetRegistry registry(TargetRegistrySettings{.instance = "entry-1", .failureDomain = "fd-a"});
+        for (const auto &[id, role] :
+             std::vector<std::pair<std::string, EngineRole>>{{"d1", EngineRole::Decode}, {"d2", EngineRole::Decode}, {"p", EngineRole::Prefill}}) {
+            TargetEntry entry = entryOf(id);
+            entry.role = role;
+            registry.apply(entry);
+        }
+        for (const std::string &id : c.paused) {
+            registry.recordPause(refOf(entryOf(id)), start + seconds(2), start);
+        }
+        Reason reason;
+        const auto placed = registry.placePrompt(
+            {.name = "g", .engine = EngineProperties{.slots = 4}}, {.promptTokens = 300, .failureDomain = "fd-a"}, {}, {}, start, reason);
+        CHECK((placed ? placed->run.target.id : "none") == c.chosen);
+        CHECK(registry.shortestPause("g", start).has_value() == c.pauseKnown);
+    }
+}
