Show what engines that are to resume a stream can put into it

Report of other operators: a stream broke off, the next target answered with an error, and its text was in the callers' stream, which ended as if complete. Real processes, errors of each form from the engine that resumes.

--- a/tests/proofs/directpathtest.cpp
+++ b/tests/proofs/directpathtest.cpp
@@ -258,3 +258,40 @@
     CHECK(log.find("store lost") != std::string::npos);
     CHECK(log.find("store regained") != std::string::npos);
 }
+
+// Guards against the text of an error, or events that were sent before, in the middle of a caller's stream, and against a broken stream that looks complete.
+TEST_CASE("What the engine that is to resume a stream sends instead of the rest never gets into the caller's stream", "[direct]")
+{
+    struct Case
+    {
+        const char *what;
+        const char *faults; //!< of the engine that is to resume
+    };
+    const std::vector<Case> cases{
+        {"error with a length", R"({"streamStatus": 500, "streamType": "text/plain"})"},
+        {"error in chunks", R"({"streamStatus": 500, "streamType": "text/plain", "chunked": true})"},
+        {"error as an event stream", R"({"streamStatus": 500, "streamType": "text/event-stream", "chunked": true})"},
+        {"error as an event stream without a seal", R"({"streamStatus": 500, "streamType": "text/event-stream", "noSeal": true})"},
+        {"stream without a seal", R"({"streamType": "text/event-stream", "chunked": true, "noSeal": true})"},
+        {"plain body with status 200", R"({"streamType": "text/plain"})"},
+        {"not run, without saying so", R"({"streamStatus": 503, "streamType": "text/plain"})"},
+        {"refusal", R"({"refuse": true})"},
+        {"stream from its first event on", R"({"ignoreLastId": true})"},
+    };
+    for (const Case &c : cases) {
+        for (const char *broken : {"e2", "e3"}) {
+            INFO(c.what << ", " << broken << " breaks off");
+            ReadyHost host;
+            const std::string other = std::string(broken) == "e2" ? "e3" : "e2";
+            host.setFaults(broken, R"({"cutAfter": 2})");
+            host.setFaults(other, c.faults);
+            const Response response = host.call(0, promptCall("/ask/x", "r1", 100));
+            if (host.events(broken, "broken").empty()) {
+                continue; // the other engine was asked first
+            }
+            CHECK(!response.complete);
+            CHECK(completeStream.starts_with(response.body));
+            CHECK(response.body.find("token 2") != std::string::npos);
+        }
+    }
+}
--- a/tests/proofs/wholeanswertest.cpp
+++ b/tests/proofs/wholeanswertest.cpp
@@ -171,3 +171,37 @@
     CHECK(responsesComplete(records) == noViolations);
     CHECK(refusedRequestsDidNotRun(records, cluster.targetJournal()) == noViolations);
 }
+
+// Guards against an error of the resuming engine that becomes part of the caller's stream, or its end that looks like the end of the stream.
+TEST_CASE("An error of the engine that is to resume a stream never gets into the caller's stream", "[whole-answer]")
+{
+    struct Case
+    {
+        const char *what;
+        const char *faults;
+    };
+    const std::vector<Case> cases{
+        {"error with a plain body", R"({"resumeErrors": 1, "resumeStatus": 500})"},
+        {"overload with a plain body", R"({"resumeErrors": 1, "resumeStatus": 503})"},
+        {"error as an event stream", R"({"resumeErrors": 1, "resumeStatus": 500, "errorStream": true})"},
+        {"plain body with status 200", R"({"resumeErrors": 1, "resumeStatus": 200})"},
+    };
+    for (const Case &c : cases) {
+        INFO(c.what);
+        Cluster cluster(twoEngines());
+        REQUIRE(cluster.start(defaultRecords()));
+        for (const StandIn &target : cluster.targets) {
+            Call faultsCall = postJson("/faults", *parseJson(c.faults));
+            callOnce(target.control, faultsCall);
+        }
+        Call call = chatCall("household file", outputTokens);
+        call.onData = afterChunks(faultPiece, [&] {
+            cluster.sidecars[servingTargetIndex(cluster)].targetRelay->dropConnections();
+        });
+        const CallerRecord record = sendOnce(cluster.entries[0].callers, "bureau", call);
+        CHECK(eventsOf(cluster.targetJournal(), "resume-refused").size() >= 1);
+        CHECK(record.response.body.find("cannot resume") == std::string::npos);
+        CHECK((!record.response.complete || completionOf(record.response).ended));
+        CHECK(responsesComplete({record}) == noViolations);
+    }
+}
--- a/tests/standins/engine.cpp
+++ b/tests/standins/engine.cpp
@@ -29,7 +29,8 @@
  * Model engine. Rates, set like faults: prefillRate, decodeRate, slots, changeMs, cacheBlocks. Faults:
  * ignoreFences (accepts orders with an old fencing token), slowMs (delay before a response begins), orders.lateMs (delay
  * of the response after an order took effect), cutAnswers (the next N generations are aborted halfway), orders.answerLost
- * (the next N orders take effect without a response), eventGap (the next N cache events are never listed).
+ * (the next N orders take effect without a response), resumeErrors (the next N requests to resume a response get an error with the status
+ * resumeStatus, or 500, as a plain body or, with errorStream, as an event stream), eventGap (the next N cache events are never listed).
  * A prompt with CRASH-ME ends the process once it is prefilled, one with CRASH-MID halfway through a response
  * that is not resumed. An order that changes role or model interrupts running requests; the engine then refuses
  * all requests and orders for changeMs.
@@ -89,6 +90,10 @@
             co_await respondJson(exchange, 503, std::move(refusal));
             co_return;
         }
+        if (generation->resumeTokens > 0 && faults.consume("", "resumeErrors")) {
+            co_await refuseToResume(exchange, generation->requestId);
+            co_return;
+        }
         const auto tracked = m_generations.emplace(generation->requestId, generation);
         co_await acquireSlot(generation->priority);
         const std::string end = co_await generate(exchange, generation);
@@ -100,6 +105,24 @@
         journal.add("ended", std::move(ended));
     }
 
+    asio::awaitable<void> refuseToResume(HttpExchange &exchange, std::string requestId)
+    {
+        const auto status = static_cast<unsigned>(faults.number("", "resumeStatus", 500));
+        const std::string text = "data: {\"error\": \"cannot resume\"}\n\n";
+        HeaderList headers{{"X-Request-Id", requestId}};
+        journal.add("resume-refused", Json::Value(Json::objectValue));
+        if (!faults.flag("", "errorStream")) {
+            headers.emplace_back("Content-Type", "application/json");
+            co_await exchange.respond(status, std::move(headers), text);
+            co_return;
+        }
+        headers.emplace_back("Content-Type", "text/event-stream");
+        co_await exchange.beginStream(status, std::move(headers));
+        const std::string events = text + "data: [DONE]\n\n";
+        co_await exchange.write(events);
+        co_await exchange.finish();
+    }
+
     /** Runs a generation in a slot and returns how it ended. */
     asio::awaitable<std::string> generate(HttpExchange &exchange, GenerationPointer generation)
     {
--- a/tests/standins/platformserver.cpp
+++ b/tests/standins/platformserver.cpp
@@ -25,7 +25,8 @@
 
 /**
  * Target on the users' platform: plain responses, event streams and separate prefill. The fault "id" sets its instance id.
- * Further faults: leaving (all responses state that the target leaves), pause (503 with Not-Executed and this Retry-After, for every kind of request, or
+ * Further faults: ignoreLastId (streams begin with their first event whatever was asked), streamStatus and streamType (of the responses to prompts, which
+ * are no whole streams then), noSeal (responses to prompts lack the seal), leaving (all responses state that the target leaves), pause (503 with Not-Executed and this Retry-After, for every kind of request, or
  * with pauseEvery for each N-th one only), refuse (503 with Not-Executed), status (of plain responses), orderStatus (of the response to an order),
  * cutAfter (aborts the next stream after N events), extraAnswer (the next N responses are followed by an unsolicited one),
  * endless (the next N responses never end and hold no event, as fast as they are read or, with dripMs, a byte at a time),
@@ -97,9 +98,11 @@
         const milliseconds silence = faults.consume("", "silences") ? faults.delay("", "silentMs") : milliseconds(0);
         const std::int64_t silentAfter = faults.number("", "silentAfter", 0);
         co_await pause(faults.delay("", "beforeMs") + (silentAfter == 0 ? silence : milliseconds(0)));
-        headers.emplace_back("Server-Seal", "seal-" + name);
-        headers.emplace_back("Server-Load", "1,0,8");
         const bool stream = !header(exchange, "Token-Counts").empty();
+        if (!stream || !faults.flag("", "noSeal")) {
+            headers.emplace_back("Server-Seal", "seal-" + name);
+        }
+        headers.emplace_back("Server-Load", "1,0,8");
         if (faults.consume("", "endless")) {
             headers.emplace_back("Content-Type", stream ? "text/event-stream" : "text/plain");
             co_await exchange.beginStream(200, std::move(headers));
@@ -107,6 +110,17 @@
         } else if (!stream) {
             const auto status = static_cast<unsigned>(faults.number("", "status", 200));
             co_await exchange.respond(status, std::move(headers), "ran " + entry["id"].asString() + " at " + name);
+        } else if (const std::string type = faults.text("streamType", ""); !type.empty()) {
+            headers.emplace_back("Content-Type", type);
+            const std::string error = "id: 3\ndata: error text\n\n";
+            const auto status = static_cast<unsigned>(faults.number("", "streamStatus", 200));
+            if (faults.flag("", "chunked")) {
+                co_await exchange.beginStream(status, std::move(headers));
+                co_await exchange.write(error);
+                co_await exchange.finish();
+            } else {
+                co_await exchange.respond(status, std::move(headers), error);
+            }
         } else {
             headers.emplace_back("Content-Type", "text/event-stream");
             co_await sendEvents(exchange, std::move(headers), entry, silentAfter, silence);
@@ -134,7 +148,7 @@
     asio::awaitable<void> sendEvents(HttpExchange &exchange, HeaderList headers, Json::Value entry, std::int64_t silentAfter, milliseconds silence)
     {
         const std::string last = header(exchange, "Last-Event-Id");
-        const int first = last.empty() ? 1 : std::stoi(last) + 1;
+        const int first = last.empty() || faults.flag("", "ignoreLastId") ? 1 : std::stoi(last) + 1;
         const std::int64_t cutAfter = faults.number("", "cutAfter", 0);
         faults.merge(parseJson(R"({"cutAfter": null})").value());
         co_await exchange.beginStream(200, std::move(headers));
