Take only the rest of the stream from the engine that resumes it

What callers saw: a stream broke off, the next engine answered with an error, and the error's text stood in their stream, which then ended as complete. Cause: once a stream had begun, the entry took any head of a later attempt for the head of the rest; status and kind of the response were dropped. Class: a response is judged by the state of the exchange, not by its own head. Fix: a head that isn't that of a stream with the same status ends the attempt as failed; what follows is not read, the stream goes on elsewhere or is cut.

--- a/src/serving/src/callerresponse.cpp
+++ b/src/serving/src/callerresponse.cpp
@@ -99,6 +99,11 @@
     return m_streaming;
 }
 
+bool CallerResponse::accepts(const wire::Head &head) const noexcept
+{
+    return !m_streaming || (head.stream() && head.status() == m_status);
+}
+
 void CallerResponse::discardBuffered()
 {
     m_buffered.clear();
--- a/src/serving/src/callerresponse.h
+++ b/src/serving/src/callerresponse.h
@@ -40,6 +40,8 @@
     boost::asio::awaitable<void> refuse(Refusal refusal);
 
     bool isStreaming() const noexcept;
+    /** Whether what follows the head may be forwarded: not the response of an attempt that was to resume a stream and failed. */
+    bool accepts(const wire::Head &head) const noexcept;
     /** Discards the buffered part of a response whose attempt failed. */
     void discardBuffered();
     /** Output that the caller has received, parsed from the forwarded events. */
--- a/src/serving/src/entryattempt.cpp
+++ b/src/serving/src/entryattempt.cpp
@@ -173,6 +173,11 @@
             acknowledge();
             co_return refusedResult(frame.refusal());
         }
+        if (frame.has_head() && !m_response.accepts(frame.head())) {
+            acknowledge();
+            cancel();
+            co_return failedToResume(frame.head());
+        }
         const bool sent = co_await m_response.forwardFrame(frame);
         if (!sent) {
             cancel();
@@ -193,6 +198,15 @@
         co_return AttemptResult();
     }
 
+    AttemptResult failedToResume(const wire::Head &head) const
+    {
+        AttemptResult result;
+        result.end = AttemptEnd::Refused;
+        const std::string detail = "the target answered " + std::to_string(head.status()) + " instead of the rest of the stream";
+        result.refusal = {Outcome::OutcomeUnknown, 502, {Step::RunOnTarget, m_target.instance, detail}, std::nullopt};
+        return result;
+    }
+
     static AttemptResult refusedResult(const wire::RefusalMessage &message)
     {
         AttemptResult result;
