Refuse a continuation that repeats events of the stream

Cause: what a resumed run sends was not compared with what had been forwarded. Fix: the first event with a numeric id after a break must be beyond the last one; else nothing of it is forwarded and the run counts as broken off. Ids that are no numbers have no order and aren't compared; gaps can't be told from ids that grow by more than one.

--- a/src/request/src/eventstream.cpp
+++ b/src/request/src/eventstream.cpp
@@ -1,5 +1,8 @@
 #include <request/eventstream.h>
 
+#include <charconv>
+#include <utility>
+
 namespace snipehill
 {
 
@@ -15,6 +18,14 @@
     return first == std::string_view::npos ? std::string_view() : text.substr(first);
 }
 
+/** Value of an event id; empty if it is no number, in which case ids have no order. */
+std::optional<std::uint64_t> parseNumber(std::string_view id)
+{
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(id.data(), id.data() + id.size(), value);
+    return error == std::errc() && end == id.data() + id.size() ? std::optional(value) : std::nullopt;
+}
+
 } // namespace
 
 std::string EventStream::append(std::string_view bytes)
@@ -26,7 +37,10 @@
         m_lineStart = end + 1;
         m_searched = end + 1;
         if (line.empty() || line == "\r") {
-            recordEvent(std::string_view(m_partial).substr(whole, m_lineStart - whole));
+            m_repeating = m_repeating || !recordEvent(std::string_view(m_partial).substr(whole, m_lineStart - whole));
+            if (m_repeating) {
+                break;
+            }
             whole = m_lineStart;
         }
     }
@@ -37,7 +51,14 @@
     return events;
 }
 
-void EventStream::recordEvent(std::string_view event)
+bool EventStream::isRepetition(std::string_view id) const noexcept
+{
+    const auto number = parseNumber(id);
+    const auto last = parseNumber(m_lastId);
+    return number && last && *number <= *last;
+}
+
+bool EventStream::recordEvent(std::string_view event)
 {
     bool hasField = false;
     while (!event.empty()) {
@@ -45,11 +66,16 @@
         const std::string_view line = event.substr(0, end);
         hasField = hasField || !line.empty();
         if (line.starts_with(idField)) {
-            m_lastId = trimmed(line.substr(idField.size()));
+            const std::string_view id = trimmed(line.substr(idField.size()));
+            if (std::exchange(m_continuing, false) && isRepetition(id)) {
+                return false;
+            }
+            m_lastId = id;
         }
         event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
     }
     m_events += hasField ? 1 : 0;
+    return true;
 }
 
 const std::string &EventStream::lastId() const noexcept
@@ -67,6 +93,13 @@
     m_partial.clear();
     m_lineStart = 0;
     m_searched = 0;
+    m_continuing = true;
+    m_repeating = false;
+}
+
+bool EventStream::isRepeating() const noexcept
+{
+    return m_repeating;
 }
 
 bool EventStream::hasPartial() const noexcept
--- a/src/serving/src/streamrun.cpp
+++ b/src/serving/src/streamrun.cpp
@@ -338,7 +338,11 @@
         if (endless) {
             progress.reason = {Step::RunOnTarget, run.exchange.target.id, "an event of the stream has no end"};
         }
-        if (!piece || unfinished || endless || handover.isAccepted()) {
+        const bool repeating = progress.events.isRepeating();
+        if (repeating) {
+            progress.reason = {Step::RunOnTarget, run.exchange.target.id, "the engine repeats events instead of going on after the last one"};
+        }
+        if (!piece || unfinished || endless || repeating || handover.isAccepted()) {
             if (const auto outcome = co_await handleBrokenStream(run, handover)) {
                 co_return *outcome;
             }
--- a/tests/request/eventstreamtest.cpp
+++ b/tests/request/eventstreamtest.cpp
@@ -51,3 +51,35 @@
     CHECK(events.append("id: 1\ndata: a\n\n") == "id: 1\ndata: a\n\n");
     CHECK(events.lastId() == "1");
 }
+
+// Guards against events that a caller gets twice when the engine that is to resume a stream begins with an earlier event.
+TEST_CASE("A continuation is used only if it begins after the last event", "[events]")
+{
+    struct Case
+    {
+        const char *what;
+        std::string continuation;
+        std::string forwarded;
+        bool repeating;
+    };
+    const std::vector<Case> cases{
+        {"the next event", "id: 3\ndata: c\n\n", "id: 3\ndata: c\n\n", false},
+        {"a later event", "id: 9\ndata: c\n\n", "id: 9\ndata: c\n\n", false},
+        {"the last event again", "id: 2\ndata: b\n\nid: 3\ndata: c\n\n", "", true},
+        {"the first event", "id: 1\ndata: a\n\n", "", true},
+        {"ids without an order", "id: x1\ndata: c\n\n", "id: x1\ndata: c\n\n", false},
+        {"a comment before the repetition", ": hello\n\nid: 1\ndata: a\n\n", ": hello\n\n", true},
+    };
+    for (const Case &c : cases) {
+        INFO(c.what);
+        EventStream stream;
+        stream.append("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+        stream.dropPartial();
+        CHECK(stream.append(c.continuation) == c.forwarded);
+        CHECK(stream.isRepeating() == c.repeating);
+        stream.dropPartial();
+        CHECK_FALSE(stream.isRepeating());
+        EventStream first;
+        CHECK(first.append("id: 5\n\nid: 5\n\n") == "id: 5\n\nid: 5\n\n");
+    }
+}
