Ask whether unread bytes wait before a sidecar's connection is reused

What callers saw (report of an earlier answer on a persistent connection, shown here): on the sidecar path a lookup got the answer to another request. Cause: the sidecar reused the connection of a slot without asking whether bytes wait on it, and a response without an id counts as the request's own, as not all targets send ids. Class: what lies on a connection is taken for what was asked. Fix: such a connection is closed and a new one is used; and from a target that has sent ids, a response without one belongs to no request. Requests that may run once always use a new connection, as before.

--- a/src/serving/src/targetexchange.cpp
+++ b/src/serving/src/targetexchange.cpp
@@ -98,7 +98,8 @@
 
     asio::awaitable<ExchangeResult> run()
     {
-        const bool reused = m_slot.connection != nullptr && m_attempt->run().idempotent();
+        // Unread data on an idle connection would be read as the response to this request.
+        const bool reused = m_slot.connection != nullptr && m_attempt->run().idempotent() && m_slot.connection->isIdle();
         co_await sendOnce(reused);
         if (reused && m_result.end == ExchangeEnd::Failed && !m_headReceived) {
             // The target may have closed the reused connection while it was idle, which is no failure of the target: retry on a new one.
@@ -158,11 +159,13 @@
         co_await readBody(connection);
     }
 
-    /** A response with another request id is the late response to an earlier request. */
+    /** A response with another request id, or with none from a target that sends them, is a late response to an earlier request. */
     bool belongsToRequest(const http::response_header<> &head)
     {
         const auto id = head.find("X-Request-Id");
-        if (id == head.end() || id->value() == m_attempt->run().request_id()) {
+        const bool own = id != head.end() && id->value() == m_attempt->run().request_id();
+        m_slot.echoesIds = m_slot.echoesIds || own;
+        if (own || (id == head.end() && !m_slot.echoesIds)) {
             return true;
         }
         m_result.reason = {Step::RunOnTarget, toString(m_target.endpoint), "the answer is that of another request"};
--- a/src/serving/src/targetexchange.h
+++ b/src/serving/src/targetexchange.h
@@ -23,6 +23,7 @@
     explicit TargetSlot(boost::asio::any_io_executor executor) : strand(boost::asio::make_strand(executor)) { }
     boost::asio::strand<boost::asio::any_io_executor> strand;
     std::unique_ptr<HttpConnection> connection; //!< connection of the last request; null or reusable
+    bool echoesIds = false; //!< the target has sent a request's id with its response
 };
 
 /** Receives the response as it arrives. */
--- a/tests/standins/service.cpp
+++ b/tests/standins/service.cpp
@@ -17,7 +17,7 @@
 /**
  * Plain service that accepts any method and path and counts how often each request ran. Faults: beforeMs (delay before
  * the request runs), lateMs (delay of the response), cutAnswers (the next N requests run, then the connection closes
- * without a response); a request may also set both delays in its query. A body with DIE-BEFORE or DIE-AFTER ends the
+ * without a response), extraAnswer (the next N responses are followed by one that belongs to no request and has no id); a request may also set both delays in its query. A body with DIE-BEFORE or DIE-AFTER ends the
  * process before or after the request runs; a request with CUT-ME in its body runs and gets no response.
  */
 class Service : public StandIn
@@ -57,6 +57,9 @@
         response["echo"] = request.body();
         response["runs"] = entry["runs"];
         co_await respondJson(exchange, 200, std::move(response));
+        if (faults.consume("", "extraAnswer")) {
+            co_await exchange.write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 16\r\n\r\n{\"echo\":\"other\"}");
+        }
         entry.removeMember("body");
         entry.removeMember("headers");
         journal.add("answered", std::move(entry));
