Reuse no connection for a request whose id was refused on it

Cause: on the direct path the request's id tells whose response it is. With another id the refusal was skipped, shown by the test. With the same id, as when a caller uses its id again, it was taken for the answer. Evidence: the test was red for a request that may run once and for a lookup, both with the id of the refused one: 503, and one run. Fix: a connection remembers the ids of requests that were refused on it, 256 at most, and isn't used for a request with one of them. The client's end of a connection, which nothing but stand-ins reads, now has its port. Result: the test passes in its three cases.

--- a/src/connection/include/connection/httpclient.h
+++ b/src/connection/include/connection/httpclient.h
@@ -12,6 +12,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -85,6 +86,10 @@
     void abort();
     const Endpoint &peer() const noexcept;
     ConnectionResult result() const noexcept;
+    /** Marks the connection as one on which the peer refused the request with this fingerprint. */
+    void recordRefused(std::uint64_t requestFingerprint);
+    /** Whether a refusal of such a request that the peer writes once more could be taken for the answer to another one with the same id. */
+    bool hasRefused(std::uint64_t requestFingerprint) const noexcept;
     /** Whether connect() failed because nothing listens at the peer's address. */
     bool wasRefused() const noexcept;
     /** Whether the response in progress has neither a length nor chunks, so that a connection that breaks looks like its end. */
@@ -103,6 +108,7 @@
     bool m_exchangeComplete = true; //!< no exchange is in progress and none has failed
     ConnectionResult m_result = ConnectionResult::Success;
     bool m_refused = false;
+    std::vector<std::uint64_t> m_refusedRequests; //!< fingerprints of their ids
 };
 
 } // namespace snipehill
--- a/src/connection/include/connection/httpserver.h
+++ b/src/connection/include/connection/httpserver.h
@@ -44,6 +44,7 @@
 public:
     virtual ~HttpExchange() = default;
     virtual const boost::beast::http::request<boost::beast::http::string_body> &request() const noexcept = 0;
+    /** Client's end of the connection, as "IP:PORT"; the same for all exchanges on it. */
     virtual const std::string &clientAddress() const noexcept = 0;
     /** Sends a complete response. The body is left out if HTTP allows none: in response to HEAD, and for status 204 and 304. */
     virtual boost::asio::awaitable<bool> respond(unsigned status, HeaderList headers, std::string body) = 0;
--- a/src/connection/src/httpclient.cpp
+++ b/src/connection/src/httpclient.cpp
@@ -11,6 +11,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 
 namespace snipehill
@@ -23,6 +24,7 @@
 {
 
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t maxRefusedRequests = 256; // remembered on one connection, which is not reused after that
 constexpr std::size_t readChunkBytes = 16384;
 constexpr milliseconds maxUnacknowledgedTime{1500}; // of a persistent connection; longer than the pauses of sound peers
 constexpr std::uint64_t streamBodyLimitBytes = 1ULL << 32U;
@@ -227,6 +229,17 @@
     return m_refused;
 }
 
+void HttpConnection::recordRefused(std::uint64_t requestFingerprint)
+{
+    m_refusedRequests.push_back(requestFingerprint);
+    m_exchangeComplete = m_exchangeComplete && m_refusedRequests.size() < maxRefusedRequests;
+}
+
+bool HttpConnection::hasRefused(std::uint64_t requestFingerprint) const noexcept
+{
+    return std::find(m_refusedRequests.begin(), m_refusedRequests.end(), requestFingerprint) != m_refusedRequests.end();
+}
+
 bool HttpConnection::endsWithConnection() const
 {
     return m_parser && m_parser->need_eof();
--- a/src/connection/src/httpserver.cpp
+++ b/src/connection/src/httpserver.cpp
@@ -376,9 +376,11 @@
         auto stream = std::make_shared<Stream>(std::move(socket));
         const auto strand = stream->get_executor();
         ++state->open;
-        asio::co_spawn(strand, serveConnection(state, std::move(stream), remote.address().to_string()), [state](const std::exception_ptr &) {
-            --state->open;
-        });
+        asio::co_spawn(strand,
+                       serveConnection(state, std::move(stream), toString(Endpoint{remote.address().to_string(), remote.port()})),
+                       [state](const std::exception_ptr &) {
+                           --state->open;
+                       });
     };
     ++m_state->open;
     asio::co_spawn(
--- a/src/serving/src/directexchange.cpp
+++ b/src/serving/src/directexchange.cpp
@@ -2,6 +2,7 @@
 
 #include <platform/messages.h>
 #include <process/metrics.h>
+#include <request/estimate.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -76,7 +77,7 @@
 sendToTarget(DirectRequest &request, TargetRef target, HttpRequest message, ExchangeOptions options, DirectExchange &exchange, Reason &reason)
 {
     exchange = DirectExchange{.target = target, .lastHeard = Clock::now()};
-    exchange.connection = request.context.connections.take(target.endpoint, options.maxIdle);
+    exchange.connection = request.context.connections.take(target.endpoint, options.maxIdle, fingerprintOf(request.caller.id));
     const bool reused = exchange.connection != nullptr;
     if (!reused) {
         exchange.connection = std::make_unique<HttpConnection>(co_await asio::this_coro::executor);
@@ -161,6 +162,9 @@
 void finishExchange(DirectRequest &request, DirectExchange &exchange)
 {
     removeActive(request, exchange);
+    if (exchange.connection && exchange.response.notRun) {
+        exchange.connection->recordRefused(fingerprintOf(request.caller.id));
+    }
     if (!exchange.connection || !exchange.connection->isReusable() || !exchange.connection->isIdle()) {
         abortExchange(request, exchange);
         return;
--- a/src/serving/src/targetconnectionpool.cpp
+++ b/src/serving/src/targetconnectionpool.cpp
@@ -3,7 +3,7 @@
 namespace snipehill
 {
 
-HttpConnectionPointer TargetConnectionPool::take(const Endpoint &target, milliseconds maxIdle)
+HttpConnectionPointer TargetConnectionPool::take(const Endpoint &target, milliseconds maxIdle, std::uint64_t requestFingerprint)
 {
     const TimePoint now = Clock::now();
     const std::lock_guard lock(m_lock);
@@ -18,7 +18,7 @@
         }
         Idle newest = std::move(idle.back());
         idle.pop_back();
-        if (now < newest.until && newest.connection->isIdle()) {
+        if (now < newest.until && !newest.connection->hasRefused(requestFingerprint) && newest.connection->isIdle()) {
             return std::move(newest.connection);
         }
     }
--- a/src/serving/src/targetconnectionpool.h
+++ b/src/serving/src/targetconnectionpool.h
@@ -20,8 +20,13 @@
 class TargetConnectionPool
 {
 public:
-    /** Takes an open connection that has been idle for less than `maxIdle`; null if there is none. */
-    HttpConnectionPointer take(const Endpoint &target, milliseconds maxIdle);
+    /**
+     * Takes an open connection that has been idle for less than `maxIdle`, and on which no request with the same id was refused;
+     * null if there is none.
+     *
+     * @param requestFingerprint of the id of the request to be sent
+     */
+    HttpConnectionPointer take(const Endpoint &target, milliseconds maxIdle, std::uint64_t requestFingerprint);
     /** Returns a connection to the pool after a successful exchange; it is not reused after the time `usable`. */
     void put(HttpConnectionPointer connection, milliseconds usable);
     /** Closes connections whose idle time has passed. */
--- a/tests/proofs/directpathtest.cpp
+++ b/tests/proofs/directpathtest.cpp
@@ -328,3 +328,31 @@
     CHECK(runs(host, {"p1"}) == drained);
     CHECK(host.entries[0].running());
 }
+
+// Guards against taking an earlier refusal that a faulty target writes once more for the answer to a request that it runs.
+TEST_CASE("An earlier refusal on a persistent connection says nothing of a later request", "[direct]")
+{
+    struct Case
+    {
+        const char *what;
+        const char *secondId; //!< of the later request; the first one has r1
+        const char *path;
+    };
+    const std::vector<Case> cases{{"other id", "r2", "/post/x"}, {"id of the refused request again", "r1", "/post/x"}, {"same id, lookup", "r1", "/read/x"}};
+    for (const Case &c : cases) {
+        INFO(c.what);
+        ReadyHost host;
+        host.registerTarget({"p2", "plain", ""}, "");
+        sleepFor(milliseconds(1000)); // longer than two polls by the entries
+        host.setFaults("p1", R"({"refuse": true, "repeatRefusal": true})");
+        CHECK(host.call(0, directCall("GET", c.path, "r1")).status == 503);
+        host.setFaults("p1", R"({"refuse": false})");
+        Call later = directCall("GET", c.path, c.secondId);
+        later.headers["Deadline-Ms"] = "1500";
+        const Response response = host.call(0, later);
+        const std::size_t ran = runs(host, {"p1"});
+        INFO("status " << response.status << ", runs " << ran);
+        CHECK((ran == 0 || (response.status != 503 && response.status != 429)));
+        CHECK((c.path != std::string("/post/x") || ran <= 1));
+    }
+}
--- a/tests/standins/platformserver.cpp
+++ b/tests/standins/platformserver.cpp
@@ -25,7 +25,7 @@
 
 /**
  * Target on the users' platform: plain responses, event streams and separate prefill. The fault "id" sets its instance id.
- * Further faults: ignoreLastId (streams begin with their first event whatever was asked), streamStatus and streamType (of the responses to prompts, which
+ * Further faults: repeatRefusal (on a connection on which a request was refused, the next request runs and gets that refusal once more), ignoreLastId (streams begin with their first event whatever was asked), streamStatus and streamType (of the responses to prompts, which
  * are no whole streams then), noSeal (responses to prompts lack the seal), leaving (all responses state that the target leaves), pause (503 with Not-Executed and this Retry-After, for every kind of request, or
  * with pauseEvery for each N-th one only), refuse (503 with Not-Executed), status (of plain responses), orderStatus (of the response to an order),
  * cutAfter (aborts the next stream after N events), extraAnswer (the next N responses are followed by an unsolicited one),
@@ -69,8 +69,13 @@
             journal.add("order", entry);
             co_await exchange.respond(static_cast<unsigned>(faults.number("", "orderStatus", 400)), std::move(headers), "");
         } else if (faults.flag("", "refuse")) {
+            m_refusedOn[exchange.clientAddress()] = id;
             headers.emplace_back("Not-Executed", "1");
             co_await exchange.respond(503, std::move(headers), "");
+        } else if (const auto refused = m_refusedOn.find(exchange.clientAddress()); refused != m_refusedOn.end() && faults.flag("", "repeatRefusal")) {
+            journal.add("run", entry);
+            HeaderList refusal{{"Attempt-Id", refused->second}, {"Not-Executed", "1"}};
+            co_await exchange.respond(503, std::move(refusal), "");
         } else if (header(exchange, "Serving-Stage") == "prefill") {
             co_await prefill(exchange, std::move(headers), entry);
         } else {
@@ -175,6 +180,7 @@
         co_await exchange.finish();
     }
 
+    std::map<std::string, std::string> m_refusedOn; //!< id of the request refused last, by the caller's end of the connection
     std::uint64_t m_lastHandle = 0;
     std::int64_t m_arrivals = 0; //!< requests while the fault "pause" was set
 };
