Play targets that leave or want a pause in the soak, and check both rules

A fourth draw, so that older seeds mean the same runs (their cases say so): targets that say in their responses that they leave while their record stays ready, until a new run is registered; targets that refuse each third request with Retry-After: 1.5; kills, restarts and outages of the store beside them. A second case for responses that belong to no request on the sidecar path.

--- a/tests/proofs/soakcheckstest.cpp
+++ b/tests/proofs/soakcheckstest.cpp
@@ -147,3 +147,62 @@
         CHECK(requestsAddUpInMetrics(c.metrics).empty() == c.valid);
     }
 }
+
+// Guards against a soak that would not see a request to a target that has said that it leaves or wants a pause.
+TEST_CASE("The soak's checkers for statements of targets report requests against them", "[soak][checkers]")
+{
+    struct Case
+    {
+        const char *what;
+        std::vector<std::pair<std::string, double>> events; //!< kind with the caller's request id, and time
+        std::vector<CheckInterval> excuses;
+        bool leavingValid;
+        bool pauseValid;
+    };
+    // Requests: a and b of one entry, sent at 0 and 2500 ms, c of another entry, sent at 2500 ms; each takes 10 ms.
+    const std::vector<Case> cases{
+        {"nothing said", {{"run a", 5}, {"run b", 2505}}, {}, true, true},
+        {"a request after the drain time", {{"leaving a", 5}, {"run a", 5}, {"run b", 2505}}, {}, false, true},
+        {"its prefill", {{"leaving a", 5}, {"run a", 5}, {"read b", 2505}}, {}, false, true},
+        {"refused there", {{"leaving a", 5}, {"run a", 5}, {"refused b", 2505}}, {}, false, true},
+        {"a request of an entry that was not told", {{"leaving a", 5}, {"run a", 5}, {"run c", 2505}}, {}, true, true},
+        {"the next run of the target", {{"leaving a", 5}, {"run a", 5}, {"run b", 9000}}, {}, true, true},
+        {"the entry was restarted", {{"leaving a", 5}, {"run a", 5}, {"run b", 2505}}, {{"127.0.0.1:1", 100, 200}}, true, true},
+        {"three requests in a pause", {{"refused a", 5}, {"run b", 600}, {"run b", 700}, {"read b", 800}}, {}, true, false},
+        {"two requests in a pause", {{"refused a", 5}, {"run b", 600}, {"run b", 700}}, {}, true, true},
+        {"at once and after the end", {{"refused a", 5}, {"run b", 300}, {"run b", 400}, {"run b", 1100}, {"run b", 1200}, {"run b", 1300}}, {}, true, true},
+        {"of another entry", {{"refused a", 5}, {"run c", 600}, {"run c", 700}, {"run c", 800}}, {}, true, true},
+        {"the target was cut off", {{"refused a", 5}, {"run b", 600}, {"run b", 700}, {"run b", 800}}, {{"e1", 0, 50}}, true, true},
+    };
+    const auto at = [](double ms) {
+        return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms)));
+    };
+    std::vector<CallerRecord> records;
+    for (const auto &[id, entry, sent] :
+         std::vector<std::tuple<std::string, std::string, double>>{{"a", "127.0.0.1:1", 0}, {"b", "127.0.0.1:1", 2500}, {"c", "127.0.0.1:2", 2500}}) {
+        CallerRecord record;
+        record.entry = entry;
+        record.call.headers["Attempt-Id"] = id;
+        record.response.sent = at(sent);
+        record.response.ended = at(sent + 10);
+        record.response.complete = true;
+        record.response.status = 200;
+        records.push_back(record);
+    }
+    for (const Case &c : cases) {
+        INFO(c.what);
+        Journal journal;
+        for (const auto &[event, time] : c.events) {
+            const auto space = event.find(' ');
+            Json::Value line;
+            line["event"] = event.substr(0, space);
+            line["id"] = event.substr(space + 1);
+            line["standIn"] = "e1";
+            line["t"] = time;
+            line["retryAfter"] = "1";
+            journal.push_back(line);
+        }
+        CHECK(leavingTargetsGetNoWork({{"e1", 0, 8000}}, records, journal, c.excuses, 2000).empty() == c.leavingValid);
+        CHECK(pausedTargetsGetNoWork(records, journal, c.excuses).empty() == c.pauseValid);
+    }
+}
--- a/tests/proofs/wholeanswertest.cpp
+++ b/tests/proofs/wholeanswertest.cpp
@@ -206,21 +206,35 @@
     }
 }
 
-// Guards against taking a response that was already waiting on a persistent connection for the answer to the next request.
+// Guards against taking what a service sends for no request, before or after the next request is sent, for the answer to that one.
 TEST_CASE("A surplus response of a service is never taken for the answer to the next request", "[whole-answer]")
 {
-    ClusterOptions options;
-    options.entries = 1;
-    options.targets = {{.kind = "service", .group = "licences"}};
-    options.settings = R"({"timings": {"instancesPollMs": 200}, "link": {"heartbeatMs": 300}})";
-    Cluster cluster(options);
-    REQUIRE(cluster.start(defaultRecords()));
-    callOnce(cluster.targets[0].control, postJson("/faults", *parseJson(R"({"extraAnswer": 1000})")));
-    std::vector<CallerRecord> records;
-    for (int i = 0; i < 40; ++i) {
-        records.push_back(sendOnce(cluster.entries[0].callers, "bureau", lookupCall("/status/" + std::to_string(i))));
-        CHECK(records.back().response.status == 200);
-        CHECK(records.back().response.body.find("/status/" + std::to_string(i) + "\"") != std::string::npos);
+    struct Case
+    {
+        const char *what;
+        const char *faults;
+        const char *faultsLater; //!< after one lookup
+    };
+    const std::vector<Case> cases{{"waits on the connection", R"({"extraAnswer": 1000})", "{}"},
+                                  {"comes after the next request, from a service that sends ids", R"({"echoIds": true})", R"({"foreignAnswers": 1})"}};
+    for (const Case &c : cases) {
+        INFO(c.what);
+        ClusterOptions options;
+        options.entries = 1;
+        options.targets = {{.kind = "service", .group = "licences"}};
+        options.settings = R"({"timings": {"instancesPollMs": 200}, "link": {"heartbeatMs": 300}})";
+        Cluster cluster(options);
+        REQUIRE(cluster.start(defaultRecords()));
+        callOnce(cluster.targets[0].control, postJson("/faults", *parseJson(c.faults)));
+        std::vector<CallerRecord> records;
+        for (int i = 0; i < 40; ++i) {
+            records.push_back(sendOnce(cluster.entries[0].callers, "bureau", lookupCall("/status/" + std::to_string(i))));
+            CHECK(records.back().response.status == 200);
+            CHECK(records.back().response.body.find("/status/" + std::to_string(i) + "\"") != std::string::npos);
+            if (i == 0) {
+                callOnce(cluster.targets[0].control, postJson("/faults", *parseJson(c.faultsLater)));
+            }
+        }
+        CHECK(responsesComplete(records) == noViolations);
     }
-    CHECK(responsesComplete(records) == noViolations);
 }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -21,6 +21,7 @@
     int faults = 12;
     int plannedWork = 10;
     int copies = 4;
+    int statements = 4;
 };
 
 bool parseOptions(int argc, const char **argv, SoakOptions &options)
@@ -34,6 +35,13 @@
         {"faults", 'f', POPT_ARG_INT, &options.faults, 0, "faults per run", "COUNT"},
         {"planned-work", 'p', POPT_ARG_INT, &options.plannedWork, 0, "planned work and silent targets per run", "COUNT"},
         {"copies", 'o', POPT_ARG_INT, &options.copies, 0, "older copies of the store, with kills and restarts beside them, per run", "COUNT"},
+        {"statements",
+         'a',
+         POPT_ARG_INT,
+         &options.statements,
+         0,
+         "targets that say that they leave or want a pause, with kills and restarts beside them, per run",
+         "COUNT"},
         POPT_AUTOHELP POPT_TABLEEND,
     };
     poptContext context = poptGetContext(nullptr, argc, argv, table, 0);
@@ -41,7 +49,7 @@
     const bool rest = poptPeekArg(context) != nullptr;
     poptFreeContext(context);
     return end == -1 && !rest && options.seeds > 0 && options.entries > 0 && options.callers > 0 && options.seconds > 2 && options.faults >= 0
-        && options.plannedWork >= 0 && options.copies >= 0;
+        && options.plannedWork >= 0 && options.copies >= 0 && options.statements >= 0;
 }
 
 } // namespace
@@ -60,6 +68,7 @@
     size.faults = static_cast<std::size_t>(options.faults);
     size.plannedWork = static_cast<std::size_t>(options.plannedWork);
     size.copies = static_cast<std::size_t>(options.copies);
+    size.statements = static_cast<std::size_t>(options.statements);
     int failed = 0;
     for (int i = 0; i < options.seeds; ++i) {
         const auto seed = static_cast<std::uint64_t>(options.firstSeed + i);
--- a/tests/soak/soakcheck.h
+++ b/tests/soak/soakcheck.h
@@ -47,6 +47,27 @@
 /** Finds work that a draining target received within its interval. */
 Violations drainingTargetsGetNoWork(const std::vector<CheckInterval> &intervals, const Journal &journal);
 
+/**
+ * Finds requests that callers sent later than the drain time after their entry had passed on a response with which the target said
+ * that it leaves, and that reached the target.
+ *
+ * @param runs from when a target says so until its next run, by id of the target
+ * @param excuses by address of the entry: it was restarted or paused
+ */
+Violations leavingTargetsGetNoWork(const std::vector<CheckInterval> &runs,
+                                   const std::vector<CallerRecord> &records,
+                                   const Journal &journal,
+                                   const std::vector<CheckInterval> &excuses,
+                                   double drainMs);
+
+/**
+ * Finds targets that got more than two requests from an entry between half a second after they had refused one of its requests
+ * with a pause and the end of the pause.
+ *
+ * @param excuses by address of the entry, which was restarted or paused, or by id of the target, which was cut off
+ */
+Violations pausedTargetsGetNoWork(const std::vector<CallerRecord> &records, const Journal &journal, const std::vector<CheckInterval> &excuses);
+
 /** Finds requests sent with a withdrawn key within its interval that ran. */
 Violations withdrawnKeysRunNothing(const std::vector<CheckInterval> &intervals, const std::vector<CallerRecord> &records, const Journal &journal);
 
--- a/tests/soak/soakplan.cpp
+++ b/tests/soak/soakplan.cpp
@@ -11,10 +11,10 @@
 const char *toString(FaultKind kind) noexcept
 {
     static constexpr const char *names[faultKindCount] = {
-        "kill entry",   "stop entry",         "pause entry",     "reload entry", "kill all entries", "kill target",      "pause target",
-        "leave target", "drop target",        "silence target",  "cut target",   "delay target",     "refuse work",      "fail work",
-        "break stream", "extra answers",      "slow target",     "drop store",   "silence store",    "cut store",        "delay store",
-        "store down",   "lose store answers", "publish version", "withdraw key", "silent target",    "older store copy",
+        "kill entry",   "stop entry",     "pause entry",    "reload entry",   "kill all entries", "kill target", "pause target",       "leave target",
+        "drop target",  "silence target", "cut target",     "delay target",   "refuse work",      "fail work",   "break stream",       "extra answers",
+        "slow target",  "drop store",     "silence store",  "cut store",      "delay store",      "store down",  "lose store answers", "publish version",
+        "withdraw key", "silent target",  "leaving target", "pausing target", "older store copy",
     };
     return names[static_cast<int>(kind)];
 }
@@ -36,6 +36,16 @@
                             FaultKind::KillAllEntries,
                             FaultKind::StopEntry,
                             FaultKind::PublishVersion};
+constexpr std::array stated{FaultKind::LeavingTarget,
+                            FaultKind::LeavingTarget,
+                            FaultKind::LeavingTarget,
+                            FaultKind::PausingTarget,
+                            FaultKind::PausingTarget,
+                            FaultKind::PausingTarget,
+                            FaultKind::KillEntry,
+                            FaultKind::StopEntry,
+                            FaultKind::StoreDown};
+constexpr milliseconds leavingTime{3500}; // longer than the drain time, after which a leaving target must get nothing
 
 /** Adds the given number of faults, whose kinds the function draws from a random number below its bound. */
 void addFaults(std::vector<Fault> &faults, std::mt19937_64 &random, std::size_t count, milliseconds duration, int kinds, FaultKind (*kindOf)(std::int64_t))
@@ -67,6 +77,7 @@
 {
     constexpr std::uint64_t plannedSalt = 0x706c616e;
     constexpr std::uint64_t copySalt = 0x636f7079;
+    constexpr std::uint64_t statementSalt = 0x73746174;
     std::vector<Fault> faults;
     std::mt19937_64 random(seed);
     addFaults(faults, random, size.faults, size.duration, static_cast<int>(FaultKind::SilentTarget), [](std::int64_t kind) {
@@ -85,6 +96,21 @@
             return copied.at(static_cast<std::size_t>(kind));
         });
     }
+    std::mt19937_64 statementRandom(seed ^ statementSalt);
+    const std::size_t first = faults.size();
+    if (size.statements > 0) {
+        addFaults(faults, statementRandom, 1, size.duration, 2, [](std::int64_t kind) {
+            return kind == 0 ? FaultKind::LeavingTarget : FaultKind::PausingTarget;
+        });
+        addFaults(faults, statementRandom, size.statements - 1, size.duration, static_cast<int>(stated.size()), [](std::int64_t kind) {
+            return stated.at(static_cast<std::size_t>(kind));
+        });
+    }
+    for (std::size_t i = first; i < faults.size(); ++i) {
+        if (faults[i].kind == FaultKind::LeavingTarget) {
+            faults[i].end = std::min(size.duration, faults[i].end + leavingTime);
+        }
+    }
     std::stable_sort(faults.begin(), faults.end(), [](const Fault &left, const Fault &right) {
         return left.start < right.start;
     });
@@ -102,6 +128,8 @@
                                               FaultKind::PublishVersion,
                                               FaultKind::WithdrawKey,
                                               FaultKind::DrainTarget,
+                                              FaultKind::LeavingTarget,
+                                              FaultKind::PausingTarget,
                                               FaultKind::SilentTarget};
     constexpr milliseconds contactTime{3000};
     return std::none_of(faults.begin(), faults.end(), [&](const Fault &fault) {
--- a/tests/soak/soakplan.h
+++ b/tests/soak/soakplan.h
@@ -36,6 +36,8 @@
     PublishVersion,
     WithdrawKey, //!< withdraws the second API key; published again at the end
     SilentTarget, //!< each run that starts at the target, or at any of its group, sends nothing for a while and then goes on
+    LeavingTarget, //!< the target says in its responses that it leaves, its entry stays ready; registered as a new run at the end
+    PausingTarget, //!< the target refuses some requests with 503 and asks for a pause
     OlderStoreCopy, //!< the store comes back from a copy up to some seconds old, half of the times after it was away; written again at the end
 };
 
@@ -58,14 +60,15 @@
     std::size_t entries = 3;
     std::size_t callers = 12;
     milliseconds duration{10000}; //!< period within which faults start and end
-    std::size_t faults = 12; //!< of any kind but SilentTarget and OlderStoreCopy
+    std::size_t faults = 12; //!< of any kind before SilentTarget
     std::size_t plannedWork = 10; //!< in addition: planned work and silent targets, after which every request must be answered
     std::size_t copies = 4; //!< in addition: older copies of the store, and kills and restarts of entries beside them
+    std::size_t statements = 4; //!< in addition: targets that say that they leave or want a pause, and kills and restarts beside them
 };
 
 /**
  * Returns the faults for a seed, sorted by start. Some are repeated: the same kind occurs again shortly after. Neither the
- * faults of planned work nor those of older copies change the others of the same seed.
+ * faults of planned work nor those of older copies nor statements of targets change the others of the same seed.
  */
 std::vector<Fault> planFaults(std::uint64_t seed, const SoakSize &size);
 
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -251,6 +251,12 @@
         addViolations(requestsEndInTime(records, responseTimeout + m_totalPause));
         addViolations(oneHolder(journal, leaseTimeout));
         addViolations(drainingTargetsGetNoWork(m_drainIntervals, journal));
+        std::vector<CheckInterval> excuses = m_entryPauses;
+        for (const auto *faults : {&m_endingFaults.kills, &m_endingFaults.absences, &m_endingFaults.brokenTargets}) {
+            excuses.insert(excuses.end(), faults->begin(), faults->end());
+        }
+        addViolations(leavingTargetsGetNoWork(m_leavingRuns, records, journal, excuses, static_cast<double>((drainTimeout + journalTolerance).count())));
+        addViolations(pausedTargetsGetNoWork(records, journal, excuses));
         addViolations(withdrawnKeysRunNothing(m_withdrawnKeyIntervals, records, journal));
     }
 
@@ -302,6 +308,8 @@
     std::map<std::size_t, double> m_absentSince; //!< time of the SIGTERM or kill, by index of the entry
     EndingFaults m_endingFaults;
     std::vector<CheckInterval> m_drainIntervals;
+    std::vector<CheckInterval> m_entryPauses; //!< by address of the entry
+    std::vector<CheckInterval> m_leavingRuns; //!< by id of the target, until its next run
     std::vector<CheckInterval> m_withdrawnKeyIntervals;
 };
 
@@ -327,6 +335,7 @@
         break;
     case FaultKind::PauseEntry:
         m_totalPause += duration;
+        m_entryPauses.push_back({entryName(entry), now, now + static_cast<double>((duration + journalTolerance).count())});
         pauseEntry(entry);
         break;
     case FaultKind::ReloadEntry:
@@ -365,6 +374,10 @@
             m_withdrawnKeyIntervals.push_back(checkInterval("key-2"));
         }
         break;
+    case FaultKind::LeavingTarget:
+        startTargetFault(m_host, fault, m_endingFaults.brokenTargets);
+        m_leavingRuns.push_back({target.id, journalNow(), journalNow() + static_cast<double>(duration.count())});
+        break;
     case FaultKind::OlderStoreCopy:
         if (comesBackAtEnd(fault)) {
             m_host.setFaults("store", R"({"down": true})");
@@ -407,6 +420,10 @@
         --m_withdrawals;
         publishConfiguration();
         break;
+    case FaultKind::LeavingTarget:
+        endTargetFault(m_host, fault);
+        m_host.registerNewRun(target.id);
+        break;
     case FaultKind::OlderStoreCopy:
         if (comesBackAtEnd(fault)) {
             m_host.bringBackCopy(copyAge(fault));
--- a/tests/soak/standinfaults.cpp
+++ b/tests/soak/standinfaults.cpp
@@ -14,6 +14,8 @@
         {FaultKind::BreakStream, {false, R"({"cutAfter": 2})", R"({"cutAfter": null})"}},
         {FaultKind::DuplicateResponses, {false, R"({"extraAnswer": 3})", R"({"extraAnswer": null})"}},
         {FaultKind::SlowTarget, {false, R"({"beforeMs": 400, "readMs": 400, "eventMs": 100})", R"({"beforeMs": null, "readMs": null, "eventMs": null})"}},
+        {FaultKind::LeavingTarget, {false, R"({"leaving": true})", R"({"leaving": null})"}},
+        {FaultKind::PausingTarget, {false, R"({"pause": "1.5", "pauseEvery": 3})", R"({"pause": null, "pauseEvery": null})"}},
         {FaultKind::StoreDown, {true, R"({"down": true})", R"({"down": null})"}},
         {FaultKind::LoseStoreResponses, {true, R"({"loseAnswers": 5})", R"({"loseAnswers": null})"}},
     };
--- a/tests/standins/service.cpp
+++ b/tests/standins/service.cpp
@@ -17,7 +17,8 @@
 /**
  * Plain service that accepts any method and path and counts how often each request ran. Faults: beforeMs (delay before
  * the request runs), lateMs (delay of the response), cutAnswers (the next N requests run, then the connection closes
- * without a response), extraAnswer (the next N responses are followed by one that belongs to no request and has no id); a request may also set both delays in its query. A body with DIE-BEFORE or DIE-AFTER ends the
+ * without a response), extraAnswer (the next N responses are followed by one that belongs to no request and has no id), echoIds (responses carry
+ * the id of their request), foreignAnswers (the next N responses are those of no request, without id); a request may also set both delays in its query. A body with DIE-BEFORE or DIE-AFTER ends the
  * process before or after the request runs; a request with CUT-ME in its body runs and gets no response.
  */
 class Service : public StandIn
@@ -56,7 +57,14 @@
         response["path"] = std::string(request.target());
         response["echo"] = request.body();
         response["runs"] = entry["runs"];
-        co_await respondJson(exchange, 200, std::move(response));
+        HeaderList headers{{"Content-Type", "application/json"}};
+        if (faults.consume("", "foreignAnswers")) {
+            response = Json::Value(Json::objectValue);
+            response["echo"] = "other";
+        } else if (faults.flag("", "echoIds")) {
+            headers.emplace_back("X-Request-Id", entry["requestId"].asString());
+        }
+        co_await exchange.respond(200, std::move(headers), writeJson(response));
         if (faults.consume("", "extraAnswer")) {
             co_await exchange.write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 16\r\n\r\n{\"echo\":\"other\"}");
         }
