--- a/tests/core/jsontexttest.cpp
+++ b/tests/core/jsontexttest.cpp
@@ -53,7 +53,7 @@
     const std::string seedText = R"({"service":"s","address":"10.0.0.1:80","x":[{"y":[1e9,-0.5,"z\"\\",null]},true],"born":1700000000123})";
     const std::string alphabet = "[]{}\",:\\0123456789eE+-.tfn \n\x01\xff";
     for (std::uint64_t seed = 1; seed <= texts; ++seed) {
-        fakes::Random random(seed);
+        fakes::Random random{seed};
         std::string text = seedText;
         for (std::uint64_t change = random.between(1, 12); change > 0; --change) {
             const std::size_t at = random.between(0, text.size() - 1);
