--- a/src/process/src/targetregistryshard.h
+++ b/src/process/src/targetregistryshard.h
@@ -60,6 +60,24 @@
     std::map<std::string, std::uint64_t> unsentShortPromptTokens; //!< tokens of short prompts for the next peer update, by target id
 };
 
+/** Whether the records of the target tell its runs apart. */
+template<typename Target> bool isStartKnown(const Target &target)
+{
+    return target.entry.startTimeMs != 0;
+}
+
+/** Whether the target may be given work, now or after a pause. */
+template<typename Target> bool isUsable(const Target &target, TimePoint now)
+{
+    return !target.entry.draining && !target.replaced && !isLeaving(target.notice, isStartKnown(target), now);
+}
+
+/** Whether the target wants no requests from this entry for now. */
+template<typename Target> bool isPaused(const Target &target, TimePoint now)
+{
+    return now < target.notice.pausedUntil;
+}
+
 /**
  * Remaining prefill time on a target for prompts of this entry. Only the oldest prefill is counted as partly done: an
  * engine prefills the prompts of all entries in turn, so its progress on those of one entry is less than the elapsed time.
--- a/tests/soak/soakcheck.h
+++ b/tests/soak/soakcheck.h
@@ -60,6 +60,9 @@
                                    const std::vector<CheckInterval> &excuses,
                                    double drainMs);
 
+/** The next run of the target has been registered, which ends what was to hold for the one before, also from later faults. */
+void endLeavingRuns(std::vector<CheckInterval> &runs, const std::string &target, double now);
+
 /**
  * Finds targets that got more than two requests from an entry between half a second after they had refused one of its requests
  * with a pause and the end of the pause.
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -423,10 +423,7 @@
     case FaultKind::LeavingTarget:
         endTargetFault(m_host, fault);
         m_host.registerNewRun(target.id);
-        // The new run ends all faults of this kind at the target, also those that were to last longer.
-        for (CheckInterval &run : m_leavingRuns) {
-            run.end = run.subject == target.id ? std::min(run.end, journalNow()) : run.end;
-        }
+        endLeavingRuns(m_leavingRuns, target.id, journalNow());
         break;
     case FaultKind::OlderStoreCopy:
         if (comesBackAtEnd(fault)) {
--- a/tests/soak/statementcheck.cpp
+++ b/tests/soak/statementcheck.cpp
@@ -92,6 +92,13 @@
     return violations;
 }
 
+void endLeavingRuns(std::vector<CheckInterval> &runs, const std::string &target, double now)
+{
+    for (CheckInterval &run : runs) {
+        run.end = run.subject == target ? std::min(run.end, now) : run.end;
+    }
+}
+
 Violations pausedTargetsGetNoWork(const std::vector<CallerRecord> &records, const Journal &journal, const std::vector<CheckInterval> &excuses)
 {
     const std::vector<TargetEvent> events = eventsOfCallers(records, journal);
