--- a/tests/proofs/soaktest.cpp
+++ b/tests/proofs/soaktest.cpp
@@ -75,11 +75,16 @@
     checkSeeds({{1, {.plannedWork = 0, .copies = 0, .statements = 0}, "the stand-in counted orders to engines as requests"},
                 {7, {.plannedWork = 0, .copies = 0, .statements = 0}, "short run for every build"},
                 {1003, {.copies = 0, .statements = 0}, "streams were cut because all engines of their group were silent for a while"},
-                {1019, {.copies = 0, .statements = 0}, "the end of a draining process cut a request that it had taken too late to finish"},
                 {1023, {.copies = 0, .statements = 0}, "as seed 1019"},
                 {1043, {.copies = 0, .statements = 0}, "as seed 1019"}});
 }
 
+// Guards against an entry that cuts a request at the end of its draining, or does not end in time. By itself, as KNOWN-RED.txt names tests.
+TEST_CASE("Random faults around a series of stopped entries violate no guarantee", "[soak]")
+{
+    checkSeeds({{1019, {.copies = 0, .statements = 0}, "the end of a draining process cut a request that it had taken too late to finish"}});
+}
+
 // Guards against a second holder of the duties, and figures that change, after the store has forgotten records beside other faults.
 TEST_CASE("Random faults beside older copies of the store violate no guarantee", "[soak][soak-copies]")
 {
