--- a/review/3/smuggled.cpp
+++ b/review/3/smuggled.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-constexpr std::array<const char *, 4> codings{"identity", "gzip", "xchunked", "chunked, identity"};
+constexpr std::array<const char *, 3> codings{"gzip", "xchunked", "chunked, identity"};
 
 /** A request that a server ran. */
 struct Run
