Give up framing that has no end, wherever a peer sends it

Cause: no receive buffer had a limit. Heads, bodies and events were bounded where they are used, but a parser asks for more until it has a whole element, and chunk headers and trailers have no limit of their own.

Change: one limit for each buffer of a connection: 64 KiB for responses, the limit of the head or the read-ahead for requests. The wait for a part of a body has one timeout; before, each read that decoded nothing began a new one. On the path through sidecars, events without end are given up. ConnectionResult::Overlong tells such a peer from a time-out.

--- a/src/connection/include/connection/httpclient.h
+++ b/src/connection/include/connection/httpclient.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include <connection/endpoint.h>
+#include <connection/receivebuffer.h>
 #include <core/reason.h>
 #include <core/time.h>
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/message.hpp>
@@ -24,6 +24,9 @@
 namespace snipehill
 {
 
+/** Limit for the body of a response of which only the status and a short value count, in bytes. */
+constexpr std::size_t shortBodyBytes = 65536;
+
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
@@ -53,6 +56,7 @@
     TimedOut, //!< at the time limit of an operation
     Aborted, //!< by abort()
     Broken, //!< the peer could not be reached, closed or reset the connection, or sent malformed data
+    Overlong, //!< the peer sent a header section or framing beyond the limit of the receive buffer
 };
 
 /**
@@ -74,7 +78,7 @@
     boost::asio::awaitable<bool> send(const HttpRequest &request, milliseconds timeout, Reason &reason);
     /** Reads status line and headers of the final response; interim responses (1xx) are skipped within the same timeout. */
     boost::asio::awaitable<bool> readHead(milliseconds timeout, Reason &reason);
-    /** Reads the next part of the body; returns an empty string at its end, and no value with a reason on error. */
+    /** Reads the next part of the body within the timeout; returns an empty string at its end, and no value with a reason on error. */
     boost::asio::awaitable<std::optional<std::string>> readSome(milliseconds timeout, Reason &reason);
 
     const boost::beast::http::response_header<> &head() const;
@@ -101,7 +105,7 @@
 
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
     boost::beast::tcp_stream m_stream;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer = makeReceiveBuffer();
     std::unique_ptr<Parser> m_parser;
     Endpoint m_peer;
     bool m_headRequested = false; //!< the response to HEAD has no body, whatever its Content-Length
--- a/src/connection/src/disconnectwatcher.cpp
+++ b/src/connection/src/disconnectwatcher.cpp
@@ -13,9 +13,6 @@
 
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 
-/** Limit for data of pipelined requests that is read while a handler runs. */
-constexpr std::size_t readAheadBytes = 65536;
-
 } // namespace
 
 void watchForDisconnect(const std::shared_ptr<DisconnectWatcher> &watcher, const std::shared_ptr<HttpStream> &stream, boost::beast::flat_buffer &buffer)
@@ -24,7 +21,7 @@
         return;
     }
     watcher->reading = true;
-    stream->socket().async_read_some(buffer.prepare(4096), [watcher, stream, &buffer](const boost::system::error_code &error, std::size_t read) {
+    stream->socket().async_read_some(buffer.prepare(readBytes), [watcher, stream, &buffer](const boost::system::error_code &error, std::size_t read) {
         buffer.commit(read);
         watcher->reading = false;
         if (watcher->stopping) {
--- a/src/connection/src/httpclient.cpp
+++ b/src/connection/src/httpclient.cpp
@@ -91,7 +91,7 @@
         closeWithReset(stream);
         co_return std::nullopt;
     }
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer = makeReceiveBuffer();
     std::optional<http::response_parser<http::string_body>> parser;
     do {
         parser.emplace();
@@ -167,10 +167,10 @@
 asio::awaitable<std::optional<std::string>> HttpConnection::readSome(milliseconds timeout, Reason &reason)
 {
     std::array<char, readChunkBytes> chunk{};
+    m_stream.expires_after(timeout);
     while (!m_parser->is_done()) {
         m_parser->get().body().data = chunk.data();
         m_parser->get().body().size = chunk.size();
-        m_stream.expires_after(timeout);
         auto [error, read] = co_await http::async_read_some(m_stream, m_buffer, *m_parser, useTuple);
         if (error && error != http::error::need_buffer) {
             reason = fail("receive body", error);
@@ -209,7 +209,9 @@
 Reason HttpConnection::fail(std::string_view what, const boost::system::error_code &error)
 {
     if (m_result == ConnectionResult::Success) {
-        m_result = error == boost::beast::error::timeout ? ConnectionResult::TimedOut : ConnectionResult::Broken;
+        m_result = error == boost::beast::error::timeout                                  ? ConnectionResult::TimedOut
+            : error == http::error::buffer_overflow || error == http::error::header_limit ? ConnectionResult::Overlong
+                                                                                          : ConnectionResult::Broken;
     }
     return failure(Step::RunOnTarget, m_peer, what, error);
 }
--- a/src/connection/src/httpinput.cpp
+++ b/src/connection/src/httpinput.cpp
@@ -70,6 +70,11 @@
     return statusBadRequest;
 }
 
+void limitReceiveBuffer(boost::beast::flat_buffer &buffer, const HttpServerLimits &limits) noexcept
+{
+    buffer.max_size(std::max<std::size_t>({limits.headerBytes, readAheadBytes, buffer.size()}) + readBytes);
+}
+
 asio::awaitable<boost::system::error_code>
 readRequestHead(std::shared_ptr<HttpStream> stream, boost::beast::flat_buffer &buffer, const HttpServerLimits &limits, std::size_t &size)
 {
@@ -84,7 +89,7 @@
         if (end != std::string_view::npos || bytes.size() >= limits.headerBytes) {
             co_return http::error::header_limit;
         }
-        auto [error, read] = co_await stream->async_read_some(buffer.prepare(4096), useTuple);
+        auto [error, read] = co_await stream->async_read_some(buffer.prepare(readBytes), useTuple);
         buffer.commit(read);
         if (error) {
             co_return readTimeout.expired() ? boost::beast::error::timeout : error;
--- a/src/connection/src/httpinput.h
+++ b/src/connection/src/httpinput.h
@@ -18,6 +18,15 @@
 using HttpStream = boost::beast::tcp_stream;
 using HttpRequestParser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+/** Bytes that one read adds to the buffer of a connection at most, except while a body is read. */
+constexpr std::size_t readBytes = 4096;
+
+/** Limit for pipelined requests that are read while a handler runs, in bytes. */
+constexpr std::size_t readAheadBytes = 65536;
+
+/** Lets the buffer hold a header section of the allowed size or what was read ahead, whichever is more, and one read in addition. */
+void limitReceiveBuffer(boost::beast::flat_buffer &buffer, const HttpServerLimits &limits) noexcept;
+
 /** Reads until the buffer holds a complete header section and sets size to its length, including the empty line at its end. */
 boost::asio::awaitable<boost::system::error_code>
 readRequestHead(std::shared_ptr<HttpStream> stream, boost::beast::flat_buffer &buffer, const HttpServerLimits &limits, std::size_t &size);
--- a/src/connection/src/httpserver.cpp
+++ b/src/connection/src/httpserver.cpp
@@ -262,7 +262,7 @@
         co_return false;
     }
     stream->expires_after(limits.idleTimeout);
-    auto [error, read] = co_await stream->async_read_some(buffer.prepare(4096), useTuple);
+    auto [error, read] = co_await stream->async_read_some(buffer.prepare(readBytes), useTuple);
     buffer.commit(read);
     co_return !error;
 }
@@ -312,6 +312,7 @@
 serveRequest(const ServerStatePointer &state, const std::shared_ptr<Stream> &stream, boost::beast::flat_buffer &buffer, const std::string &client)
 {
     const HttpServerLimits limits = state->currentLimits();
+    limitReceiveBuffer(buffer, limits);
     std::size_t headSize = 0;
     boost::system::error_code error = co_await readRequestHead(stream, buffer, limits, headSize);
     const TimePoint received = Clock::now();
--- a/src/process/src/sidecarcontrol.cpp
+++ b/src/process/src/sidecarcontrol.cpp
@@ -69,6 +69,7 @@
 {
     HttpCall call{.peer = state->settings.target, .timeout = state->settings.grant.orderTimeout, .step = Step::Order};
     call.target = "/state";
+    call.bodyLimit = shortBodyBytes;
     const auto response = co_await httpCall(std::move(call), reason);
     if (!response) {
         co_return std::nullopt;
@@ -197,6 +198,7 @@
     auto notSent = std::make_shared<bool>(false);
     HttpCall call{.peer = state->settings.target, .method = boost::beast::http::verb::post, .timeout = state->settings.grant.orderTimeout, .step = Step::Order};
     call.target = "/orders";
+    call.bodyLimit = shortBodyBytes;
     call.body = engineOrderBody(order, fencingToken);
     call.maySend = [state, grant = order.grant, notSent] {
         *notSent = !state->isCurrentGrant(grant);
--- a/src/serving/src/callerresponse.cpp
+++ b/src/serving/src/callerresponse.cpp
@@ -73,6 +73,9 @@
         m_buffered += frame.data();
         co_return m_buffered.size() <= maxBufferedBytes;
     }
+    if (m_events.size() + frame.data().size() > maxBufferedBytes) {
+        co_return false; // what was delivered could not be told to another engine
+    }
     m_events += frame.data();
     const bool sent = co_await m_exchange.write(frame.data());
     co_return sent;
--- a/src/serving/src/directroles.cpp
+++ b/src/serving/src/directroles.cpp
@@ -68,6 +68,7 @@
     }
     HttpCall call{.peer = *endpoint, .method = boost::beast::http::verb::post, .target = platform::orderPath, .timeout = orderTimeout};
     call.step = Step::Order;
+    call.bodyLimit = shortBodyBytes;
     call.body = platform::roleOrderBody(role, {context.settings.instance, *fencingToken});
     call.headers = platform::orderHeaders(engine.id);
     const TargetRef target{.group = engine.group, .id = engine.id, .endpoint = *endpoint, .failureDomain = engine.failureDomain, .run = targetRun(engine)};
--- a/src/serving/src/directstream.cpp
+++ b/src/serving/src/directstream.cpp
@@ -33,6 +33,7 @@
 {
     const HttpRequest request = platform::buildKvReleaseRequest(handle);
     HttpCall call{.peer = engine.endpoint, .method = request.method(), .target = std::string(request.target()), .timeout = releaseTimeout};
+    call.bodyLimit = shortBodyBytes;
     call.maySend = [&targets, &engine] {
         return maySendTo(targets, engine, SendPurpose::KvRelease, {});
     };
--- a/src/serving/src/directusage.cpp
+++ b/src/serving/src/directusage.cpp
@@ -244,6 +244,7 @@
         }
         HttpCall call{.peer = m_context.settings.duties, .method = boost::beast::http::verb::post, .target = platform::usagePath, .timeout = reportTimeout};
         call.step = Step::Usage;
+        call.bodyLimit = shortBodyBytes;
         call.body = platform::usageBody(report);
         call.headers = platform::leaseHeaders(report);
         call.maySend = [this, hold] {
--- a/src/serving/src/eventsplitter.cpp
+++ b/src/serving/src/eventsplitter.cpp
@@ -1,6 +1,9 @@
 #include "eventsplitter.h"
 
 #include <core/jsontext.h>
+#include <request/eventstream.h>
+
+#include <algorithm>
 
 namespace snipehill
 {
@@ -45,12 +48,13 @@
 
 std::string EventSplitter::append(std::string_view bytes)
 {
+    const std::size_t unsearched = m_incompleteEvent.size() - std::min(m_incompleteEvent.size(), eventEnd.size() - 1);
     m_incompleteEvent += bytes;
-    const auto last = m_incompleteEvent.rfind(eventEnd);
+    const auto last = std::string_view(m_incompleteEvent).substr(unsearched).rfind(eventEnd);
     if (last == std::string::npos) {
         return {};
     }
-    std::string completeEvents = m_incompleteEvent.substr(0, last + eventEnd.size());
+    std::string completeEvents = m_incompleteEvent.substr(0, unsearched + last + eventEnd.size());
     m_incompleteEvent.erase(0, completeEvents.size());
     for (std::string_view rest = completeEvents; !rest.empty();) {
         const auto end = rest.find(eventEnd);
@@ -65,4 +69,9 @@
     return m_progress;
 }
 
+bool EventSplitter::isOverlong() const noexcept
+{
+    return m_incompleteEvent.size() > EventStream::maxEventBytes;
+}
+
 } // namespace snipehill
--- a/src/serving/src/eventsplitter.h
+++ b/src/serving/src/eventsplitter.h
@@ -27,6 +27,8 @@
     /** Adds bytes and returns all events that they complete; an incomplete event is kept for the next call. */
     std::string append(std::string_view bytes);
     const EventProgress &progress() const noexcept;
+    /** Whether the incomplete event is longer than any event may be; nothing that follows can be used. */
+    bool isOverlong() const noexcept;
 
 private:
     void updateProgress(std::string_view event);
--- a/src/serving/src/targetexchange.cpp
+++ b/src/serving/src/targetexchange.cpp
@@ -190,6 +190,10 @@
             }
             if (m_stream) {
                 forward(m_splitter.append(*piece));
+                if (m_splitter.isOverlong()) {
+                    m_result.reason = {Step::RunOnTarget, toString(m_target.endpoint), "an event of the stream has no end"};
+                    co_return;
+                }
             } else {
                 if (m_target.engine && body.size() < maxUsageBodyBytes) {
                     body += *piece;
--- a/tests/serving/eventstest.cpp
+++ b/tests/serving/eventstest.cpp
@@ -38,6 +38,20 @@
     }
 }
 
+// Guards against an engine on the path through sidecars whose event has no end, which fills the sidecar's memory.
+TEST_CASE("an event without end is known to be overlong, and long ones are not", "[events][endless]")
+{
+    EventSplitter splitter;
+    const std::string bytes(1U << 20U, 'x');
+    CHECK(splitter.append("data: " + bytes).empty());
+    CHECK(!splitter.isOverlong());
+    CHECK(splitter.append("\n\n").size() == bytes.size() + 8);
+    for (int i = 0; i < 5; ++i) {
+        CHECK(splitter.append(bytes).empty());
+    }
+    CHECK(splitter.isOverlong());
+}
+
 TEST_CASE("a stream without its final event is not complete", "[events]")
 {
     EventSplitter splitter;
