Bound the memory of all requests and all response bodies by that of the instance

Cause: nothing bounded the requests that are being received. The bound for bodies was a constant, whatever the instance has, and counted contents: not unused capacity, nor both copies while a string grows. The allocator kept large freed buffers.

Change: MemoryBudget, a third of the instance's memory for requests and a quarter for response bodies and events, counted by capacity. Large buffers go back to the system when freed. Rejected requests are logged with the caller's address and counted by status.

--- a/src/connection/include/connection/httpserver.h
+++ b/src/connection/include/connection/httpserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <connection/endpoint.h>
+#include <core/memorybudget.h>
 #include <core/time.h>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -29,6 +30,7 @@
     milliseconds idleTimeout{60000}; //!< between requests
     milliseconds requestTimeout{10000}; //!< for receiving the header section, and again for the body
     milliseconds writeTimeout{30000}; //!< for each write to complete
+    MemoryBudget *requestMemory = nullptr; //!< charged for requests while they are received and handled; must outlive the server; no limit if null
 };
 
 /** Header fields in the order in which they are written. */
@@ -85,6 +87,8 @@
 {
     std::function<void()> onReceived; //!< a request was received completely; may be empty
     std::function<void(RequestEnd, std::string_view error)> onEnded; //!< error: exception that left the handler, else empty; may be empty
+    /** A request was rejected before it was received completely; client: its end of the connection. May be empty. */
+    std::function<void(unsigned status, std::string_view error, const std::string &client)> onRejected;
 };
 
 /**
--- a/src/connection/src/httpinput.h
+++ b/src/connection/src/httpinput.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace snipehill
 {
@@ -22,14 +23,27 @@
 constexpr std::size_t readBytes = 4096;
 
 /** Limit for pipelined requests that are read while a handler runs, in bytes. */
-constexpr std::size_t readAheadBytes = 65536;
+constexpr std::size_t readAheadBytes = 16384;
 
 /** Lets the buffer hold a header section of the allowed size or what was read ahead, whichever is more, and one read in addition. */
 void limitReceiveBuffer(boost::beast::flat_buffer &buffer, const HttpServerLimits &limits) noexcept;
 
+/** A request that is being received. Owned by the coroutine of its connection. */
+struct RequestInput
+{
+    RequestInput(std::shared_ptr<HttpStream> connection, boost::beast::flat_buffer &received, const HttpServerLimits &requestLimits)
+        : stream(std::move(connection)), buffer(received), limits(requestLimits), memory(requestLimits.requestMemory)
+    {
+    }
+
+    std::shared_ptr<HttpStream> stream;
+    boost::beast::flat_buffer &buffer; //!< of the connection
+    const HttpServerLimits &limits;
+    MemoryBudget::Share memory; //!< what the request takes until it has been handled
+};
+
 /** Reads until the buffer holds a complete header section and sets size to its length, including the empty line at its end. */
-boost::asio::awaitable<boost::system::error_code>
-readRequestHead(std::shared_ptr<HttpStream> stream, boost::beast::flat_buffer &buffer, const HttpServerLimits &limits, std::size_t &size);
+boost::asio::awaitable<boost::system::error_code> readRequestHead(RequestInput &input, std::size_t &size);
 
 /**
  * False for header sections that HTTP implementations interpret differently, to prevent request smuggling: folded lines,
@@ -38,8 +52,7 @@
 bool isUnambiguousHead(std::string_view head);
 
 /** Parses the header section in the buffer and reads the body that follows it. */
-boost::asio::awaitable<boost::system::error_code>
-readRequest(std::shared_ptr<HttpStream> stream, boost::beast::flat_buffer &buffer, const HttpServerLimits &limits, HttpRequestParser &parser);
+boost::asio::awaitable<boost::system::error_code> readRequest(RequestInput &input, HttpRequestParser &parser);
 
 /** HTTP status for an error of reading or parsing a request. */
 unsigned statusForInput(const boost::system::error_code &error);
@@ -47,8 +60,8 @@
 /** Sends an error response as problem+json; the connection can't be used further. */
 boost::asio::awaitable<void> sendErrorResponse(HttpStream &stream, unsigned status, std::string detail);
 
-/** Sends the error response for a failed read, unless the client has closed the connection. */
-boost::asio::awaitable<void> sendInputError(HttpStream &stream, boost::system::error_code error);
+/** Sends the error response for a failed read and returns its status; sends nothing and returns 0 if the client has closed the connection. */
+boost::asio::awaitable<unsigned> sendInputError(HttpStream &stream, boost::system::error_code error);
 
 /**
  * Shuts down the sending side, then reads and discards until the client closes the connection, within a short time and a limited size.
--- a/src/connection/src/httpserver.cpp
+++ b/src/connection/src/httpserver.cpp
@@ -313,8 +313,9 @@
 {
     const HttpServerLimits limits = state->currentLimits();
     limitReceiveBuffer(buffer, limits);
+    RequestInput input(stream, buffer, limits);
     std::size_t headSize = 0;
-    boost::system::error_code error = co_await readRequestHead(stream, buffer, limits, headSize);
+    boost::system::error_code error = co_await readRequestHead(input, headSize);
     const TimePoint received = Clock::now();
     if (!error && !isUnambiguousHead({static_cast<const char *>(buffer.data().data()), headSize})) {
         error = http::error::bad_field;
@@ -323,12 +324,18 @@
     parser.header_limit(limits.headerBytes);
     parser.body_limit(limits.bodyBytes);
     if (!error) {
-        error = co_await readRequest(stream, buffer, limits, parser);
+        error = co_await readRequest(input, parser);
     }
     if (error) {
-        co_await sendInputError(*stream, error);
+        const unsigned status = co_await sendInputError(*stream, error);
+        if (status != 0 && state->observer.onRejected) {
+            state->observer.onRejected(status, error.message(), client);
+        }
         co_return false;
     }
+    if (buffer.size() == 0 && buffer.capacity() > readBytes) {
+        buffer.shrink_to_fit(); // idle connections keep no large buffers
+    }
     const auto fields = std::distance(parser.get().begin(), parser.get().end());
     if (fields > static_cast<std::ptrdiff_t>(limits.headerCount)) {
         co_await sendErrorResponse(*stream, 431, "too many header fields");
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -5,6 +5,7 @@
 #include <process/tracing.h>
 #include <serving/directentry.h>
 
+#include <malloc.h>
 #include <popt.h>
 
 #include <csignal>
@@ -32,6 +33,13 @@
     int version = 0;
 };
 
+/** Lets the allocator return large buffers to the system when they are freed. By default it soon keeps them, and the process stays at its peak. */
+void returnLargeBuffers()
+{
+    constexpr int minReturnedBytes = 256 * 1024;
+    ::mallopt(M_MMAP_THRESHOLD, minReturnedBytes);
+}
+
 int checkSettings(const char *path)
 {
     Reason reason;
@@ -83,6 +91,7 @@
 
 int main(int argc, char **argv)
 {
+    returnLargeBuffers();
     std::signal(SIGHUP, SIG_IGN); // its default action ends the process; in effect until handlers are installed
     Options options;
     const poptOption table[] = {{"settings", 's', POPT_ARG_STRING, &options.settings, 0, "run with the settings in FILE", "FILE"},
--- a/src/process/include/process/directsettings.h
+++ b/src/process/include/process/directsettings.h
@@ -3,6 +3,7 @@
 #include <connection/endpoint.h>
 #include <core/time.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -28,6 +29,7 @@
     std::uint16_t lastPort = 0;
     std::uint32_t cores = 1;
     double cpuShare = 1; //!< usable fraction of one core
+    std::size_t memoryBytes = 128U << 20U; //!< memory of the instance, beyond which the process is killed
     milliseconds heartbeat{1200}; //!< interval at which targets renew their record in the store
     milliseconds drainTimeout{2000}; //!< a draining target gets no new requests after this time
     milliseconds configTimeout{2000}; //!< time after which a new configuration version must be in force in all processes
--- a/src/process/include/process/metrics.h
+++ b/src/process/include/process/metrics.h
@@ -39,6 +39,7 @@
     LogEraEvents, //!< event; rises of the log's era and what followed from them
     TargetStatements, //!< statement; what targets said about themselves in their responses
     BarredSends, //!< reason, purpose; requests that were not sent because the target had said that it leaves or wants none
+    RequestsRejected, //!< status; rejected before they were received completely
     CrashRefusals, //!< workspace; requests that were not sent because requests like them crash targets
     Count,
 };
--- a/src/process/src/metrics.cpp
+++ b/src/process/src/metrics.cpp
@@ -68,6 +68,7 @@
          "snipehill_barred_sends_total",
          "Requests that were not sent to the chosen target because it had said since that it leaves or wants none.",
          {"reason", "purpose"}},
+        {CounterType, "snipehill_requests_rejected_total", "Requests rejected before they were received completely.", {"status"}},
         {CounterType, "snipehill_crash_refusals_total", "Requests not sent because requests like them crash targets.", {"workspace"}},
         {GaugeType, "snipehill_config_version", "Offset of the configuration in force.", {}},
         {GaugeType, "snipehill_config_age_seconds", "Time since the configuration was last known to be current.", {}},
--- a/src/request/include/request/eventstream.h
+++ b/src/request/include/request/eventstream.h
@@ -29,8 +29,8 @@
     bool isRepeating() const noexcept;
     /** Whether an incomplete event is buffered. */
     bool hasPartial() const noexcept;
-    /** Bytes of the incomplete event. */
-    std::size_t partialBytes() const noexcept;
+    /** Memory that the incomplete event and the last id take, in bytes. */
+    std::size_t bufferedBytes() const noexcept;
     /** Whether the incomplete event is longer than maxEventBytes; nothing that follows can be used. */
     bool isOverlong() const noexcept;
 
--- a/src/request/src/eventstream.cpp
+++ b/src/request/src/eventstream.cpp
@@ -107,9 +107,9 @@
     return !m_partial.empty();
 }
 
-std::size_t EventStream::partialBytes() const noexcept
+std::size_t EventStream::bufferedBytes() const noexcept
 {
-    return m_partial.size();
+    return m_partial.capacity() + m_lastId.capacity();
 }
 
 bool EventStream::isOverlong() const noexcept
--- a/src/serving/src/directcontext.h
+++ b/src/serving/src/directcontext.h
@@ -3,6 +3,7 @@
 #include "crashguard.h"
 #include "targetconnectionpool.h"
 
+#include <core/memorybudget.h>
 #include <process/directsettings.h>
 #include <process/routingholder.h>
 #include <process/targetregistry.h>
@@ -70,40 +71,6 @@
     std::size_t m_entryCount = 8; //!< used until peers are known; more than the usual initial size of a deployment
 };
 
-/** Limits the memory of bodies and events of responses that are being read, of all requests together. Thread-safe. */
-class BodyMemory
-{
-public:
-    /** What one response takes; returned when it ends. */
-    class Share
-    {
-    public:
-        explicit Share(BodyMemory &memory) : m_memory(memory) { }
-        ~Share()
-        {
-            m_memory.m_used -= m_bytes;
-        }
-        Share(const Share &) = delete;
-        Share &operator=(const Share &) = delete;
-
-        /** Sets what the response takes now; false if all together take more than the limit. */
-        bool resize(std::size_t bytes) noexcept
-        {
-            m_memory.m_used += bytes - m_bytes; // wraps around when the share shrinks, which adds up
-            m_bytes = bytes;
-            return m_memory.m_used <= maxBytes;
-        }
-
-    private:
-        BodyMemory &m_memory;
-        std::size_t m_bytes = 0;
-    };
-
-private:
-    static constexpr std::size_t maxBytes = 48U << 20U; // below a third of the smallest instance's memory
-    std::atomic<std::size_t> m_used{0};
-};
-
 struct DirectRequest;
 
 /** Requests that this entry is serving, so that they can be ended before the process, and named if they are cut by its end. Thread-safe. */
@@ -188,7 +155,7 @@
     CrashGuard &crashes;
     UsageCounter &usage;
     ActiveRequests &activeRequests;
-    BodyMemory &bodyMemory;
+    MemoryBudget &responseMemory; //!< for bodies and events of responses that are being read
     boost::asio::any_io_executor executor; //!< of the requests; for work that may outlive one
 };
 
--- a/src/serving/src/directentry.cpp
+++ b/src/serving/src/directentry.cpp
@@ -41,6 +41,8 @@
 constexpr milliseconds handoverMargin{2000}; // before the end of the process: one call for the duties and one append
 constexpr milliseconds rotationDelay{
     4000}; // the load balancer stops sending connections after two readiness probes, one second apart; the rest covers connections in flight
+constexpr std::size_t responseMemoryDivisor = 4; // of the instance's memory; the rest is for connections, what is known, and unused parts of the heap
+constexpr std::size_t requestMemoryDivisor = 3;
 constexpr unsigned statusOk = 200;
 constexpr unsigned unavailable = 503;
 constexpr unsigned notFound = 404;
@@ -53,7 +55,7 @@
     return registry;
 }
 
-HttpServerLimits limitsFrom(const CallerLimits &limits)
+HttpServerLimits limitsFrom(const CallerLimits &limits, MemoryBudget &requestMemory)
 {
     constexpr milliseconds idleSlack{1000}; // callers may reuse a connection until the limit
     HttpServerLimits server;
@@ -61,6 +63,16 @@
     server.bodyBytes = limits.bodyBytes;
     server.headTimeout = limits.headerTimeout;
     server.idleTimeout = limits.idleTimeout + idleSlack;
+    server.requestMemory = &requestMemory;
+    return server;
+}
+
+/** Limits of the ports for readiness checks and operators, whose requests have no bodies. */
+HttpServerLimits operatorLimits()
+{
+    HttpServerLimits server;
+    server.bodyBytes = 0;
+    server.headerBytes = 8192;
     return server;
 }
 
@@ -86,39 +98,48 @@
     }
 }
 
+void recordRejected(unsigned status, std::string_view error, const std::string &client)
+{
+    processMetrics().count(Counter::RequestsRejected, {std::to_string(status)});
+    const Reason reason{Step::Parse, client.substr(0, client.rfind(':')), std::string(error)}; // without the port, so that repeats are counted
+    logEvent(LogComponent::Entry, LogLevel::Warning, "request rejected while it was received", reason, {{"status", status}});
+}
+
 /** All components of one direct entry. */
 struct DirectEntry
 {
     explicit DirectEntry(const DirectSettings &own)
         : settings(own)
+        , responseMemory(settings.memoryBytes / responseMemoryDivisor)
+        , requestMemory(settings.memoryBytes / requestMemoryDivisor)
         , store(settings.store)
         , targets(registrySettings(settings))
         , budgets(settings)
         , usage({settings.instance, randomId()}, settings.usageWindow)
-        , requestContext{settings, routing, targets, connections, budgets, crashes, usage, activeRequests, bodyMemory, serving.get_executor()}
+        , requestContext{settings, routing, targets, connections, budgets, crashes, usage, activeRequests, responseMemory, serving.get_executor()}
         , watchContext{settings,
                        store,
                        routing,
                        targets,
                        [this](const RoutingVersion &version) {
-                           callers.setLimits(limitsFrom(version.limits));
+                           callers.setLimits(limitsFrom(version.limits, requestMemory));
                        }}
         , leases(control.get_executor(), makeLogAccess(store), usage.self(), leaseSettingsFor(settings))
         , usageContext{settings, store, leases, usage, counts}
         , roleContext{settings, leases, routing, targets}
         , peerContext{settings, store, targets, budgets, crashes, leases, usage, counts}
         , callers(serving.get_executor(),
-                  limitsFrom({}),
+                  limitsFrom({}, requestMemory),
                   [this](HttpExchange &exchange) {
                       return serveDirect(requestContext, exchange);
                   },
-                  {recordReceived, recordEnd})
+                  {recordReceived, recordEnd, recordRejected})
         , readiness(control.get_executor(),
-                    {},
+                    operatorLimits(),
                     [this](HttpExchange &exchange) {
                         return respondReadiness(exchange);
                     })
-        , metrics(control.get_executor(), {}, [this](HttpExchange &exchange) {
+        , metrics(control.get_executor(), operatorLimits(), [this](HttpExchange &exchange) {
             return respondOperator(exchange);
         })
     {
@@ -171,7 +192,8 @@
     }
 
     const DirectSettings settings;
-    BodyMemory bodyMemory; // like activeRequests
+    MemoryBudget responseMemory; // both budgets like activeRequests
+    MemoryBudget requestMemory;
     ActiveRequests activeRequests; // used by frames that are destroyed with the contexts
     asio::io_context control{1};
     asio::io_context serving{1};
--- a/src/serving/src/directexchange.cpp
+++ b/src/serving/src/directexchange.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace snipehill
@@ -24,9 +25,27 @@
 constexpr milliseconds minFailureSilence{1000}; // sound targets are rarely silent for longer
 constexpr int maxCrashProbes = 4; // connections that are reset after these are due to a limit of the target
 constexpr milliseconds crashProbeTime{30}; // an ending process closes its sockets within this time
-constexpr std::size_t maxBufferedBodyBytes = 32U << 20U;
 constexpr std::size_t maxSkippedBodyBytes = 1U << 20U; // a new connection is cheaper than reading more
 
+/** Appends to a body whose memory is charged, also that of both copies while it grows; false if it is too long or the budget is used up. */
+bool appendCharged(std::string &body, std::string_view piece, std::size_t maxBytes, MemoryBudget::Share &memory)
+{
+    const std::size_t size = body.size() + piece.size();
+    if (size > maxBytes) {
+        return false;
+    }
+    if (size > body.capacity()) {
+        const std::size_t grown = std::max(size, 2 * body.capacity());
+        if (!memory.resize(body.capacity() + grown)) {
+            return false;
+        }
+        body.reserve(grown);
+        memory.resize(body.capacity());
+    }
+    body += piece;
+    return true;
+}
+
 void removeActive(DirectRequest &request, const DirectExchange &exchange)
 {
     std::erase(request.activeConnections, exchange.connection.get());
@@ -125,9 +144,9 @@
     co_return piece;
 }
 
-asio::awaitable<std::optional<std::string>> readBody(DirectRequest &request, DirectExchange &exchange, Reason &reason)
+asio::awaitable<std::optional<std::string>> readBody(DirectRequest &request, DirectExchange &exchange, Reason &reason, std::size_t maxBytes)
 {
-    BodyMemory::Share memory(request.context.bodyMemory);
+    MemoryBudget::Share memory(&request.context.responseMemory);
     std::string body;
     while (true) {
         const auto piece = co_await readPiece(request, exchange, reason);
@@ -137,11 +156,10 @@
         if (piece->empty()) {
             co_return body;
         }
-        if (body.size() + piece->size() > maxBufferedBodyBytes || !memory.resize(body.size() + piece->size())) {
+        if (!appendCharged(body, *piece, maxBytes, memory)) {
             reason = {Step::RunOnTarget, exchange.target.id, "the answer is too long"};
             co_return std::nullopt;
         }
-        body += *piece;
     }
 }
 
--- a/src/serving/src/directexchange.h
+++ b/src/serving/src/directexchange.h
@@ -27,6 +27,7 @@
     ConnectionResult result = ConnectionResult::Success; //!< of a connection that was closed
 };
 
+constexpr std::size_t maxBufferedBodyBytes = 32U << 20U; // of one response
 constexpr milliseconds targetConnectTimeout{400}; // below the one-second TCP SYN retransmission: trying another target is faster
 
 /** Timeouts of one exchange, and what it is for. */
@@ -49,7 +50,8 @@
  * Reads the rest of a response body into memory; empty with a reason if it is incomplete, too long, or too long for the memory that
  * the bodies of all requests may take.
  */
-boost::asio::awaitable<std::optional<std::string>> readBody(DirectRequest &request, DirectExchange &exchange, Reason &reason);
+boost::asio::awaitable<std::optional<std::string>>
+readBody(DirectRequest &request, DirectExchange &exchange, Reason &reason, std::size_t maxBytes = maxBufferedBodyBytes);
 
 /** Reads the rest of a response body and discards it; false with a reason if it is incomplete or too long. */
 boost::asio::awaitable<bool> skipBody(DirectRequest &request, DirectExchange &exchange, Reason &reason);
--- a/src/serving/src/directstream.cpp
+++ b/src/serving/src/directstream.cpp
@@ -103,7 +103,7 @@
         request.context.targets.markReplaced(prefillEngine);
     }
     const unsigned status = exchange.response.status;
-    const auto body = co_await readBody(request, exchange, progress.reason);
+    const auto body = co_await readBody(request, exchange, progress.reason, shortBodyBytes); // parsed JSON takes a multiple of its text
     finishExchange(request, exchange);
     if (!body || status != statusOk) {
         ++progress.countedPrefills;
--- a/tests/platform/settingsfiletest.cpp
+++ b/tests/platform/settingsfiletest.cpp
@@ -23,6 +23,7 @@
 [limits]
 cpu_share = 0.19
 cores = 1
+memory_mb = 260
 [bounds]
 drain_ms = 2000
 config_ms = 2000
@@ -65,6 +66,7 @@
     CHECK(settings->grace == seconds(8));
     CHECK(settings->usageWindow == seconds(5));
     CHECK(settings->retrySlack == 52);
+    CHECK(settings->memoryBytes == 260U << 20U);
 }
 
 TEST_CASE("An invalid settings file is rejected with the name of the field", "[platform]")
@@ -87,3 +89,19 @@
         CHECK(reason.detail.find(c.failedField) != std::string::npos);
     }
 }
+
+// Guards against an instance whose memory is not known, or given as 0, that refuses every request.
+TEST_CASE("Without a positive memory limit the default is used", "[platform]")
+{
+    const std::size_t usual = DirectSettings{}.memoryBytes;
+    for (const char *limit : {"", "memory_mb = 0", "memory_mb = -1", "memory_mb = \"much\""}) {
+        INFO(limit);
+        std::string text = completeFile;
+        const std::string line = "memory_mb = 260";
+        text.replace(text.find(line), line.size(), limit);
+        Reason reason;
+        const auto settings = platform::parseSettingsFile(text, reason);
+        REQUIRE(settings);
+        CHECK(settings->memoryBytes == usual);
+    }
+}
