Admit streams during a planned stop by their time limit, not by a guess of their length

Cause: refusalWhileDraining() took 10 ms a token and the route's goal for a bound. A sound engine that also reads prompts takes 50 ms a token. Only the time limit of a request bounds it, and a stream that has begun can't be answered otherwise at the end of the process.

Change: a stream is admitted if its time limit ends before the process answers for the last time. For the first 2 s, until the balancer has taken the instance out, the expected time still admits streams, as refused callers could come back to this process. Plain calls are admitted as before; each of them gets an answer. New log line "request during a planned stop" with the times compared; "stream cut" tells which limit ended it.

--- a/src/serving/src/directcontext.h
+++ b/src/serving/src/directcontext.h
@@ -73,6 +73,14 @@
 
 struct DirectRequest;
 
+/** Times of a planned stop of the process. */
+struct PlannedEnd
+{
+    TimePoint rotationEnd; //!< until then, a caller that is refused may reach this process again
+    TimePoint answerBy; //!< requests are answered by then, or their responses begun; early enough to write the answers before the end
+    TimePoint end; //!< latest time at which a response that has begun may go on
+};
+
 /** Requests that this entry is serving, so that they can be ended before the process, and named if they are cut by its end. Thread-safe. */
 class ActiveRequests
 {
@@ -109,15 +117,17 @@
         }
         return requests;
     }
-    /**
-     * Sets when the process ends.
-     *
-     * @param answerBy time by which requests are answered, or their responses begun; early enough to write the answers before the end
-     */
-    void setEnd(TimePoint answerBy, TimePoint end) noexcept
+    /** Sets when the process ends. */
+    void setEnd(const PlannedEnd &planned) noexcept
+    {
+        m_rotationEnd = planned.rotationEnd;
+        m_answerBy = planned.answerBy;
+        m_end = planned.end;
+    }
+    /** See PlannedEnd; TimePoint::max() while no end is planned, as for the other times. */
+    TimePoint rotationEnd() const noexcept
     {
-        m_answerBy = answerBy;
-        m_end = end;
+        return m_rotationEnd;
     }
     TimePoint answerBy() const noexcept
     {
@@ -140,6 +150,7 @@
     mutable std::mutex m_lock;
     std::map<std::uint64_t, Entry> m_requests;
     std::uint64_t m_next = 0;
+    std::atomic<TimePoint> m_rotationEnd{TimePoint::max()};
     std::atomic<TimePoint> m_answerBy{TimePoint::max()};
     std::atomic<TimePoint> m_end{TimePoint::max()};
 };
--- a/src/serving/src/directentry.cpp
+++ b/src/serving/src/directentry.cpp
@@ -39,8 +39,8 @@
 constexpr milliseconds shutdownMargin{400}; // time reserved before the platform kills the process
 constexpr milliseconds refusalMargin{400}; // before the end of the process, for refusing the requests that can't end in time
 constexpr milliseconds handoverMargin{2000}; // before the end of the process: one call for the duties and one append
-constexpr milliseconds rotationDelay{
-    4000}; // the load balancer stops sending connections after two readiness probes, one second apart; the rest covers connections in flight
+constexpr milliseconds balancerDelay{2000}; // until the load balancer stops sending connections: two readiness probes, one second apart
+constexpr milliseconds rotationDelay = balancerDelay + milliseconds(2000); // the rest covers connections in flight
 constexpr std::size_t responseMemoryDivisor = 4; // of the instance's memory; the rest is for connections, what is known, and unused parts of the heap
 constexpr std::size_t requestMemoryDivisor = 3;
 constexpr unsigned statusOk = 200;
@@ -304,7 +304,7 @@
     logEvent(LogComponent::Process, LogLevel::Info, "draining", {{"active", entry.callers.activeExchanges()}});
     const TimePoint shutdownDeadline = began + entry.settings.grace - shutdownMargin;
     const TimePoint refusalTime = shutdownDeadline - refusalMargin;
-    entry.activeRequests.setEnd(refusalTime, shutdownDeadline);
+    entry.activeRequests.setEnd({.rotationEnd = began + balancerDelay, .answerBy = refusalTime, .end = shutdownDeadline});
     const TimePoint stopAcceptingAt = std::min(began + rotationDelay, refusalTime);
     while (Clock::now() < stopAcceptingAt) {
         co_await pauseFor(drainPollInterval);
--- a/src/serving/src/directrequest.cpp
+++ b/src/serving/src/directrequest.cpp
@@ -20,6 +20,7 @@
 constexpr milliseconds minRetryTime{20}; // a connect and a response of another target take about as long
 constexpr milliseconds drainRetryAfter{100}; // another entry serves the request at once
 constexpr milliseconds tokenTime{10}; // per output token on a loaded engine, whose steps take 6 ms and more
+constexpr std::uint64_t maxExpectedTokens = 1000000; // far beyond any output; keeps the expected time within the range of its type
 constexpr unsigned badRequest = 400;
 constexpr unsigned unauthorized = 401;
 constexpr unsigned notFound = 404;
@@ -180,17 +181,47 @@
     std::uint64_t m_number;
 };
 
-/** Refusal of a request that this process, which is about to end, could not serve to its end; empty if it can. */
+/** Time that a request is expected to take; empty if that can't be told. */
+std::optional<Duration> expectedTime(const DirectRequest &request)
+{
+    if (request.route->kind == RequestKind::Streaming && request.caller.outputTokens == 0) {
+        return std::nullopt;
+    }
+    return request.route->latencyGoal + tokenTime * std::min(request.caller.outputTokens, maxExpectedTokens);
+}
+
+/**
+ * Refusal of a request that this process, which is about to end, could not serve to its end; empty if it can.
+ *
+ * Only its time limit bounds a stream, and a stream that has begun can't be answered otherwise when the process ends. The expected time admits calls,
+ * which are answered in any case, and streams of callers that a refusal could send to this process again.
+ */
 std::optional<DirectRefusal> refusalWhileDraining(const DirectRequest &request)
 {
-    const TimePoint latest = request.context.activeRequests.answerBy();
-    if (latest == TimePoint::max() || request.deadline <= latest) {
+    const ActiveRequests &active = request.context.activeRequests;
+    const TimePoint latest = active.answerBy();
+    if (latest == TimePoint::max()) {
         return std::nullopt;
     }
-    const bool stream = request.route->kind == RequestKind::Streaming;
-    const Duration needed = request.route->latencyGoal + tokenTime * request.caller.outputTokens;
-    const bool lengthKnown = !stream || request.caller.outputTokens > 0;
-    if (lengthKnown && Clock::now() + needed <= latest) {
+    const TimePoint now = Clock::now();
+    const bool bounded = request.deadline <= latest;
+    const std::optional<Duration> expected = expectedTime(request);
+    const bool estimated = expected && now + *expected <= latest && (request.route->kind != RequestKind::Streaming || now <= active.rotationEnd());
+    const auto untilMs = [now](TimePoint time) {
+        return std::chrono::duration_cast<milliseconds>(time - now).count();
+    };
+    logRequest(request,
+               LogLevel::Info,
+               "request during a planned stop",
+               {{"admitted",
+                 bounded         ? "time limit"
+                     : estimated ? "expected time"
+                                 : "no"},
+                {"limitMs", untilMs(request.deadline)},
+                {"expectedMs", expected ? untilMs(now + *expected) : -1},
+                {"leftMs", untilMs(latest)},
+                {"rotationLeftMs", untilMs(active.rotationEnd())}});
+    if (bounded || estimated) {
         return std::nullopt;
     }
     return DirectRefusal{unavailable, {Step::Admit, "", "the process ends before the request would"}, drainRetryAfter};
--- a/src/serving/src/directstream.cpp
+++ b/src/serving/src/directstream.cpp
@@ -185,6 +185,7 @@
                    {{"detail", progress.reason.detail},
                     {"events", progress.events.events()},
                     {"silentMs", millisecondsSince(progress.lastEvent == TimePoint{} ? request.received : progress.lastEvent)},
+                    {"limit", request.deadline == request.context.activeRequests.end() ? "planned stop" : "time of the request"},
                     {"notRetried", toString(progress.denial)}});
         request.exchange.abort();
         recordOutcome(request, "cut", badGateway);
