Answer requests that were read ahead before a planned stop

What callers saw: a client sent a stream and three lookups over one connection without waiting. SIGTERM came while the stream ran; it was answered with "Connection: close", the lookups never were, though they had been received.

Cause: a response announces the end of the connection as soon as the server is closing, whatever was received behind its request, and what follows such a response is dropped.

Change: the end is announced only if nothing has been received behind the request, so the last one carries it.

--- a/src/connection/include/connection/httpserver.h
+++ b/src/connection/include/connection/httpserver.h
@@ -111,7 +111,7 @@
     void setLimits(const HttpServerLimits &limits);
     /** Port that the server listens on; needed when it was started on port 0. */
     std::uint16_t port() const noexcept;
-    /** Makes further responses carry "Connection: close"; connections are still accepted. */
+    /** Makes further responses carry "Connection: close", unless pipelined requests follow them; connections are still accepted. */
     void closeAfterResponses() noexcept;
     /** Stops accepting connections and closes idle ones; exchanges in progress continue. */
     void stopAccepting();
--- a/src/connection/src/httpserver.cpp
+++ b/src/connection/src/httpserver.cpp
@@ -70,9 +70,16 @@
     Exchange(Stream &stream,
              const HttpServer::State &state,
              const HttpServerLimits &limits,
+             const boost::beast::flat_buffer &readAhead,
              http::request<http::string_body> request,
              const std::string &client)
-        : m_stream(stream), m_state(state), m_limits(limits), m_request(std::move(request)), m_client(client), m_keepAlive(m_request.keep_alive())
+        : m_stream(stream)
+        , m_state(state)
+        , m_limits(limits)
+        , m_readAhead(readAhead)
+        , m_request(std::move(request))
+        , m_client(client)
+        , m_keepAlive(m_request.keep_alive())
     {
     }
 
@@ -230,13 +237,15 @@
         for (const auto &[name, value] : headers) {
             response.insert(name, value);
         }
-        m_keepAlive = m_keepAlive && !m_state.closing;
+        // Requests that were read ahead must be answered, which none may be after a response that announces the end of the connection.
+        m_keepAlive = m_keepAlive && (!m_state.closing || m_readAhead.size() > 0);
         response.keep_alive(m_keepAlive);
     }
 
     Stream &m_stream;
     const HttpServer::State &m_state;
     const HttpServerLimits &m_limits;
+    const boost::beast::flat_buffer &m_readAhead; //!< received after the request
     TimePoint m_received = Clock::now();
     std::function<void()> m_onDisconnect;
     bool m_disconnected = false;
@@ -341,7 +350,7 @@
         co_await sendErrorResponse(*stream, 431, "too many header fields");
         co_return false;
     }
-    Exchange exchange(*stream, *state, limits, parser.release(), client);
+    Exchange exchange(*stream, *state, limits, buffer, parser.release(), client);
     exchange.setReceived(received);
     co_await handleExchange(state, stream, buffer, exchange);
     co_return exchange.shouldKeepAlive();
--- a/tests/proofs/drainproof.cpp
+++ b/tests/proofs/drainproof.cpp
@@ -301,6 +301,63 @@
     }
 }
 
+// Guards against requests that were read ahead behind another one and dropped, because its response announced the end of the connection.
+TEST_CASE("Pipelined requests that were received before a planned stop are answered", "[direct][drain]")
+{
+    struct Case
+    {
+        const char *what;
+        const char *first; //!< request line of the request that the others follow
+        const char *more; //!< headers of it
+    };
+    const std::vector<Case> cases{
+        {"behind a stream", "POST /review/x HTTP/1.1", "Model: m\r\nToken-Counts: 100,20\r\nPrompt-Prefix: a:100\r\n"},
+        {"behind a posting", "POST /post/x HTTP/1.1", ""},
+    };
+    constexpr int lookups = 3;
+    for (const Case &c : cases) {
+        INFO(c.what);
+        DirectCluster host({{"p1", "plain", ""}, {"e1", "engines", "decode"}}, 1);
+        makeReady(host, defaultConfiguration(1));
+        for (const char *target : {"p1", "e1"}) {
+            host.setFaults(target, R"({"beforeMs": 400})");
+        }
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        socket.connect({asio::ip::make_address(host.callers(0).address), host.callers(0).port});
+        const auto message = [](std::string line, const std::string &id, const std::string &more) {
+            line += "\r\nHost: a.example\r\nDeadline-Ms: 4000\r\nX-Api-Key: key-1\r\nAttempt-Id: ";
+            line += id;
+            line += "\r\n";
+            line += more;
+            return line;
+        };
+        std::string bytes = message(c.first, "first", std::string(c.more) + "Content-Length: 3\r\n\r\nfee");
+        for (int i = 0; i < lookups; ++i) {
+            bytes += message("GET /read/x HTTP/1.1", "lookup" + std::to_string(i), "\r\n");
+        }
+        asio::write(socket, asio::buffer(bytes));
+        sleepFor(milliseconds(100));
+        host.entries[0].signal(SIGTERM);
+        std::string received;
+        boost::system::error_code error;
+        asio::read(socket, asio::dynamic_buffer(received), error);
+        INFO(received);
+        std::size_t at = received.find("Attempt-Id: first");
+        CHECK(at != std::string::npos);
+        for (int i = 0; i < lookups; ++i) {
+            at = received.find("Attempt-Id: lookup" + std::to_string(i), at);
+            CHECK(at != std::string::npos);
+            CHECK(received.find("ran lookup" + std::to_string(i)) != std::string::npos);
+        }
+        // Only the last response announces the end of the connection.
+        CHECK(received.find("Connection: close") != std::string::npos);
+        CHECK(received.find("Connection: close") > received.find("Attempt-Id: lookup1"));
+        CHECK(error == asio::error::eof);
+        CHECK(host.entries[0].waitForExit(exitTimeout) == 0);
+    }
+}
+
 // Guards against a process that uses what is destroyed already when it ends with a request in progress.
 TEST_CASE("A process that ends with a stream in progress names it and exits with 0", "[direct][drain]")
 {
