Accept the heads of requests in one form only, and transfer codings only if chunked

Cause: the check of heads counted Transfer-Encoding fields and never looked at the value; the parser ignores a coding that doesn't end with chunked and then expects no body.

Change: checkRequestHead() lists what a head may be: one Content-Length of digits, or Transfer-Encoding: chunked in HTTP/1.1, or neither. Other codings and CONNECT get 501, all else 400, and the connection ends. Trailer fields, which the parser added to the header fields, are dropped. Responses of targets and of the store whose framing is not one of these are not taken for responses; before, a coded body was passed on as it came.

--- a/src/connection/src/httpclient.cpp
+++ b/src/connection/src/httpclient.cpp
@@ -1,5 +1,7 @@
 #include <connection/httpclient.h>
 
+#include "httphead.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -29,6 +31,8 @@
 constexpr milliseconds maxUnacknowledgedTime{1500}; // of a persistent connection; longer than the pauses of sound peers
 constexpr std::uint64_t streamBodyLimitBytes = 1ULL << 32U;
 
+constexpr const char *unknownFraming = "receive head: the end of the body is not known for sure";
+
 Reason failure(Step step, const Endpoint &peer, std::string_view what, const boost::system::error_code &error)
 {
     return {step, toString(peer), std::string(what) + ": " + error.message()};
@@ -104,6 +108,10 @@
         }
     } while (isInterim(parser->get()));
     closeWithReset(stream);
+    if (!hasKnownFraming(parser->get(), parser->get().version())) {
+        reason = {call.step, toString(call.peer), unknownFraming};
+        co_return std::nullopt;
+    }
     co_return parser->release();
 }
 
@@ -160,6 +168,11 @@
             co_return false;
         }
     } while (isInterim(m_parser->get()));
+    if (!hasKnownFraming(m_parser->get(), m_parser->get().version())) {
+        m_result = ConnectionResult::Broken;
+        reason = {Step::RunOnTarget, toString(m_peer), unknownFraming};
+        co_return false;
+    }
     m_exchangeComplete = m_parser->is_done();
     co_return true;
 }
--- a/src/connection/src/httpinput.cpp
+++ b/src/connection/src/httpinput.cpp
@@ -12,6 +12,8 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
+#include <utility>
 
 namespace snipehill
 {
@@ -112,30 +114,6 @@
     }
 }
 
-bool isUnambiguousHead(std::string_view head)
-{
-    std::size_t contentLengths = 0;
-    std::size_t transferEncodings = 0;
-    std::size_t hosts = 0;
-    for (std::size_t start = 0; start < head.size();) {
-        const auto end = head.find('\n', start);
-        if (end == std::string_view::npos || end == start || head[end - 1] != '\r') {
-            return false;
-        }
-        const std::string_view line = head.substr(start, end - 1 - start);
-        const bool folded = start > 0 && !line.empty() && (line[0] == ' ' || line[0] == '\t');
-        if (folded || line.find('\r') != std::string_view::npos || line.find('\0') != std::string_view::npos) {
-            return false;
-        }
-        const std::string_view name = line.substr(0, line.find(':'));
-        contentLengths += boost::beast::iequals(name, "Content-Length") ? 1 : 0;
-        transferEncodings += boost::beast::iequals(name, "Transfer-Encoding") ? 1 : 0;
-        hosts += boost::beast::iequals(name, "Host") ? 1 : 0;
-        start = end + 1;
-    }
-    return contentLengths + transferEncodings <= 1 && hosts <= 1;
-}
-
 asio::awaitable<boost::system::error_code> readRequest(RequestInput &input, HttpRequestParser &parser)
 {
     const ReadTimeout readTimeout(input.stream, input.limits.requestTimeout);
@@ -154,6 +132,10 @@
             co_return writeError;
         }
     }
+    std::optional<http::request_header<>> head; // the parser adds trailer fields to it, which no one has checked
+    if (parser.chunked()) {
+        head = parser.get().base();
+    }
     parser.eager(true);
     while (!parser.is_done()) {
         auto [error, read] = co_await http::async_read_some(*input.stream, input.buffer, parser, useTuple);
@@ -164,6 +146,9 @@
             co_return asio::error::no_memory;
         }
     }
+    if (head) {
+        parser.get().base() = std::move(*head);
+    }
     co_return boost::system::error_code();
 }
 
--- a/src/connection/src/httpinput.h
+++ b/src/connection/src/httpinput.h
@@ -45,12 +45,6 @@
 /** Reads until the buffer holds a complete header section and sets size to its length, including the empty line at its end. */
 boost::asio::awaitable<boost::system::error_code> readRequestHead(RequestInput &input, std::size_t &size);
 
-/**
- * False for header sections that HTTP implementations interpret differently, to prevent request smuggling: folded lines,
- * line ends other than CR LF, NUL bytes, repeated Host, and more than one Content-Length or Transfer-Encoding, or both.
- */
-bool isUnambiguousHead(std::string_view head);
-
 /** Parses the header section in the buffer and reads the body that follows it. */
 boost::asio::awaitable<boost::system::error_code> readRequest(RequestInput &input, HttpRequestParser &parser);
 
--- a/src/connection/src/httpserver.cpp
+++ b/src/connection/src/httpserver.cpp
@@ -1,6 +1,7 @@
 #include <connection/httpserver.h>
 
 #include "disconnectwatcher.h"
+#include "httphead.h"
 #include "httpinput.h"
 #include "idleconnections.h"
 #include "listener.h"
@@ -316,6 +317,20 @@
     --state->active;
 }
 
+unsigned statusForVerdict(HeadVerdict verdict) noexcept
+{
+    constexpr unsigned malformed = 400;
+    constexpr unsigned notImplemented = 501;
+    return verdict == HeadVerdict::Malformed ? malformed : notImplemented;
+}
+
+void recordRejected(const ServerStatePointer &state, unsigned status, std::string_view error, const std::string &client)
+{
+    if (state->observer.onRejected) {
+        state->observer.onRejected(status, error, client);
+    }
+}
+
 /** Reads one request and handles it, or answers it with an error; true if the connection can carry another request. */
 asio::awaitable<bool>
 serveRequest(const ServerStatePointer &state, const std::shared_ptr<Stream> &stream, boost::beast::flat_buffer &buffer, const std::string &client)
@@ -326,8 +341,12 @@
     std::size_t headSize = 0;
     boost::system::error_code error = co_await readRequestHead(input, headSize);
     const TimePoint received = Clock::now();
-    if (!error && !isUnambiguousHead({static_cast<const char *>(buffer.data().data()), headSize})) {
-        error = http::error::bad_field;
+    const HeadVerdict verdict = error ? HeadVerdict::Accepted : checkRequestHead({static_cast<const char *>(buffer.data().data()), headSize});
+    if (verdict != HeadVerdict::Accepted) {
+        const unsigned status = statusForVerdict(verdict);
+        recordRejected(state, status, toString(verdict), client);
+        co_await sendErrorResponse(*stream, status, toString(verdict));
+        co_return false;
     }
     HttpRequestParser parser;
     parser.header_limit(limits.headerBytes);
@@ -337,8 +356,8 @@
     }
     if (error) {
         const unsigned status = co_await sendInputError(*stream, error);
-        if (status != 0 && state->observer.onRejected) {
-            state->observer.onRejected(status, error.message(), client);
+        if (status != 0) {
+            recordRejected(state, status, error.message(), client);
         }
         co_return false;
     }
@@ -347,6 +366,7 @@
     }
     const auto fields = std::distance(parser.get().begin(), parser.get().end());
     if (fields > static_cast<std::ptrdiff_t>(limits.headerCount)) {
+        recordRejected(state, 431, "too many header fields", client);
         co_await sendErrorResponse(*stream, 431, "too many header fields");
         co_return false;
     }
--- a/tests/connection/brokenheadtest.cpp
+++ b/tests/connection/brokenheadtest.cpp
@@ -125,3 +125,21 @@
         }
     }
 }
+
+// Guards against a body that is passed on in a coding that the caller was not told of.
+TEST_CASE("A response with a transfer coding other than chunked is not taken for a whole one", "[connection][smuggling]")
+{
+    for (const char *coding : {"gzip", "gzip, chunked", "chunked, gzip", "identity", "xchunked"}) {
+        INFO(coding);
+        const std::string answer = std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: ") + coding + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+        BreakingServer server({answer, answer});
+        asio::io_context context;
+        auto whole = asio::co_spawn(context, readsWhole(server.endpoint()), asio::use_future);
+        context.run();
+        CHECK(!whole.get());
+        context.restart();
+        auto succeeds = asio::co_spawn(context, callSucceeds(server.endpoint()), asio::use_future);
+        context.run();
+        CHECK(!succeeds.get());
+    }
+}
