--- a/tests/platform/storeclienttest.cpp
+++ b/tests/platform/storeclienttest.cpp
@@ -2,6 +2,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
+#include <string>
+#include <vector>
+
 using namespace snipehill;
 using snipehill::support::StoreHost;
 
@@ -139,3 +143,45 @@
     CHECK(!host.run(store.append("own", oneRecord("", "x"), timeout, reason)));
     CHECK(store.era() == later);
 }
+
+// Guards against keys of other writers that break the call for the next page, so that a process that starts never becomes ready.
+TEST_CASE("All pages of the newest records are read, whatever bytes the keys hold", "[platform][pages]")
+{
+    const std::vector<std::string> keys{"backup of a (0)", "a&after=z", "b#c", "d%20e", "f+g", "h?i=j", "k/l", "\xc3\xa9", "plain", "%", "\"", "q\r\nx: y"};
+    for (const int pageItems : {1, 2, 5, 500}) {
+        INFO("pages of " << pageItems);
+        StoreHost host;
+        host.setFaults(R"({"pageItems": )" + std::to_string(pageItems) + "}");
+        platform::StoreClient store(host.endpoint());
+        Reason reason;
+        for (const std::string &key : keys) {
+            REQUIRE(host.run(store.append("keyed.own", oneRecord(key, "value of " + key), timeout, reason)));
+        }
+        const auto newest = host.run(store.readNewest("keyed.own", timeout, reason));
+        INFO(reason.detail);
+        REQUIRE(newest);
+        std::map<std::string, std::string> values;
+        for (const platform::StoreRecord &record : newest->records) {
+            CHECK(values.emplace(record.key, record.value).second);
+        }
+        CHECK(values.size() == keys.size());
+        for (const std::string &key : keys) {
+            CHECK(values[key] == "value of " + key);
+        }
+    }
+}
+
+// Guards against a read that goes on without end, and keeps every record, because each page ends at the same key.
+TEST_CASE("Pages of the newest records that do not advance end the read", "[platform][pages]")
+{
+    StoreHost host;
+    platform::StoreClient store(host.endpoint());
+    Reason reason;
+    for (const char *key : {"a", "b", "c"}) {
+        REQUIRE(host.run(store.append("keyed.own", oneRecord(key, "x"), timeout, reason)));
+    }
+    host.setFaults(R"({"pageItems": 2, "repeatPage": true})");
+    CHECK(!host.run(store.readNewest("keyed.own", timeout, reason)));
+    CHECK(reason.step == Step::LogRead);
+    CHECK(reason.detail.find("do not advance") != std::string::npos);
+}
--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -17,6 +17,22 @@
 
 constexpr milliseconds waitStep{5};
 
+constexpr std::int64_t defaultPageItems = 500;
+
+std::string percentDecoded(const std::string &text)
+{
+    std::string decoded;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        if (text[at] == '%' && at + 2 < text.size()) {
+            decoded += static_cast<char>(std::stoi(text.substr(at + 1, 2), nullptr, 16));
+            at += 2;
+        } else {
+            decoded += text[at];
+        }
+    }
+    return decoded;
+}
+
 std::string bigEndian(std::uint64_t value, int bytes)
 {
     std::string text;
@@ -51,7 +67,7 @@
  * The platform's store and usage interface. Store calls: append at an expected offset, read with long poll, latest record of
  * each key, trim. Faults: down (503), silent (no response for 10 minutes), loseAnswers (the next N appends take effect, then
  * the connection closes), lateMs (appends to any topic, or with the topic as scope to that one, get no response and take
- * effect this much later, in whatever life the store then is), eraBehind (responses name the era that was N earlier).
+ * effect this much later, in whatever life the store then is), pageItems (items of a page of latest records), repeatPage (each page is the first one), eraBehind (responses name the era that was N earlier).
  * POST /copy on the control port brings the store back from an older copy: {"ms": N} drops what was appended within the last
  * N ms, to all topics or to those in the array "topics", and raises the era.
  */
@@ -97,7 +113,7 @@
         } else if (target.path == "/api/log-read") {
             co_await read(exchange, target, topic);
         } else if (target.path == "/api/log-newest") {
-            co_await newest(exchange, topic);
+            co_await newest(exchange, target, topic);
         } else if (target.path == "/api/log-trim") {
             topic.first = std::min(topic.records.size(), static_cast<std::size_t>(queryNumber(target, "before_offset", 0)));
             co_await respondWithEra(exchange, 200, Json::Value(Json::objectValue));
@@ -195,8 +211,10 @@
         co_await exchange.respond(200, eraHeaders(), std::move(body));
     }
 
-    asio::awaitable<void> newest(HttpExchange &exchange, const Topic &topic)
+    asio::awaitable<void> newest(HttpExchange &exchange, const Target &target, const Topic &topic)
     {
+        const std::string after = faults.flag("", "repeatPage") ? std::string() : percentDecoded(queryText(target, "after"));
+        const auto pageItems = static_cast<Json::ArrayIndex>(faults.number("", "pageItems", defaultPageItems));
         std::map<std::string, std::pair<std::size_t, std::string>> values;
         for (std::size_t i = 0; i < topic.records.size(); ++i) {
             const std::string &record = topic.records[i].bytes;
@@ -211,14 +229,21 @@
         }
         Json::Value response;
         response["items"] = Json::Value(Json::arrayValue);
+        response["has_more"] = false;
         for (const auto &[key, entry] : values) {
+            if (!after.empty() && key <= after) {
+                continue;
+            }
+            if (response["items"].size() == pageItems) {
+                response["has_more"] = true;
+                break;
+            }
             Json::Value item;
             item["key"] = key;
             item["value"] = base64(entry.second);
             item["offset"] = Json::UInt64(entry.first);
             response["items"].append(std::move(item));
         }
-        response["has_more"] = false;
         response["end_offset"] = Json::UInt64(topic.records.size());
         co_await respondWithEra(exchange, 200, std::move(response));
     }
