Count response bodies until they are written, and blame no target for memory that others take

What callers saw: an entry whose callers are slow to read large answers passed its memory limit: 40 callers that read nothing took 265 MB, where 260 MB end the process.

Cause: a body was charged to the budget while it was read, and no longer once it was complete. Beside it, a target whose answer found no memory counted as failed, so that one faulty target could put all others out of use.

Change: the share belongs to the request and lasts until the answer is written. An answer under 1 MiB that finds no memory is ended by the entry and is no failure of its target.

Evidence: the test fails without the share in the request (peak 265 MB, 160 MB allowed; 40 of 40 served) and passes with it (peak 41 MB; 3 served, the others refused).

--- a/src/serving/src/directexchange.cpp
+++ b/src/serving/src/directexchange.cpp
@@ -25,15 +25,13 @@
 constexpr milliseconds minFailureSilence{1000}; // sound targets are rarely silent for longer
 constexpr int maxCrashProbes = 4; // connections that are reset after these are due to a limit of the target
 constexpr milliseconds crashProbeTime{30}; // an ending process closes its sockets within this time
+constexpr std::size_t minBlamedBytes = 1U << 20U; // of a body that finds no memory; a longer one is part of the cause
 constexpr std::size_t maxSkippedBodyBytes = 1U << 20U; // a new connection is cheaper than reading more
 
-/** Appends to a body whose memory is charged, also that of both copies while it grows; false if it is too long or the budget is used up. */
-bool appendCharged(std::string &body, std::string_view piece, std::size_t maxBytes, MemoryBudget::Share &memory)
+/** Appends to a body whose memory is charged, also that of both copies while it grows; false if the budget is used up. */
+bool appendCharged(std::string &body, std::string_view piece, MemoryBudget::Share &memory)
 {
     const std::size_t size = body.size() + piece.size();
-    if (size > maxBytes) {
-        return false;
-    }
     if (size > body.capacity()) {
         const std::size_t grown = std::max(size, 2 * body.capacity());
         if (!memory.resize(body.capacity() + grown)) {
@@ -146,7 +144,6 @@
 
 asio::awaitable<std::optional<std::string>> readBody(DirectRequest &request, DirectExchange &exchange, Reason &reason, std::size_t maxBytes)
 {
-    MemoryBudget::Share memory(&request.context.responseMemory);
     std::string body;
     while (true) {
         const auto piece = co_await readPiece(request, exchange, reason);
@@ -156,10 +153,17 @@
         if (piece->empty()) {
             co_return body;
         }
-        if (!appendCharged(body, *piece, maxBytes, memory)) {
+        if (body.size() + piece->size() > maxBytes) {
             reason = {Step::RunOnTarget, exchange.target.id, "the answer is too long"};
             co_return std::nullopt;
         }
+        if (!appendCharged(body, *piece, request.responseMemory)) {
+            reason = {Step::RunOnTarget, exchange.target.id, "the memory for answers is used up"};
+            if (body.size() < minBlamedBytes) {
+                exchange.connection->abort(); // ended by this process, so it is no failure of the target
+            }
+            co_return std::nullopt;
+        }
     }
 }
 
--- a/src/serving/src/directexchange.h
+++ b/src/serving/src/directexchange.h
@@ -47,8 +47,8 @@
 boost::asio::awaitable<std::optional<std::string>> readPiece(DirectRequest &request, DirectExchange &exchange, Reason &reason);
 
 /**
- * Reads the rest of a response body into memory; empty with a reason if it is incomplete, too long, or too long for the memory that
- * the bodies of all requests may take.
+ * Reads the rest of a response body into memory, which stays charged to the request until that ends. Empty with a reason if the body is incomplete,
+ * too long, or too long for the memory that the bodies of all requests may take.
  */
 boost::asio::awaitable<std::optional<std::string>>
 readBody(DirectRequest &request, DirectExchange &exchange, Reason &reason, std::size_t maxBytes = maxBufferedBodyBytes);
--- a/src/serving/src/directrequest.h
+++ b/src/serving/src/directrequest.h
@@ -34,6 +34,7 @@
     std::uint32_t sendCount = 0; //!< sends that reached a target or may have reached it
     bool mayHaveRun = false;
     std::vector<HttpConnection *> activeConnections; //!< connections to abort when the caller disconnects
+    MemoryBudget::Share responseMemory{&context.responseMemory}; //!< body or event that is being read, until it has been written to the caller
 };
 
 /** Response for a request that ends without a target's response. */
--- a/src/serving/src/streamrun.cpp
+++ b/src/serving/src/streamrun.cpp
@@ -323,7 +323,6 @@
     if (!progress.headSent) {
         progress.headSent = co_await request.exchange.beginStream(run.exchange.response.status, run.exchange.response.headers);
     }
-    MemoryBudget::Share memory(&request.context.responseMemory);
     bool first = true;
     handover.beginWait();
     while (!request.exchange.isDisconnected()) {
@@ -334,7 +333,7 @@
             progress.reason = {Step::RunOnTarget, run.exchange.target.id, "the stream ended within an event"};
         }
         const std::string wholeEvents = piece && !handover.isAccepted() ? progress.events.append(*piece) : std::string();
-        const bool endless = progress.events.isOverlong() || !memory.resize(progress.events.bufferedBytes());
+        const bool endless = progress.events.isOverlong() || !request.responseMemory.resize(progress.events.bufferedBytes());
         if (endless) {
             progress.reason = {Step::RunOnTarget, run.exchange.target.id, "an event of the stream has no end"};
         }
--- a/tests/proofs/endlessresponsetest.cpp
+++ b/tests/proofs/endlessresponsetest.cpp
@@ -3,7 +3,13 @@
 
 #include <catch2/catch.hpp>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
 #include <fstream>
+#include <list>
 #include <string>
 #include <thread>
 #include <vector>
@@ -85,3 +91,48 @@
         }
     }
 }
+
+// Guards against bodies that are no longer counted once they are complete, although callers are slow to read them.
+TEST_CASE("Large bodies that callers do not read stay within the memory of the entry", "[endless]")
+{
+    namespace asio = boost::asio;
+    using Tcp = asio::ip::tcp;
+    constexpr int callers = 40;
+    constexpr std::size_t bodyBytes = 6U << 20U; // more than socket buffers hold
+    DirectCluster cluster({{"p1", "plain", ""}, {"p2", "plain", ""}}, {.retrySlack = 200, .ownProcesses = true});
+    cluster.publish(defaultConfiguration(1));
+    REQUIRE(cluster.waitUntilReady(0));
+    for (const char *target : {"p1", "p2"}) {
+        cluster.setFaults(target, R"({"bodyBytes": )" + std::to_string(bodyBytes) + "}");
+    }
+    asio::io_context context;
+    std::list<Tcp::socket> sockets;
+    for (int i = 0; i < callers; ++i) {
+        Tcp::socket &socket = sockets.emplace_back(context, Tcp::v4());
+        socket.set_option(asio::socket_base::receive_buffer_size(4096));
+        socket.connect({asio::ip::make_address(cluster.callers(0).address), cluster.callers(0).port});
+        const std::string id = "r" + std::to_string(i);
+        std::string request = "GET /read/x HTTP/1.1\r\nHost: a.example\r\nDeadline-Ms: 5000\r\nX-Api-Key: key-1\r\nConnection: close\r\nAttempt-Id: ";
+        request += id;
+        request += "\r\n\r\n";
+        asio::write(socket, asio::buffer(request));
+        sleepFor(milliseconds(150)); // one body is complete before the next one is read
+    }
+    CHECK(peakMemoryOf(cluster.entries[0].id()) <= maxEntryKilobytes);
+    int whole = 0;
+    for (Tcp::socket &socket : sockets) {
+        std::string response;
+        boost::system::error_code error;
+        asio::read(socket, asio::dynamic_buffer(response), error);
+        const auto end = response.find("\r\n\r\n");
+        INFO(response.substr(0, 300));
+        REQUIRE(end != std::string::npos);
+        const bool served = response.starts_with("HTTP/1.1 200");
+        CHECK((!served || response.size() - end - 4 == bodyBytes));
+        whole += served ? 1 : 0;
+    }
+    CHECK(whole > 0);
+    INFO(whole << " served, peak " << peakMemoryOf(cluster.entries[0].id()) << " KB");
+    CHECK(whole < callers);
+    CHECK(cluster.entries[0].running());
+}
--- a/tests/standins/platformserver.cpp
+++ b/tests/standins/platformserver.cpp
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -30,7 +31,7 @@
  * with pauseEvery for each N-th one only), refuse (503 with Not-Executed), status (of plain responses), orderStatus (of the response to an order),
  * cutAfter (aborts the next stream after N events), extraAnswer (the next N responses are followed by an unsolicited one),
  * endless (the next N responses never end and hold no event, as fast as they are read or, with dripMs, a byte at a time),
- * events (of a stream), eventMs (pause between events), beforeMs (delay before the response), readMs (prefill time of a prompt),
+ * bodyBytes (length of plain responses), events (of a stream), eventMs (pause between events), beforeMs (delay before the response), readMs (prefill time of a prompt),
  * crashPart (ends the process crashMs after the head of a response to a prompt with this part, unless it is the last one), eventBytes (padding of each event), silences (the next N runs are silent for silentMs after silentAfter events, or before the response for 0, and then go on).
  */
 class PlatformServer : public StandIn
@@ -114,7 +115,9 @@
             co_await sendWithoutEnd(exchange);
         } else if (!stream) {
             const auto status = static_cast<unsigned>(faults.number("", "status", 200));
-            co_await exchange.respond(status, std::move(headers), "ran " + entry["id"].asString() + " at " + name);
+            std::string body = "ran " + entry["id"].asString() + " at " + name;
+            body.resize(std::max(body.size(), static_cast<std::size_t>(faults.number("", "bodyBytes", 0))), ' ');
+            co_await exchange.respond(status, std::move(headers), std::move(body));
         } else if (const std::string type = faults.text("streamType", ""); !type.empty()) {
             headers.emplace_back("Content-Type", type);
             const std::string error = "id: 3\ndata: error text\n\n";
