--- a/src/connection/src/httphead.cpp
+++ b/src/connection/src/httphead.cpp
@@ -115,6 +115,13 @@
     return "";
 }
 
+unsigned statusFor(HeadVerdict verdict) noexcept
+{
+    constexpr unsigned malformed = 400;
+    constexpr unsigned notImplemented = 501;
+    return verdict == HeadVerdict::Malformed ? malformed : notImplemented;
+}
+
 HeadVerdict checkRequestHead(std::string_view head) noexcept
 {
     bool valid = true;
--- a/src/connection/src/httphead.h
+++ b/src/connection/src/httphead.h
@@ -18,6 +18,9 @@
 /** What is wrong with the header section, for logs and responses; empty if nothing is. */
 const char *toString(HeadVerdict verdict) noexcept;
 
+/** Status of the response to a request that is not accepted: 400 or 501. */
+unsigned statusFor(HeadVerdict verdict) noexcept;
+
 /**
  * Checks the header section of a request, with the empty line at its end, against the forms that this server understands.
  *
--- a/src/connection/src/httpserver.cpp
+++ b/src/connection/src/httpserver.cpp
@@ -3,8 +3,7 @@
 #include "disconnectwatcher.h"
 #include "httphead.h"
 #include "httpinput.h"
-#include "idleconnections.h"
-#include "listener.h"
+#include "httpserverstate.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -19,8 +18,6 @@
 
 #include <sys/socket.h>
 
-#include <atomic>
-#include <mutex>
 #include <utility>
 
 namespace snipehill
@@ -36,33 +33,6 @@
 
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 
-} // namespace
-
-struct HttpServer::State
-{
-    HttpServerLimits currentLimits()
-    {
-        const std::lock_guard lock(limitsLock);
-        return limits;
-    }
-
-    asio::any_io_executor executor;
-    std::mutex limitsLock;
-    HttpServerLimits limits;
-    HttpHandler handler;
-    HttpServerObserver observer;
-    AcceptorPointer acceptor;
-    std::uint16_t port = 0;
-    std::atomic<bool> closing{false};
-    std::atomic<bool> stopped{false};
-    std::atomic<std::size_t> active{0};
-    std::atomic<std::size_t> open{0}; //!< connections, and the listener while it accepts
-    IdleConnections idle;
-};
-
-namespace
-{
-
 using ServerStatePointer = std::shared_ptr<HttpServer::State>;
 
 class Exchange : public HttpExchange
@@ -317,20 +287,6 @@
     --state->active;
 }
 
-unsigned statusForVerdict(HeadVerdict verdict) noexcept
-{
-    constexpr unsigned malformed = 400;
-    constexpr unsigned notImplemented = 501;
-    return verdict == HeadVerdict::Malformed ? malformed : notImplemented;
-}
-
-void recordRejected(const ServerStatePointer &state, unsigned status, std::string_view error, const std::string &client)
-{
-    if (state->observer.onRejected) {
-        state->observer.onRejected(status, error, client);
-    }
-}
-
 /** Reads one request and handles it, or answers it with an error; true if the connection can carry another request. */
 asio::awaitable<bool>
 serveRequest(const ServerStatePointer &state, const std::shared_ptr<Stream> &stream, boost::beast::flat_buffer &buffer, const std::string &client)
@@ -343,8 +299,8 @@
     const TimePoint received = Clock::now();
     const HeadVerdict verdict = error ? HeadVerdict::Accepted : checkRequestHead({static_cast<const char *>(buffer.data().data()), headSize});
     if (verdict != HeadVerdict::Accepted) {
-        const unsigned status = statusForVerdict(verdict);
-        recordRejected(state, status, toString(verdict), client);
+        const unsigned status = statusFor(verdict);
+        state->recordRejected(status, toString(verdict), client);
         co_await sendErrorResponse(*stream, status, toString(verdict));
         co_return false;
     }
@@ -357,7 +313,7 @@
     if (error) {
         const unsigned status = co_await sendInputError(*stream, error);
         if (status != 0) {
-            recordRejected(state, status, error.message(), client);
+            state->recordRejected(status, error.message(), client);
         }
         co_return false;
     }
@@ -366,7 +322,7 @@
     }
     const auto fields = std::distance(parser.get().begin(), parser.get().end());
     if (fields > static_cast<std::ptrdiff_t>(limits.headerCount)) {
-        recordRejected(state, 431, "too many header fields", client);
+        state->recordRejected(431, "too many header fields", client);
         co_await sendErrorResponse(*stream, 431, "too many header fields");
         co_return false;
     }
--- a/tests/proofs/drainproof.cpp
+++ b/tests/proofs/drainproof.cpp
@@ -240,7 +240,7 @@
     }
 }
 
-// Guards against streams that are admitted late in a planned stop by a guess of their length, and cut with part of their events sent.
+// Guards against streams that are admitted late in a planned stop by their expected length, and cut with part of their events sent.
 TEST_CASE("Each stream that arrives late in a planned stop is complete or refused, whatever the engine's speed", "[direct][drain]")
 {
     constexpr milliseconds step{200};
