--- a/review/8/crashpart.cpp
+++ b/review/8/crashpart.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-constexpr int entryCount = 2;
-constexpr int engines = 8;
+constexpr int entryCount = 4;
+constexpr int engines = 10;
 constexpr int soundClients = 6;
 constexpr int pieces = 5;
 constexpr double pieceGap = 0.03;
@@ -20,8 +20,11 @@
 constexpr int laterAllowed = 3;
 constexpr double restartDelay = 1;
 constexpr double badInterval = 1;
-constexpr double waitAfterFifth = 6;
-constexpr double laterTime = 20;
+constexpr double badSpread = 0.03; // between the requests at two entries
+constexpr double laterInterval = 5; // after the fifth crash
+constexpr int laterRounds = 6;
+constexpr int killRound = 1; // counted from 0 after the fifth crash
+constexpr double killAfter = 0.2; // from the requests of that round
 
 const char *const configuration = R"({"version":1,"routes":[
 {"name":"ask","host":"a.example","path_prefix":"/ask/","kind":"streaming","service":"llm","timeout_ms":4000,"goal_ms":250,"gap_goal_ms":150,"max_attempts":2,"resumable":true,"session_affinity":true}],
@@ -73,18 +76,34 @@
         });
     }
 
-    /** One request with the part at each entry. */
+    /** One request with the part at each entry, shortly after one another. */
     void askBad()
     {
         for (std::size_t entry = 0; entry < entries.size(); ++entry) {
-            bad.push_back(std::make_unique<rig::Client>(loop, entries[entry]->address(), entries[entry]->port()));
-            send(*bad.back(), "bad-" + std::to_string(++requests), "bad", [this](const rig::Answer &answer) {
-                record.note(rig::seconds(answer.ended) + " answer " + answer.id + " status " + std::to_string(answer.status)
-                            + (answer.complete ? " whole" : " not whole"));
+            loop.after(badSpread * static_cast<double>(entry), [this, entry] {
+                bad.push_back(std::make_unique<rig::Client>(loop, entries[entry]->address(), entries[entry]->port()));
+                send(*bad.back(), "bad-" + std::to_string(++requests), "bad", [this](const rig::Answer &answer) {
+                    record.note(rig::seconds(answer.ended) + " answer " + answer.id + " status " + std::to_string(answer.status)
+                                + (answer.complete ? " whole" : " not whole"));
+                });
             });
         }
     }
 
+    /** Kills all entries at the same moment and starts them again. */
+    bool restartAll()
+    {
+        for (const auto &entry : entries) {
+            entry->kill();
+        }
+        record.note(rig::seconds(rig::now()) + " all entries are killed");
+        loop.run(restartDelay);
+        for (const auto &entry : entries) {
+            entry->start();
+        }
+        return rig::waitUntilReady(loop, entries);
+    }
+
     int runCase(const std::string &folder)
     {
         for (int i = 0; i < engines; ++i) {
@@ -119,30 +138,21 @@
             return 0;
         }
         const double fifth = crashes[crashesAllowed - 1];
-        loop.run(waitAfterFifth);
-        if (rig::hasTrouble()) {
-            for (const auto &entry : entries) {
-                entry->kill();
-            }
-            record.note(rig::seconds(rig::now()) + " all entries are killed");
-            loop.run(restartDelay);
-            for (const auto &entry : entries) {
-                entry->start();
-            }
-            if (!rig::waitUntilReady(loop, entries)) {
-                return 2;
-            }
-        }
         // A machine is in touch once its processes have run for contact_ms.
         double inTouch = fifth + contactTime;
-        for (const auto &entry : entries) {
-            inTouch = std::max(inTouch, entry->startedAt() + contactTime);
-        }
-        loop.run(std::max(0.0, inTouch + 0.2 - rig::now()));
-        const double until = rig::now() + laterTime;
-        while (rig::now() < until) {
+        for (int round = 0; round < laterRounds; ++round) {
             askBad();
-            loop.run(badInterval);
+            const double next = rig::now() + laterInterval;
+            loop.run(killAfter);
+            if (round == killRound && rig::hasTrouble()) {
+                if (!restartAll()) {
+                    return 2;
+                }
+                for (const auto &entry : entries) {
+                    inTouch = std::max(inTouch, entry->startedAt() + contactTime);
+                }
+            }
+            loop.run(next - rig::now());
         }
         const auto later = std::count_if(arrivals.begin(), arrivals.end(), [inTouch](double time) {
             return time > inTouch;
