--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -199,6 +199,7 @@
 {
     int events = 5;
     double gap = 0.05; //!< seconds between two events
+    double first = 0.05; //!< seconds from the head to the first one
     std::function<std::size_t(int)> padding; //!< bytes of an event beyond its number; may be empty
 };
 
@@ -262,7 +263,7 @@
     void start();
     void kill();
     bool isRunning();
-    /** Memory in use, in MB; 0 if the process has ended. */
+    /** Memory of its own in use, without mapped files, in MB; 0 if the process has ended. */
     int memoryMb() const;
     /** Whether the readiness check is answered with 200. */
     bool isReady() const;
