--- a/review/8/crashpart.cpp
+++ b/review/8/crashpart.cpp
@@ -42,11 +42,11 @@
         record.line(rig::seconds(rig::now()) + " run " + id + " at " + server.id);
         const bool bad = request.field("Prompt-Prefix").find(",bad:") != std::string::npos;
         if (!bad) {
-            rig::writeEvents(loop, channel, request, fields, {.events = pieces, .gap = pieceGap, .padding = {}}, [] {});
+            rig::writeEvents(loop, channel, request, fields, {.events = pieces, .gap = pieceGap, .first = pieceGap, .padding = {}}, [] {});
             return;
         }
         arrivals.push_back(rig::now());
-        rig::writeEvents(loop, channel, request, fields, {.events = pieces, .gap = 1, .padding = {}}, [] {});
+        rig::writeEvents(loop, channel, request, fields, {.events = pieces, .gap = 1, .first = 1, .padding = {}}, [] {});
         loop.after(crashAfter, [this, &server] {
             if (server.isUp) {
                 server.crash(downTime);
