--- a/review/8/crashpart.cpp
+++ b/review/8/crashpart.cpp
@@ -1,6 +1,6 @@
 // A part of prompts crashes each server that begins to write an answer on it. After it has crashed five, all entries are killed at the same moment.
 // Checks how many requests with that part reach servers later.
-#include "../rig/rig.h"
+#include "../rig.h"
 
 #include <algorithm>
 #include <random>
@@ -15,13 +15,13 @@
 constexpr double pieceGap = 0.03;
 constexpr double crashAfter = 0.02; // from the head of the answer
 constexpr double downTime = 3;
-constexpr double contactTime = 3; // contact_ms
+constexpr double contactTime = 4; // contact_ms
 constexpr int crashesAllowed = 5;
 constexpr int laterAllowed = 3;
 constexpr double restartDelay = 1;
 constexpr double badInterval = 1;
 constexpr double badSpread = 0.03; // between the requests at two entries
-constexpr double laterInterval = 5; // after the fifth crash
+constexpr double laterInterval = 6; // after the fifth crash
 constexpr int laterRounds = 6;
 constexpr int killRound = 1; // counted from 0 after the fifth crash
 constexpr double killAfter = 0.2; // from the requests of that round
@@ -114,7 +114,8 @@
         }
         store.put("keyed.op", "config", configuration);
         for (int i = 0; i < entryCount; ++i) {
-            entries.push_back(std::make_unique<rig::Entry>(folder, i, store.port(), rig::Bounds{}));
+            entries.push_back(
+                std::make_unique<rig::Entry>(folder, i, store.port(), rig::Bounds{.contactMs = 4000, .drainMs = 3000, .configMs = 3000, .memoryMb = 260}));
             entries.back()->start();
         }
         if (!rig::waitUntilReady(loop, entries)) {
