Refuse responses whose status HTTP doesn't have

What callers saw: a target's response with status 000 was passed on as the answer, with its body, on each kind of route of the direct entry and through a sidecar; so were 099, 600 and 999. After a final 101 the entry waited for the response that it took 101 to announce, until the time limit (504).

Cause: the parser takes any three digits for a status, and the two functions that read all responses, HttpConnection::readHead() and httpCall(), checked the framing of a head only. So did all other users of them: a response of the store with status 000 moved the known era, and an engine's response 000 to an order counted as its refusal although the engine had taken the order.

Change: readResponseHead() reads and checks each head in one place. A status outside of 100 to 599, or 101, which nobody asks for, is bad_status and breaks the connection, like a head that doesn't parse. The framing check moves there too, so that httpCall() makes it before it reads the body. Callers get another attempt where the route allows it, else 502 with outcome_unknown, since the request may have run; an order is settled by the engine's state; the store's response acknowledges nothing.

--- a/src/connection/src/httpclient.cpp
+++ b/src/connection/src/httpclient.cpp
@@ -1,6 +1,6 @@
 #include <connection/httpclient.h>
 
-#include "httphead.h"
+#include "responsehead.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -31,8 +31,6 @@
 constexpr milliseconds maxUnacknowledgedTime{1500}; // of a persistent connection; longer than the pauses of sound peers
 constexpr std::uint64_t streamBodyLimitBytes = 1ULL << 32U;
 
-constexpr const char *unknownFraming = "receive head: the end of the body is not known for sure";
-
 Reason failure(Step step, const Endpoint &peer, std::string_view what, const boost::system::error_code &error)
 {
     return {step, toString(peer), std::string(what) + ": " + error.message()};
@@ -56,11 +54,6 @@
     stream.close();
 }
 
-bool isInterim(const http::response_header<> &head)
-{
-    return http::to_status_class(head.result_int()) == http::status_class::informational;
-}
-
 } // namespace
 
 asio::awaitable<std::optional<HttpResponse>> httpCall(HttpCall call, Reason &reason)
@@ -100,16 +93,17 @@
     do {
         parser.emplace();
         parser->body_limit(call.bodyLimit);
-        auto [readError, read] = co_await http::async_read(stream, buffer, *parser, useTuple);
-        if (readError) {
+        const boost::system::error_code headError = co_await readResponseHead(stream, buffer, *parser, parser->get());
+        if (headError) {
             closeWithReset(stream);
-            reason = failure(call.step, call.peer, "receive", readError);
+            reason = failure(call.step, call.peer, "receive head", headError);
             co_return std::nullopt;
         }
     } while (isInterim(parser->get()));
+    auto [bodyError, read] = co_await http::async_read(stream, buffer, *parser, useTuple);
     closeWithReset(stream);
-    if (!hasKnownFraming(parser->get(), parser->get().version())) {
-        reason = {call.step, toString(call.peer), unknownFraming};
+    if (bodyError) {
+        reason = failure(call.step, call.peer, "receive body", bodyError);
         co_return std::nullopt;
     }
     co_return parser->release();
@@ -162,17 +156,12 @@
         m_parser = std::make_unique<Parser>();
         m_parser->body_limit(streamBodyLimitBytes);
         m_parser->skip(m_headRequested);
-        auto [error, read] = co_await http::async_read_header(m_stream, m_buffer, *m_parser, useTuple);
+        const boost::system::error_code error = co_await readResponseHead(m_stream, m_buffer, *m_parser, m_parser->get());
         if (error) {
             reason = fail("receive head", error);
             co_return false;
         }
     } while (isInterim(m_parser->get()));
-    if (!hasKnownFraming(m_parser->get(), m_parser->get().version())) {
-        m_result = ConnectionResult::Broken;
-        reason = {Step::RunOnTarget, toString(m_peer), unknownFraming};
-        co_return false;
-    }
     m_exchangeComplete = m_parser->is_done();
     co_return true;
 }
--- a/src/connection/src/httphead.cpp
+++ b/src/connection/src/httphead.cpp
@@ -1,6 +1,9 @@
 #include "httphead.h"
 
+#include <connection/httpstatus.h>
+
 #include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <algorithm>
 #include <cstddef>
@@ -169,4 +172,18 @@
     return codings == 1 && lengths == 0 && version == 11 && isChunked(trimmed({coding.data(), coding.size()}));
 }
 
+boost::system::error_code checkResponseHead(const http::response_header<> &head)
+{
+    if (isInterimStatus(head.result_int())) {
+        return {};
+    }
+    if (!isFinalStatus(head.result_int())) {
+        return http::error::bad_status;
+    }
+    if (!hasKnownFraming(head, head.version())) {
+        return head.count(http::field::transfer_encoding) > 0 ? http::error::bad_transfer_encoding : http::error::bad_content_length;
+    }
+    return {};
+}
+
 } // namespace snipehill
--- a/src/connection/src/httphead.h
+++ b/src/connection/src/httphead.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
 
 #include <string_view>
 
@@ -39,4 +40,14 @@
  */
 bool hasKnownFraming(const boost::beast::http::fields &head, unsigned version);
 
+/**
+ * Checks the head of a response that the parser has accepted.
+ *
+ * The parser takes any three digits for a status; HTTP has 100 to 599 (RFC 9110, 15). A switch to another protocol is refused too, since no request asks
+ * for one. The framing of a final response must satisfy hasKnownFraming().
+ *
+ * @return boost::beast::http::error that names the broken part; no error if the response can be used
+ */
+boost::system::error_code checkResponseHead(const boost::beast::http::response_header<> &head);
+
 } // namespace snipehill
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -69,8 +70,31 @@
             connection->blackholed = blackholing;
             connection->serverBytes = cutAfter;
             connections.push_back(connection);
-            asio::co_spawn(context, serve(connection), asio::detached);
+            if (responder) {
+                asio::co_spawn(context, respond(connection, responder), asio::detached);
+            } else {
+                asio::co_spawn(context, serve(connection), asio::detached);
+            }
+        }
+    }
+
+    /** Answers one request, then waits until the client closes the connection. */
+    asio::awaitable<void> respond(ConnectionPointer connection, Responder answer)
+    {
+        std::string request;
+        auto [error, headBytes] = co_await asio::async_read_until(connection->client, asio::dynamic_buffer(request), "\r\n\r\n", useTuple);
+        if (!error) {
+            const std::string response = answer(request.substr(0, headBytes));
+            auto [writeError, written] = co_await asio::async_write(connection->client, asio::buffer(response), useTuple);
+            error = writeError;
         }
+        std::array<char, chunkBytes> chunk;
+        while (!error) {
+            auto [readError, size] = co_await connection->client.async_read_some(asio::buffer(chunk), useTuple);
+            error = readError;
+        }
+        connection->close();
+        connections.remove(connection);
     }
 
     asio::awaitable<void> serve(ConnectionPointer connection)
@@ -129,6 +153,7 @@
     bool refusing = false;
     bool blackholing = false;
     std::optional<std::size_t> cutAfter;
+    Responder responder;
     milliseconds forwardDelay{0};
     std::atomic<int> accepted{0};
     std::thread thread;
@@ -202,9 +227,27 @@
     });
 }
 
+void Relay::respondWith(Responder responder)
+{
+    asio::post(m_state->context, [state = m_state.get(), responder = std::move(responder)] {
+        state->responder = responder;
+    });
+}
+
 int Relay::accepted() const
 {
     return m_state->accepted;
 }
 
+std::string headerOf(const std::string &requestHead, const std::string &name)
+{
+    const std::string line = "\r\n" + name + ": ";
+    const auto at = requestHead.find(line);
+    if (at == std::string::npos) {
+        return {};
+    }
+    const auto begin = at + line.size();
+    return requestHead.substr(begin, requestHead.find("\r\n", begin) - begin);
+}
+
 } // namespace snipehill::support
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -5,8 +5,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace snipehill::support
 {
@@ -18,6 +20,9 @@
 class Relay
 {
 public:
+    /** Bytes sent in response to a request, given its head. Called on the relay's thread. */
+    using Responder = std::function<std::string(const std::string &requestHead)>;
+
     explicit Relay(Endpoint target);
     ~Relay();
     Relay(const Relay &) = delete;
@@ -37,6 +42,8 @@
     void setDelay(milliseconds time);
     /** Closes new connections in order after this many bytes from the server; no value: relays them whole again. */
     void cutAfter(std::optional<std::size_t> bytes);
+    /** Answers the first request of each new connection itself and keeps the connection open; an empty function relays new connections again. */
+    void respondWith(Responder responder);
     /** Number of connections accepted so far. */
     int accepted() const;
 
@@ -45,4 +52,7 @@
     std::unique_ptr<State> m_state;
 };
 
+/** Value of a header field in the head of a request; empty if the head lacks it. The name is written as in the head. */
+std::string headerOf(const std::string &requestHead, const std::string &name);
+
 } // namespace snipehill::support
