--- a/tests/connection/brokenresponsetest.cpp
+++ b/tests/connection/brokenresponsetest.cpp
@@ -1,4 +1,5 @@
 #include "support/rawserver.h"
+#include "support/wait.h"
 
 #include <connection/httpclient.h>
 #include <connection/src/httphead.h>
@@ -99,12 +100,15 @@
     return result.get();
 }
 
-/** Lets the reader receive these bytes, after which the server waits for the reader to close the connection. */
-Received receiveBytes(const Reader &reader, const std::string &bytes)
+/** Lets the reader receive these bytes, in parts with a pause between them, after which the server waits for the reader to close the connection. */
+Received receiveBytes(const Reader &reader, const std::vector<std::string> &parts)
 {
-    RawServer server(1, [&bytes](RawServer::Socket &socket) {
+    RawServer server(1, [&parts](RawServer::Socket &socket) {
         readRequestHead(socket);
-        sendBytes(socket, bytes);
+        for (const std::string &part : parts) {
+            sendBytes(socket, part);
+            sleepFor(milliseconds(parts.size() > 1 ? 5 : 0));
+        }
         readRequestHead(socket); // returns at the end of the connection
     });
     return run(reader.receive(server.endpoint(), "a"));
@@ -144,7 +148,7 @@
                         continue;
                     }
                     const std::string bytes = prelude + "HTTP/1.1 " + c.status + " Text\r\n" + framing;
-                    const Received received = receiveBytes(reader, bytes);
+                    const Received received = receiveBytes(reader, {bytes});
                     INFO(bytes << "\n" << reader.name << ": status " << received.status << ", " << received.reason.detail);
                     CHECK(received.whole == c.taken);
                     CHECK(received.took < timeLimit);
@@ -189,6 +193,42 @@
     }
 }
 
+// Guards against a line that begins with a blank being passed on as part of the field before it, with a body whose end is then misread.
+TEST_CASE("A response with a folded line in its head is given up at once", "[connection][broken-response]")
+{
+    struct Case
+    {
+        const char *what;
+        std::string fields;
+        std::string body;
+        bool taken;
+    };
+    const std::string length = "Content-Length: 4\r\n";
+    const std::vector<Case> cases{
+        {"blank", "X-A: 1\r\n X-B: 2\r\n" + length, "body", false},
+        {"tab", "X-A: 1\r\n\tX-B: 2\r\n" + length, "body", false},
+        {"empty continuation", "X-A: 1\r\n \r\n" + length, "body", false},
+        {"after an empty value", "X-A:\r\n 1\r\n" + length, "body", false},
+        {"hidden length", "X-A: 1\r\n " + length, "body", false},
+        {"hidden coding", "X-A: 1\r\n Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n\r\n", false},
+        {"blanks around a value", "X-A: \t1 \t\r\n" + length, "body", true},
+        {"blank line in the body", length, "\r\n b", true},
+        {"no fields before the body", "Content-Length:6\r\n", "\r\n\r\n b", true},
+    };
+    for (const Case &c : cases) {
+        for (const Reader &reader : readers) {
+            const std::string bytes = "HTTP/1.1 200 OK\r\n" + c.fields + "\r\n" + c.body;
+            for (std::size_t split : {std::size_t(0), bytes.find("\r\n", 20) + 1, bytes.find("\r\n", 20) + 2}) {
+                const Received received = receiveBytes(reader, {bytes.substr(0, split), bytes.substr(split)});
+                INFO(c.what << " " << reader.name << ", in parts at " << split << ": " << received.reason.detail);
+                CHECK(received.whole == c.taken);
+                CHECK(received.took < timeLimit);
+                CHECK((!c.taken || received.body == c.body));
+            }
+        }
+    }
+}
+
 // Guards against what is only an answer in part being believed: an era of the store that never was would end the use of all records.
 TEST_CASE("A broken response of the store acknowledges nothing and moves no era", "[platform][broken-response]")
 {
--- a/tests/proofs/brokenresponsetest.cpp
+++ b/tests/proofs/brokenresponsetest.cpp
@@ -34,6 +34,7 @@
     {"status 101", "HTTP/1.1 101 Switching Protocols", ""},
     {"status 600", "HTTP/1.1 600 Unknown", ""},
     {"status 999", "HTTP/1.1 999 Unknown", ""},
+    {"folded line", "HTTP/1.1 200 OK", " X-Odd: 1\r\n"},
 };
 
 /** Ids of the requests that a broken response was sent to. Thread-safe. */
