Test responses with malformed lines in their head

No fault: the parser refuses field names with a blank, a control byte, a byte above 126 or a separator, lines without a name or a colon, control bytes in values, and status lines of another form, in both functions that read responses. Callers get 502 or the answer of another target, on each kind of route of both paths.

The readers of the tests move to a file of their own, for the next test.

--- a/tests/connection/brokenresponsetest.cpp
+++ b/tests/connection/brokenresponsetest.cpp
@@ -1,17 +1,12 @@
+#include "connection/responsereader.h"
 #include "support/rawserver.h"
 #include "support/wait.h"
 
-#include <connection/httpclient.h>
 #include <connection/src/httphead.h>
 
 #include <catch2/catch.hpp>
 #include <platform/storeclient.h>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_future.hpp>
-
 #include <string>
 #include <vector>
 
@@ -21,87 +16,10 @@
 namespace
 {
 
-namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-constexpr milliseconds timeLimit{5000};
-
-/** What a client made of an answer. */
-struct Received
-{
-    bool whole = false; //!< it took the answer for a whole response
-    unsigned status = 0;
-    std::string body;
-    Duration took{};
-    Reason reason;
-};
-
-/** Sends a request over a persistent connection and reads the response. */
-asio::awaitable<void> exchange(HttpConnection &connection, const HttpRequest &request, Received &received)
-{
-    bool more = co_await connection.send(request, timeLimit, received.reason) && co_await connection.readHead(timeLimit, received.reason);
-    if (more) {
-        received.status = connection.head().result_int();
-    }
-    while (more) {
-        const auto piece = co_await connection.readSome(timeLimit, received.reason);
-        received.whole = piece && piece->empty();
-        received.body += piece.value_or("");
-        more = piece && !piece->empty();
-    }
-    CHECK((received.whole || !connection.isReusable()));
-}
-
-asio::awaitable<Received> receiveOverConnection(Endpoint server, std::string body)
-{
-    Received received;
-    HttpConnection connection(co_await asio::this_coro::executor);
-    HttpRequest request(http::verb::post, "/", 11);
-    request.body() = std::move(body);
-    request.prepare_payload();
-    const TimePoint began = Clock::now();
-    if (co_await connection.connect(std::move(server), timeLimit, received.reason)) {
-        co_await exchange(connection, request, received);
-    }
-    received.took = Clock::now() - began;
-    connection.abort();
-    co_return received;
-}
-
-asio::awaitable<Received> receiveInCall(Endpoint server, std::string body)
-{
-    Received received;
-    HttpCall call{.peer = std::move(server), .method = http::verb::post, .body = std::move(body), .timeout = timeLimit};
-    const TimePoint began = Clock::now();
-    const auto response = co_await httpCall(std::move(call), received.reason);
-    received.took = Clock::now() - began;
-    received.whole = response.has_value();
-    if (response) {
-        received.status = response->result_int();
-        received.body = response->body();
-    }
-    co_return received;
-}
-
-/** The two functions that read all responses of this system. */
-struct Reader
-{
-    const char *name;
-    asio::awaitable<Received> (*receive)(Endpoint server, std::string body);
-};
-
-constexpr Reader readers[]{{"on a persistent connection", receiveOverConnection}, {"in a single call", receiveInCall}};
-
-template<typename Result> Result run(asio::awaitable<Result> work)
-{
-    asio::io_context context;
-    auto result = asio::co_spawn(context, std::move(work), asio::use_future);
-    context.run();
-    return result.get();
-}
-
 /** Lets the reader receive these bytes, in parts with a pause between them, after which the server waits for the reader to close the connection. */
-Received receiveBytes(const Reader &reader, const std::vector<std::string> &parts)
+Received receiveBytes(const ResponseReader &reader, const std::vector<std::string> &parts)
 {
     RawServer server(1, [&parts](RawServer::Socket &socket) {
         readRequestHead(socket);
@@ -111,7 +29,7 @@
         }
         readRequestHead(socket); // returns at the end of the connection
     });
-    return run(reader.receive(server.endpoint(), "a"));
+    return runToEnd(reader.receive(server.endpoint(), "a"));
 }
 
 } // namespace
@@ -143,11 +61,11 @@
     for (const Case &c : cases) {
         for (const std::string &framing : framings) {
             for (const std::string &prelude : preludes) {
-                for (const Reader &reader : readers) {
+                for (const ResponseReader &reader : responseReaders) {
                     if (c.taken && framing == untilEnd) {
                         continue;
                     }
-                    const std::string bytes = prelude + "HTTP/1.1 " + c.status + " Text\r\n" + framing;
+                    const std::string bytes = std::string(prelude).append("HTTP/1.1 ").append(c.status).append(" Text\r\n").append(framing);
                     const Received received = receiveBytes(reader, {bytes});
                     INFO(bytes << "\n" << reader.name << ": status " << received.status << ", " << received.reason.detail);
                     CHECK(received.whole == c.taken);
@@ -216,7 +134,7 @@
         {"no fields before the body", "Content-Length:6\r\n", "\r\n\r\n b", true},
     };
     for (const Case &c : cases) {
-        for (const Reader &reader : readers) {
+        for (const ResponseReader &reader : responseReaders) {
             const std::string bytes = "HTTP/1.1 200 OK\r\n" + c.fields + "\r\n" + c.body;
             for (std::size_t split : {std::size_t(0), bytes.find("\r\n", 20) + 1, bytes.find("\r\n", 20) + 2}) {
                 const Received received = receiveBytes(reader, {bytes.substr(0, split), bytes.substr(split)});
@@ -229,6 +147,78 @@
     }
 }
 
+// Guards against lines that only some recipients can read being passed on, or hiding where the body ends.
+TEST_CASE("A response with a malformed line in its head is given up at once", "[connection][broken-response]")
+{
+    const std::vector<std::string> names{"X Odd",
+                                         "X\tOdd",
+                                         "Odd ",
+                                         "Odd\t",
+                                         " Odd",
+                                         "X\x01Odd",
+                                         "X\x1fOdd",
+                                         "X\x7fOdd",
+                                         "X\x80Odd",
+                                         "X\xffOdd",
+                                         "X\rOdd",
+                                         "X\nOdd",
+                                         "X(Odd",
+                                         "X\"Odd",
+                                         "X/Odd",
+                                         "X@Odd",
+                                         "",
+                                         "Content-Length ",
+                                         "Content Length",
+                                         "Content-Length\x0b",
+                                         "Transfer-Encoding\t",
+                                         "Server Seal"};
+    std::vector<std::string> lines{"no colon", "X-Odd: a\rb", "X-Odd: a\nb", "X-Odd: \x01", "X-Odd: a\x7f"};
+    lines.push_back(std::string("X\0Odd: 1", 8));
+    lines.push_back(std::string("X-Odd: a\0b", 10));
+    for (const std::string &name : names) {
+        lines.push_back(name + ": 4");
+    }
+    const std::string length = "Content-Length: 4\r\n";
+    for (const std::string &line : lines) {
+        const std::string odd = line + "\r\n";
+        for (const std::string &fields : {odd + length, length + odd}) {
+            for (const ResponseReader &reader : responseReaders) {
+                const Received received = receiveBytes(reader, {std::string("HTTP/1.1 200 OK\r\n").append(fields).append("\r\nbody")});
+                INFO(fields << reader.name << ": " << received.reason.detail);
+                CHECK(!received.whole);
+                CHECK(received.body.empty());
+                CHECK(received.took < timeLimit);
+            }
+        }
+    }
+}
+
+// Guards against what is no response of HTTP/1.0 or HTTP/1.1 being taken for one.
+TEST_CASE("A response with a malformed status line is given up at once", "[connection][broken-response]")
+{
+    const std::vector<std::string> lines{"HTTP/1.2 200 OK",
+                                         "HTTP/0.9 200 OK",
+                                         "HTTP/2 200 OK",
+                                         "http/1.1 200 OK",
+                                         "HTTP/1.1  200 OK",
+                                         "HTTP/1.1 20 OK",
+                                         "HTTP/1.1 2000 OK",
+                                         "HTTP/1.1 2x0 OK",
+                                         "HTTP/1.1 -20 OK",
+                                         "HTTP/1.1 200\tOK",
+                                         "HTTP/1.1 200 a\x01",
+                                         " HTTP/1.1 200 OK",
+                                         "ICY 200 OK"};
+    for (const std::string &line : lines) {
+        for (const ResponseReader &reader : responseReaders) {
+            const Received received = receiveBytes(reader, {line + "\r\nContent-Length: 4\r\n\r\nbody"});
+            INFO(line << " " << reader.name << ": " << received.reason.detail);
+            CHECK(!received.whole);
+            CHECK(received.took < timeLimit);
+        }
+    }
+}
+
 // Guards against what is only an answer in part being believed: an era of the store that never was would end the use of all records.
 TEST_CASE("A broken response of the store acknowledges nothing and moves no era", "[platform][broken-response]")
 {
@@ -239,11 +229,11 @@
     });
     platform::StoreClient store(server.endpoint());
     Reason reason;
-    std::vector<platform::StoreRecord> records;
-    records.push_back({noOffset, "", "value"});
-    CHECK(!run(store.append("own", std::move(records), timeLimit, reason)));
+    const std::vector<platform::StoreRecord> records{{noOffset, "", "value"}};
+    const auto appended = runToEnd(store.append("own", records, timeLimit, reason));
+    CHECK(!appended);
     CHECK(reason.step == Step::LogAppend);
-    CHECK(!run(store.readNewest("keyed.own", timeLimit, reason)));
+    CHECK(!runToEnd(store.readNewest("keyed.own", timeLimit, reason)));
     CHECK(reason.step == Step::LogRead);
     CHECK(store.era() == 0);
 }
--- a/tests/proofs/brokenresponsetest.cpp
+++ b/tests/proofs/brokenresponsetest.cpp
@@ -35,6 +35,11 @@
     {"status 600", "HTTP/1.1 600 Unknown", ""},
     {"status 999", "HTTP/1.1 999 Unknown", ""},
     {"folded line", "HTTP/1.1 200 OK", " X-Odd: 1\r\n"},
+    {"blank in a name", "HTTP/1.1 200 OK", "X Odd: 1\r\n"},
+    {"blank before a colon", "HTTP/1.1 200 OK", "X-Odd : 1\r\n"},
+    {"control byte in a name", "HTTP/1.1 200 OK", "X-\x01Odd: 1\r\n"},
+    {"byte above 126 in a name", "HTTP/1.1 200 OK", "X-\x7fOdd: 1\r\n"},
+    {"line without a colon", "HTTP/1.1 200 OK", "Odd\r\n"},
 };
 
 /** Ids of the requests that a broken response was sent to. Thread-safe. */
