Take no body that ends with a connection on which the request never arrived

What callers saw: a target answered an upload at once with a 200 without a length, sent part of the body, ended its side in order and reset the connection while part of the upload was still under way. Callers got the part as a complete answer, on each kind of route of both paths, with uploads of 0.5 and 3.9 MB.

Cause: the upload was in the buffers of the local socket, so the write had succeeded, and a body without a length ends with an orderly end of the connection. That the target had not even received the request wasn't looked at.

Change: at the end of such a body the kernel is asked for data that the peer has not acknowledged (SIOCOUTQ). A peer that has received the whole request acknowledges it with the end of its side at the latest, so a sound response is never refused; one that is right to answer early has to give a length. Where the kernel can't tell, nothing changes.

--- a/src/connection/src/httpclient.cpp
+++ b/src/connection/src/httpclient.cpp
@@ -10,7 +10,9 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -30,6 +32,7 @@
 constexpr std::size_t readChunkBytes = 16384;
 constexpr milliseconds maxUnacknowledgedTime{1500}; // of a persistent connection; longer than the pauses of sound peers
 constexpr std::uint64_t streamBodyLimitBytes = 1ULL << 32U;
+constexpr const char *endWithinRequest = "receive body, which ended before the whole request had arrived";
 
 Reason failure(Step step, const Endpoint &peer, std::string_view what, const boost::system::error_code &error)
 {
@@ -54,6 +57,16 @@
     stream.close();
 }
 
+/**
+ * Whether a response that has ended with its connection may be whole. It isn't if the peer's kernel has not acknowledged the whole request: a peer that
+ * breaks off within a request may end the connection in order before it resets it. True if the kernel can't tell.
+ */
+bool mayEndWithConnection(asio::ip::tcp::socket &socket)
+{
+    int unacknowledgedBytes = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledgedBytes) != 0 || unacknowledgedBytes == 0;
+}
+
 } // namespace
 
 asio::awaitable<std::optional<HttpResponse>> httpCall(HttpCall call, Reason &reason)
@@ -101,11 +114,16 @@
         }
     } while (isInterim(parser->get()));
     auto [bodyError, read] = co_await http::async_read(stream, buffer, *parser, useTuple);
+    const bool endedTooSoon = !bodyError && parser->need_eof() && !mayEndWithConnection(stream.socket());
     closeWithReset(stream);
     if (bodyError) {
         reason = failure(call.step, call.peer, "receive body", bodyError);
         co_return std::nullopt;
     }
+    if (endedTooSoon) {
+        reason = failure(call.step, call.peer, endWithinRequest, http::error::partial_message);
+        co_return std::nullopt;
+    }
     co_return parser->release();
 }
 
@@ -184,6 +202,10 @@
             co_return std::string(chunk.data(), size);
         }
     }
+    if (m_parser->need_eof() && !mayEndWithConnection(m_stream.socket())) {
+        reason = fail(endWithinRequest, http::error::partial_message);
+        co_return std::nullopt;
+    }
     m_exchangeComplete = true;
     co_return std::string();
 }
--- a/tests/support/rawserver.cpp
+++ b/tests/support/rawserver.cpp
@@ -1,5 +1,6 @@
 #include "rawserver.h"
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
@@ -42,12 +43,25 @@
     return request;
 }
 
+void readBytes(RawServer::Socket &socket, std::size_t count)
+{
+    std::string bytes;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(bytes), asio::transfer_exactly(count), error);
+}
+
 void sendBytes(RawServer::Socket &socket, const std::string &bytes)
 {
     boost::system::error_code error;
     asio::write(socket, asio::buffer(bytes), error);
 }
 
+void endSending(RawServer::Socket &socket)
+{
+    boost::system::error_code error;
+    socket.shutdown(Tcp::socket::shutdown_send, error);
+}
+
 void resetConnection(RawServer::Socket &socket)
 {
     boost::system::error_code error;
--- a/tests/support/rawserver.h
+++ b/tests/support/rawserver.h
@@ -41,9 +41,15 @@
 /** Reads a request up to the end of its head and returns what was read; some of the body may follow the head. */
 std::string readRequestHead(RawServer::Socket &socket);
 
+/** Reads this number of bytes, or fewer if the peer closes the connection. */
+void readBytes(RawServer::Socket &socket, std::size_t count);
+
 /** Sends all bytes, unless the peer has closed the connection. */
 void sendBytes(RawServer::Socket &socket, const std::string &bytes);
 
+/** Ends the sending direction in order; the peer reads an end of file. */
+void endSending(RawServer::Socket &socket);
+
 /** Closes the connection with a TCP reset. */
 void resetConnection(RawServer::Socket &socket);
 
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -28,6 +28,7 @@
 
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t chunkBytes = 65536;
+constexpr milliseconds resetDelay{3}; // lets the response arrive before the reset
 
 /** A relayed connection: the socket of the client and the one to the server. */
 struct Connection
@@ -71,15 +72,14 @@
             connection->serverBytes = cutAfter;
             connections.push_back(connection);
             if (responder) {
-                asio::co_spawn(context, respond(connection, responder), asio::detached);
+                asio::co_spawn(context, respond(connection, responder, afterResponse), asio::detached);
             } else {
                 asio::co_spawn(context, serve(connection), asio::detached);
             }
         }
     }
 
-    /** Answers one request, then waits until the client closes the connection. */
-    asio::awaitable<void> respond(ConnectionPointer connection, Responder answer)
+    asio::awaitable<void> respond(ConnectionPointer connection, Responder answer, AfterResponse after)
     {
         std::string request;
         auto [error, headBytes] = co_await asio::async_read_until(connection->client, asio::dynamic_buffer(request), "\r\n\r\n", useTuple);
@@ -88,6 +88,9 @@
             auto [writeError, written] = co_await asio::async_write(connection->client, asio::buffer(response), useTuple);
             error = writeError;
         }
+        if (after != AfterResponse::KeepOpen) {
+            co_await reset(connection, after);
+        }
         std::array<char, chunkBytes> chunk;
         while (!error) {
             auto [readError, size] = co_await connection->client.async_read_some(asio::buffer(chunk), useTuple);
@@ -97,6 +100,18 @@
         connections.remove(connection);
     }
 
+    asio::awaitable<void> reset(ConnectionPointer connection, AfterResponse after)
+    {
+        boost::system::error_code ignored;
+        if (after == AfterResponse::EndAndReset) {
+            connection->client.shutdown(Tcp::socket::shutdown_send, ignored);
+        }
+        asio::steady_timer timer(context, resetDelay);
+        co_await timer.async_wait(useTuple);
+        connection->client.set_option(asio::socket_base::linger(true, 0), ignored);
+        connection->client.close(ignored);
+    }
+
     asio::awaitable<void> serve(ConnectionPointer connection)
     {
         const Tcp::endpoint endpoint(asio::ip::make_address(target.address), target.port);
@@ -154,6 +169,7 @@
     bool blackholing = false;
     std::optional<std::size_t> cutAfter;
     Responder responder;
+    AfterResponse afterResponse = AfterResponse::KeepOpen;
     milliseconds forwardDelay{0};
     std::atomic<int> accepted{0};
     std::thread thread;
@@ -227,10 +243,11 @@
     });
 }
 
-void Relay::respondWith(Responder responder)
+void Relay::respondWith(Responder responder, AfterResponse after)
 {
-    asio::post(m_state->context, [state = m_state.get(), responder = std::move(responder)] {
+    asio::post(m_state->context, [state = m_state.get(), responder = std::move(responder), after] {
         state->responder = responder;
+        state->afterResponse = after;
     });
 }
 
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -23,6 +23,13 @@
     /** Bytes sent in response to a request, given its head. Called on the relay's thread. */
     using Responder = std::function<std::string(const std::string &requestHead)>;
 
+    /** What follows a response of the relay's own. */
+    enum class AfterResponse {
+        KeepOpen,
+        Reset, //!< a reset, which may be preceded by all of the response
+        EndAndReset, //!< an orderly end of what the relay sends, then a reset
+    };
+
     explicit Relay(Endpoint target);
     ~Relay();
     Relay(const Relay &) = delete;
@@ -42,8 +49,8 @@
     void setDelay(milliseconds time);
     /** Closes new connections in order after this many bytes from the server; no value: relays them whole again. */
     void cutAfter(std::optional<std::size_t> bytes);
-    /** Answers the first request of each new connection itself and keeps the connection open; an empty function relays new connections again. */
-    void respondWith(Responder responder);
+    /** Answers the first request of each new connection itself, without reading its body; an empty function relays new connections again. */
+    void respondWith(Responder responder, AfterResponse after = AfterResponse::KeepOpen);
     /** Number of connections accepted so far. */
     int accepted() const;
 
