Send callers no status that HTTP doesn't have, wherever it comes from

What callers would have seen: an entry passed on any status that a sidecar sent over the link. During a rolling upgrade sidecars of the earlier version still read a target's 000 as an answer, and the log of intents may hold one that an earlier version recorded under an idempotency key.

Cause: the head in a frame was checked only for a stream that is resumed, and the HTTP server wrote each status that its handler gave.

Change: an entry treats a head without a final status like a failed attempt whose outcome is unknown, so that the request is repeated where its route allows it, or refused with 502. The server throws on such a status before anything is sent; the caller gets 500 and the error is logged with its text.

Not shown: an entry and a sidecar of two versions as processes.

--- a/src/connection/include/connection/httpserver.h
+++ b/src/connection/include/connection/httpserver.h
@@ -39,7 +39,8 @@
 /**
  * One request and its response, passed to the handler. Valid while the handler runs; use it only on the strand of
  * its connection. Call either respond(), or beginStream(), then write() any number of times, then finish().
- * These functions return false if writing failed, usually because the client has disconnected.
+ * These functions return false if writing failed, usually because the client has disconnected. A status that no final
+ * response has, see isFinalStatus(), throws std::invalid_argument; nothing is sent then.
  */
 class HttpExchange
 {
--- a/src/connection/src/httpserver.cpp
+++ b/src/connection/src/httpserver.cpp
@@ -1,4 +1,5 @@
 #include <connection/httpserver.h>
+#include <connection/httpstatus.h>
 
 #include "disconnectwatcher.h"
 #include "httphead.h"
@@ -18,6 +19,7 @@
 
 #include <sys/socket.h>
 
+#include <stdexcept>
 #include <utility>
 
 namespace snipehill
@@ -66,6 +68,7 @@
 
     asio::awaitable<bool> respond(unsigned status, HeaderList headers, std::string body) override
     {
+        requireFinalStatus(status);
         m_responseStarted = true;
         http::response<http::string_body> response;
         applyHead(response, status, headers);
@@ -83,6 +86,7 @@
 
     asio::awaitable<bool> beginStream(unsigned status, HeaderList headers) override
     {
+        requireFinalStatus(status);
         m_responseStarted = true;
         http::response<http::empty_body> response;
         applyHead(response, status, headers);
@@ -195,6 +199,13 @@
     }
 
 private:
+    static void requireFinalStatus(unsigned status)
+    {
+        if (!isFinalStatus(status)) {
+            throw std::invalid_argument("response with the status " + std::to_string(status));
+        }
+    }
+
     /** True if HTTP allows no body in the response. */
     bool isBodyless(unsigned status) const noexcept
     {
--- a/src/serving/src/callerresponse.cpp
+++ b/src/serving/src/callerresponse.cpp
@@ -2,6 +2,7 @@
 
 #include "wireconvert.h"
 
+#include <connection/httpstatus.h>
 #include <core/jsontext.h>
 #include <process/metrics.h>
 
@@ -102,7 +103,7 @@
 
 bool CallerResponse::accepts(const wire::Head &head) const noexcept
 {
-    return !m_streaming || (head.stream() && head.status() == m_status);
+    return isFinalStatus(head.status()) && (!m_streaming || (head.stream() && head.status() == m_status));
 }
 
 void CallerResponse::discardBuffered()
--- a/src/serving/src/callerresponse.h
+++ b/src/serving/src/callerresponse.h
@@ -40,7 +40,10 @@
     boost::asio::awaitable<void> refuse(Refusal refusal);
 
     bool isStreaming() const noexcept;
-    /** Whether what follows the head may be forwarded: not the response of an attempt that was to resume a stream and failed. */
+    /**
+     * Whether what follows the head may be forwarded: not the response of an attempt that was to resume a stream and failed, and no status that HTTP
+     * doesn't have, which a sidecar of an earlier version passes on.
+     */
     bool accepts(const wire::Head &head) const noexcept;
     /** Discards the buffered part of a response whose attempt failed. */
     void discardBuffered();
--- a/src/serving/src/entryattempt.cpp
+++ b/src/serving/src/entryattempt.cpp
@@ -176,7 +176,7 @@
         if (frame.has_head() && !m_response.accepts(frame.head())) {
             acknowledge();
             cancel();
-            co_return failedToResume(frame.head());
+            co_return unusableHead(frame.head());
         }
         const bool sent = co_await m_response.forwardFrame(frame);
         if (!sent) {
@@ -198,11 +198,12 @@
         co_return AttemptResult();
     }
 
-    AttemptResult failedToResume(const wire::Head &head) const
+    AttemptResult unusableHead(const wire::Head &head) const
     {
         AttemptResult result;
         result.end = AttemptEnd::Refused;
-        const std::string detail = "the target answered " + std::to_string(head.status()) + " instead of the rest of the stream";
+        const std::string detail = "the target answered " + std::to_string(head.status())
+            + (m_response.isStreaming() ? " instead of the rest of the stream" : ", which is no status");
         result.refusal = {Outcome::OutcomeUnknown, 502, {Step::RunOnTarget, m_target.instance, detail}, std::nullopt};
         return result;
     }
--- a/tests/connection/httpresponsetest.cpp
+++ b/tests/connection/httpresponsetest.cpp
@@ -251,6 +251,10 @@
         {"HEAD without a known length", "HEAD", 200, "", false, "HTTP/1.1 200 ", "", false},
         {"stream in response to HEAD", "HEAD", 200, "ab", true, "HTTP/1.1 200 ", "", false},
         {"stream without content", "GET", 204, "ab", true, "HTTP/1.1 204 ", "", false},
+        {"status 000", "GET", 0, "ab", false, "HTTP/1.1 500 ", "internal error", true},
+        {"interim status", "GET", 101, "ab", false, "HTTP/1.1 500 ", "internal error", true},
+        {"status above 599", "GET", 600, "ab", false, "HTTP/1.1 500 ", "internal error", true},
+        {"stream with status 000", "GET", 0, "ab", true, "HTTP/1.1 500 ", "internal error", true},
     };
     for (const Case &c : cases) {
         INFO(c.description);
--- a/tests/serving/streamwritertest.cpp
+++ b/tests/serving/streamwritertest.cpp
@@ -1,3 +1,5 @@
+#include "serving/slowexchange.h"
+
 #include <serving/src/answersizes.h>
 #include <serving/src/streamwriter.h>
 
@@ -26,88 +28,6 @@
 namespace asio = boost::asio;
 using Room = EventWriter::Room;
 
-/** Exchange whose client takes a write only when it is allowed to. */
-class SlowExchange : public HttpExchange
-{
-public:
-    explicit SlowExchange(asio::io_context &context) : m_taken(context) { }
-
-    /** Lets the client take this many further writes. */
-    void take(int writes)
-    {
-        m_allowed += writes;
-        m_taken.cancel();
-    }
-
-    void breakConnection()
-    {
-        m_broken = true;
-        m_taken.cancel();
-    }
-
-    asio::awaitable<bool> write(std::string_view data) override
-    {
-        while (m_allowed == 0 && !m_broken) {
-            m_taken.expires_at(TimePoint::max());
-            co_await m_taken.async_wait(asio::as_tuple(asio::use_awaitable));
-        }
-        if (m_broken) {
-            co_return false;
-        }
-        --m_allowed;
-        written += data;
-        co_return true;
-    }
-
-    const boost::beast::http::request<boost::beast::http::string_body> &request() const noexcept override
-    {
-        return m_request;
-    }
-    const std::string &clientAddress() const noexcept override
-    {
-        return m_client;
-    }
-    asio::awaitable<bool> respond(unsigned, HeaderList, std::string) override
-    {
-        co_return true;
-    }
-    asio::awaitable<bool> beginStream(unsigned, HeaderList) override
-    {
-        co_return true;
-    }
-    asio::awaitable<bool> finish() override
-    {
-        co_return true;
-    }
-    void abort() override { }
-    bool hasResponseStarted() const noexcept override
-    {
-        return true;
-    }
-    bool isDisconnected() const noexcept override
-    {
-        return m_broken;
-    }
-    bool checkDisconnected() override
-    {
-        return m_broken;
-    }
-    void onDisconnect(std::function<void()>) override { }
-    TimePoint received() const noexcept override
-    {
-        return {};
-    }
-
-    std::string written;
-
-private:
-    asio::steady_timer m_taken;
-    int m_allowed = 0;
-    bool m_broken = false;
-    boost::beast::http::request<boost::beast::http::string_body> m_request;
-    std::string m_client;
-};
-
 /** Runs what can run now. */
 void run(asio::io_context &context)
 {
