Soak: let targets send broken responses

A fifth draw, `RESPONSES=0` leaves it out: for a while the relay of a target answers instead of it with a status that HTTP doesn't have, a broken line, or part of a body. A new check wants that no caller gets any of it.

--- a/Makefile
+++ b/Makefile
@@ -21,14 +21,15 @@
 	$(BUILD)/tests/proof_tests
 
 # Injects random faults into a deployment of real processes: make soak SEED=100 SEEDS=50
-# FAULTS=0 COPIES=0 STATEMENTS=0 leaves planned work and silent targets only.
+# FAULTS=0 COPIES=0 STATEMENTS=0 RESPONSES=0 leaves planned work and silent targets only.
 SEED ?= 1
 SEEDS ?= 10
 FAULTS ?= 12
 COPIES ?= 4
 STATEMENTS ?= 4
+RESPONSES ?= 3
 soak: build
-	$(BUILD)/tests/snipehill_soak --seed $(SEED) --seeds $(SEEDS) --faults $(FAULTS) --copies $(COPIES) --statements $(STATEMENTS)
+	$(BUILD)/tests/snipehill_soak --seed $(SEED) --seeds $(SEEDS) --faults $(FAULTS) --copies $(COPIES) --statements $(STATEMENTS) --broken-responses $(RESPONSES)
 
 demo: install build
 	sh examples/demo.sh $(BUILD)
--- a/tests/proofs/soakcheckstest.cpp
+++ b/tests/proofs/soakcheckstest.cpp
@@ -206,3 +206,27 @@
         CHECK(pausedTargetsGetNoWork(records, journal, c.excuses).empty() == c.pauseValid);
     }
 }
+
+TEST_CASE("The soak's checker for broken responses reports each of them, and no refusal", "[soak][checkers]")
+{
+    struct Case
+    {
+        support::Response response;
+        bool reported;
+    };
+    const std::vector<Case> cases{
+        {{.complete = true, .status = 200, .body = "ran r1 at p1"}, false},
+        {{.complete = true, .status = 502, .body = "{}"}, false},
+        {{.complete = false, .status = 0}, false}, // no response
+        {{.complete = true, .status = 0}, true},
+        {{.complete = true, .status = 600}, true},
+        {{.complete = true, .status = 200, .body = brokenResponseMark}, true},
+        {{.complete = false, .status = 200, .body = brokenResponseMark}, true},
+    };
+    for (const Case &c : cases) {
+        CallerRecord record = cutStream();
+        record.response = c.response;
+        INFO(c.response.status << " " << c.response.body);
+        CHECK(brokenResponsesReachNoCaller({record}).empty() != c.reported);
+    }
+}
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -22,6 +22,7 @@
     int plannedWork = 10;
     int copies = 4;
     int statements = 4;
+    int brokenResponses = 3;
 };
 
 bool parseOptions(int argc, const char **argv, SoakOptions &options)
@@ -42,6 +43,7 @@
          0,
          "targets that say that they leave or want a pause, with kills and restarts beside them, per run",
          "COUNT"},
+        {"broken-responses", 'b', POPT_ARG_INT, &options.brokenResponses, 0, "targets whose responses are broken, per run", "COUNT"},
         POPT_AUTOHELP POPT_TABLEEND,
     };
     poptContext context = poptGetContext(nullptr, argc, argv, table, 0);
@@ -49,7 +51,7 @@
     const bool rest = poptPeekArg(context) != nullptr;
     poptFreeContext(context);
     return end == -1 && !rest && options.seeds > 0 && options.entries > 0 && options.callers > 0 && options.seconds > 2 && options.faults >= 0
-        && options.plannedWork >= 0 && options.copies >= 0 && options.statements >= 0;
+        && options.plannedWork >= 0 && options.copies >= 0 && options.statements >= 0 && options.brokenResponses >= 0;
 }
 
 } // namespace
@@ -69,6 +71,7 @@
     size.plannedWork = static_cast<std::size_t>(options.plannedWork);
     size.copies = static_cast<std::size_t>(options.copies);
     size.statements = static_cast<std::size_t>(options.statements);
+    size.brokenResponses = static_cast<std::size_t>(options.brokenResponses);
     int failed = 0;
     for (int i = 0; i < options.seeds; ++i) {
         const auto seed = static_cast<std::uint64_t>(options.firstSeed + i);
--- a/tests/soak/soakcheck.cpp
+++ b/tests/soak/soakcheck.cpp
@@ -1,5 +1,6 @@
 #include "soakcheck.h"
 
+#include <connection/httpstatus.h>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -93,6 +94,18 @@
     return violations;
 }
 
+Violations brokenResponsesReachNoCaller(const std::vector<CallerRecord> &records)
+{
+    Violations violations;
+    for (const CallerRecord &record : records) {
+        const bool invalidStatus = record.response.complete && !isFinalStatus(record.response.status);
+        if (invalidStatus || record.response.body.find(brokenResponseMark) != std::string::npos) {
+            violations.push_back(describe(record) + ", a broken response of a target");
+        }
+    }
+    return violations;
+}
+
 Violations keysAreNotForwarded(const std::vector<CallerRecord> &records, const Journal &journal)
 {
     std::set<std::string> sent;
--- a/tests/soak/soakcheck.h
+++ b/tests/soak/soakcheck.h
@@ -15,6 +15,9 @@
 using support::Journal;
 using support::Violations;
 
+/** In the body of each broken response of a target. */
+constexpr const char *brokenResponseMark = "no part of any answer";
+
 /** Finds non-idempotent requests that ran more than once, counted over all targets and their restarts. */
 Violations ranAtMostOnce(const Journal &journal);
 
@@ -27,6 +30,9 @@
  */
 Violations responsesMatchRequests(const std::vector<CallerRecord> &records, const Journal &journal);
 
+/** Finds responses with a status that no final response of HTTP has, and any part of a broken response of a target. */
+Violations brokenResponsesReachNoCaller(const std::vector<CallerRecord> &records);
+
 /** Finds runs of unknown requests, with the caller's API key, for another workspace, or for another target instance. */
 Violations keysAreNotForwarded(const std::vector<CallerRecord> &records, const Journal &journal);
 
--- a/tests/soak/soakplan.cpp
+++ b/tests/soak/soakplan.cpp
@@ -11,10 +11,10 @@
 const char *toString(FaultKind kind) noexcept
 {
     static constexpr const char *names[faultKindCount] = {
-        "kill entry",   "stop entry",     "pause entry",    "reload entry",   "kill all entries", "kill target", "pause target",       "leave target",
-        "drop target",  "silence target", "cut target",     "delay target",   "refuse work",      "fail work",   "break stream",       "extra answers",
-        "slow target",  "drop store",     "silence store",  "cut store",      "delay store",      "store down",  "lose store answers", "publish version",
-        "withdraw key", "silent target",  "leaving target", "pausing target", "older store copy",
+        "kill entry",   "stop entry",     "pause entry",    "reload entry",   "kill all entries", "kill target",      "pause target",       "leave target",
+        "drop target",  "silence target", "cut target",     "delay target",   "refuse work",      "fail work",        "break stream",       "extra answers",
+        "slow target",  "drop store",     "silence store",  "cut store",      "delay store",      "store down",       "lose store answers", "publish version",
+        "withdraw key", "silent target",  "leaving target", "pausing target", "older store copy", "broken responses",
     };
     return names[static_cast<int>(kind)];
 }
@@ -78,6 +78,7 @@
     constexpr std::uint64_t plannedSalt = 0x706c616e;
     constexpr std::uint64_t copySalt = 0x636f7079;
     constexpr std::uint64_t statementSalt = 0x73746174;
+    constexpr std::uint64_t responseSalt = 0x72657370;
     std::vector<Fault> faults;
     std::mt19937_64 random(seed);
     addFaults(faults, random, size.faults, size.duration, static_cast<int>(FaultKind::SilentTarget), [](std::int64_t kind) {
@@ -111,6 +112,10 @@
             faults[i].end = std::min(size.duration, faults[i].end + leavingTime);
         }
     }
+    std::mt19937_64 responseRandom(seed ^ responseSalt);
+    addFaults(faults, responseRandom, size.brokenResponses, size.duration, 1, [](std::int64_t) {
+        return FaultKind::BrokenResponses;
+    });
     std::stable_sort(faults.begin(), faults.end(), [](const Fault &left, const Fault &right) {
         return left.start < right.start;
     });
--- a/tests/soak/soakplan.h
+++ b/tests/soak/soakplan.h
@@ -39,9 +39,10 @@
     LeavingTarget, //!< the target says in its responses that it leaves, its entry stays ready; registered as a new run at the end
     PausingTarget, //!< the target refuses some requests with 503 and asks for a pause
     OlderStoreCopy, //!< the store comes back from a copy up to some seconds old, half of the times after it was away; written again at the end
+    BrokenResponses, //!< what comes from the target is no response of HTTP, or part of one
 };
 
-constexpr int faultKindCount = static_cast<int>(FaultKind::OlderStoreCopy) + 1;
+constexpr int faultKindCount = static_cast<int>(FaultKind::BrokenResponses) + 1;
 
 const char *toString(FaultKind kind) noexcept;
 
@@ -64,11 +65,12 @@
     std::size_t plannedWork = 10; //!< in addition: planned work and silent targets, after which every request must be answered
     std::size_t copies = 4; //!< in addition: older copies of the store, and kills and restarts of entries beside them
     std::size_t statements = 4; //!< in addition: targets that say that they leave or want a pause, and kills and restarts beside them
+    std::size_t brokenResponses = 3; //!< in addition
 };
 
 /**
  * Returns the faults for a seed, sorted by start. Some are repeated: the same kind occurs again shortly after. Neither the
- * faults of planned work nor those of older copies nor statements of targets change the others of the same seed.
+ * faults of planned work nor those of older copies nor statements nor broken responses of targets change the others of the same seed.
  */
 std::vector<Fault> planFaults(std::uint64_t seed, const SoakSize &size);
 
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -243,6 +243,7 @@
         addViolations(ranAtMostOnce(journal));
         addViolations(refusalsDidNotRun(records, journal));
         addViolations(responsesMatchRequests(records, journal));
+        addViolations(brokenResponsesReachNoCaller(records));
         Journal trafficJournal = journal;
         std::erase_if(trafficJournal, [](const Json::Value &event) {
             return event["id"].asString().starts_with("last");
--- a/tests/soak/targetfaults.cpp
+++ b/tests/soak/targetfaults.cpp
@@ -2,6 +2,8 @@
 
 #include "standinfaults.h"
 
+#include <array>
+
 namespace snipehill::soak
 {
 
@@ -30,6 +32,37 @@
     }
 }
 
+/** A response that must reach no caller, and how its connection ends. */
+struct BrokenResponse
+{
+    const char *statusLine;
+    const char *fields; //!< with line ends; the rest of the body is missing where the length is too large
+    Relay::AfterResponse after;
+};
+
+constexpr std::array<BrokenResponse, 7> brokenResponses{{
+    {"HTTP/1.1 000 Unknown", "Content-Length: 21\r\n", Relay::AfterResponse::KeepOpen},
+    {"HTTP/1.1 101 Switching Protocols", "Content-Length: 21\r\n", Relay::AfterResponse::KeepOpen},
+    {"HTTP/1.1 600 Unknown", "Content-Length: 21\r\n", Relay::AfterResponse::KeepOpen},
+    {"HTTP/1.1 200 OK", " X-Odd: 1\r\nContent-Length: 21\r\n", Relay::AfterResponse::KeepOpen},
+    {"HTTP/1.1 200 OK", "X Odd: 1\r\nContent-Length: 21\r\n", Relay::AfterResponse::KeepOpen},
+    {"HTTP/1.1 200 OK", "Content-Length: 100\r\n", Relay::AfterResponse::EndAndReset},
+    {"HTTP/1.1 200 OK", "", Relay::AfterResponse::Reset},
+}};
+
+/** Lets the relay of the target answer instead of it, on all connections. */
+void sendBrokenResponses(DirectCluster &host, const Fault &fault)
+{
+    const BrokenResponse &broken = brokenResponses.at(fault.index % brokenResponses.size());
+    Relay &relay = host.targetRelay(targetOf(fault).id);
+    const auto respond = [&broken](const std::string &head) {
+        return std::string(broken.statusLine) + "\r\nAttempt-Id: " + headerOf(head, "Attempt-Id") + "\r\nServer-Seal: s\r\nContent-Type: text/plain\r\n"
+            + broken.fields + "\r\n" + brokenResponseMark;
+    };
+    relay.respondWith(respond, broken.after);
+    relay.dropConnections();
+}
+
 } // namespace
 
 const std::vector<DirectTarget> &soakTargets()
@@ -80,6 +113,9 @@
     case FaultKind::DelayTarget:
         host.targetRelay(target.id).setDelay((fault.end - fault.start) / 10);
         return;
+    case FaultKind::BrokenResponses:
+        sendBrokenResponses(host, fault);
+        break;
     default:
         applyStandInFault(host, fault, &StandInFault::startSettings);
         return;
@@ -108,6 +144,9 @@
     case FaultKind::DelayTarget:
         host.targetRelay(target.id).setDelay(milliseconds(0));
         break;
+    case FaultKind::BrokenResponses:
+        host.targetRelay(target.id).respondWith({});
+        break;
     default:
         applyStandInFault(host, fault, &StandInFault::endSettings);
         break;
