--- a/src/connection/include/connection/httpclient.h
+++ b/src/connection/include/connection/httpclient.h
@@ -78,7 +78,10 @@
     boost::asio::awaitable<bool> send(const HttpRequest &request, milliseconds timeout, Reason &reason);
     /** Reads status line and headers of the final response; interim responses (1xx) are skipped within the same timeout. */
     boost::asio::awaitable<bool> readHead(milliseconds timeout, Reason &reason);
-    /** Reads the next part of the body within the timeout; returns an empty string at its end, and no value with a reason on error. */
+    /**
+     * Reads the next part of the body within the timeout; returns an empty string at its end, and no value with a reason on error. The end of the connection
+     * ends a body without a length only if the peer has received the whole request.
+     */
     boost::asio::awaitable<std::optional<std::string>> readSome(milliseconds timeout, Reason &reason);
 
     const boost::beast::http::response_header<> &head() const;
--- a/src/connection/src/httpserver.cpp
+++ b/src/connection/src/httpserver.cpp
@@ -1,11 +1,12 @@
 #include <connection/httpserver.h>
-#include <connection/httpstatus.h>
 
 #include "disconnectwatcher.h"
 #include "httphead.h"
 #include "httpinput.h"
 #include "httpserverstate.h"
 
+#include <connection/httpstatus.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -79,6 +79,7 @@
         }
     }
 
+    /** Answers one request, then waits until the client closes the connection, or resets it. */
     asio::awaitable<void> respond(ConnectionPointer connection, Responder answer, AfterResponse after)
     {
         std::string request;
