--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -8,5 +8,5 @@
 for case in review/1[1-5]/case.cpp; do
     [ -f "$case" ] || continue
     name=$(basename "$(dirname "$case")")
-    "${CXX:-g++}" -std=c++20 -O2 -pthread -o "$out/case-$name" "$case" review/stage-3/stage.cpp review/stage-3/fleet.cpp
+    "${CXX:-g++}" -std=c++20 -O2 -pthread -o "$out/case-$name" "$case" review/stage.cpp review/fleet.cpp
 done
--- a/review/stage-3/fleet.cpp
+++ b/review/fleet.cpp
@@ -69,8 +69,7 @@
 
 } // namespace
 
-Fleet::Fleet(int argc, char **argv)
-    : m_caseFolder(argc > 1 ? argv[1] : "."), m_folder(makeFolder()), m_record(m_caseFolder + "/record.txt"), m_processes(std::in_place)
+Fleet::Fleet(int argc, char **argv) : m_folder(makeFolder()), m_record(argc > 1 ? argv[1] : "record.txt"), m_processes(std::in_place)
 {
     std::signal(SIGPIPE, SIG_IGN);
     const char *trouble = std::getenv("TROUBLE");
--- a/review/stage-3/fleet.h
+++ b/review/fleet.h
@@ -11,7 +11,7 @@
 class Fleet
 {
 public:
-    /** Reads the folder of the case and TROUBLE from the environment, and starts the store. */
+    /** Takes the path of record.txt from the arguments and TROUBLE from the environment, and starts the store. */
     Fleet(int argc, char **argv);
 
     bool trouble() const;
@@ -44,7 +44,6 @@
         pid_t process = -1;
     };
 
-    std::string m_caseFolder;
     std::string m_folder;
     Record m_record;
     bool m_trouble = true;
--- a/review/stage-3/stage.h
+++ b/review/stage.h
@@ -24,7 +24,7 @@
 std::int64_t nowMs();
 void sleepMs(std::int64_t ms);
 
-/** Writes lines with the time to record.txt in the folder of the case. Thread-safe. */
+/** Writes lines with the time to the record.txt of the case. Thread-safe. */
 class Record
 {
 public:
